--- /dev/null
+++ b/src/bin/damsonspool-simhost/host.rs
@@ -0,0 +1,311 @@
+//! Hosts one sender for each instance and turns batches into turns. It decides nothing.
+
+use crate::wire::*;
+use damsonspool::*;
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+
+struct Line {
+    zone: String,
+    kind: String,
+    phase: Phase,
+    dest: u64,
+    endpoint: String,
+}
+
+struct Instance {
+    sender: Sender,
+    names: Names,
+    addresses: BTreeMap<EndpointId, String>,
+    events: Vec<Event>,
+    touched: bool,
+}
+
+impl Instance {
+    /// The number of an address: the same at every sender (FNV-1a), but for the rare clash.
+    fn endpoint(&mut self, address: &str) -> EndpointId {
+        let fold = |h: u64, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3);
+        let mut id = EndpointId(address.bytes().fold(0xcbf2_9ce4_8422_2325, fold));
+        while self.addresses.entry(id).or_insert_with(|| address.to_owned()) != address {
+            id.0 = id.0.wrapping_add(1);
+        }
+        id
+    }
+
+    fn entries(&mut self, list: &[Line]) -> Read<Vec<Entry>> {
+        let one = |l: &Line| {
+            Ok(Entry {
+                endpoint: self.endpoint(&l.endpoint),
+                dest: DestinationId(l.dest),
+                zone: position(&self.names.zones, &l.zone, "zone").unwrap_or(u32::MAX),
+                kind: position(&self.names.kinds, &l.kind, "kind")?,
+                phase: l.phase,
+            })
+        };
+        list.iter().map(one).collect()
+    }
+}
+
+/// All instances of this process.
+#[derive(Default)]
+pub struct Host {
+    clock: Micros,
+    batch: Option<u64>,
+    instances: BTreeMap<u32, Instance>,
+    lists: BTreeMap<u8, Vec<Line>>,
+    filling: Option<(u8, usize)>,
+}
+
+impl Host {
+    /// Takes one line; gives the reply when the line ends a batch.
+    pub fn line(&mut self, line: &str) -> Read<Option<String>> {
+        let mut p = Parts::new(line);
+        if let Some((list, left)) = self.filling {
+            if p.name() != "ENTRY" {
+                return Err(Malformed(format!("an ENTRY line was due, not {}", p.name())));
+            }
+            let entry = entry(&mut p)?;
+            self.lists.entry(list).or_default().push(entry);
+            self.filling = (left > 1).then_some((list, left - 1));
+            return Ok(None);
+        }
+        match (p.name(), self.batch) {
+            ("TURN", None) => {
+                let clock = p.seconds("clock", Round::Near)?;
+                if clock < self.clock {
+                    return Err(Malformed("the clock ran backwards".into()));
+                }
+                self.clock = clock;
+                self.batch = Some(p.number("batch")?);
+                Ok(None)
+            }
+            ("TURN", Some(_)) => Err(Malformed("TURN within a batch".into())),
+            (name, None) => Err(Malformed(format!("{name:?} outside a batch"))),
+            ("YOUR_TURN", Some(batch)) => {
+                self.batch = None;
+                Ok(Some(self.reply(batch)))
+            }
+            ("DEFINE_LIST", _) => {
+                let list = p.number("buffer")?;
+                if list > 15 {
+                    return Err(Malformed(format!("list number out of range: {list}")));
+                }
+                let count: usize = p.number("items")?;
+                self.lists.insert(list, Vec::new());
+                self.filling = (count > 0).then_some((list, count));
+                Ok(None)
+            }
+            _ => self.event(p).map(|()| None),
+        }
+    }
+
+    fn event(&mut self, mut p: Parts) -> Read<()> {
+        let name = p.name();
+        if !EVENTS.contains(&name) {
+            return Err(Malformed(format!("unknown message {name:?}")));
+        }
+        let i: u32 = p.number("i")?;
+        if name == "BEGIN" {
+            let seed = p.number("rngSeed")?;
+            let (settings, names) = settings(p.rest())?;
+            let sender = Sender::new(settings, seed).map_err(|e| Malformed(e.to_string()))?;
+            let addresses = BTreeMap::new();
+            let fresh = Instance { sender, names, addresses, events: vec![], touched: true };
+            self.instances.insert(i, fresh);
+            return Ok(());
+        }
+        if name == "KILL" {
+            self.instances.remove(&i);
+            return Ok(());
+        }
+        let Some(inst) = self.instances.get_mut(&i) else {
+            return Err(Malformed(format!("{name} for instance {i}, which has not begun")));
+        };
+        inst.touched = true;
+        let event = match name {
+            "WORK_ITEM" => {
+                let id = p.id("corr")?;
+                let class = position(&inst.names.classes, p.text("type")?, "class")?;
+                let tenant = p.maybe("userGroup")?.filter(|t| !inst.names.tenants.is_empty() && *t != "0");
+                let tenant = tenant.map(|t| position(&inst.names.tenants, t, "tenant")).transpose()?;
+                let key = p.maybe("key")?.map(Box::from);
+                let expires_in = p.seconds("expiresInS", Round::Down)?;
+                p.maybe("workHintS")?;
+                let dest = DestinationId(p.number("addresseeNo")?);
+                let bits: u32 = p.number("bitmap")?;
+                let again = bits & (2 | 16) != 0;
+                Event::Taken(Message { id, class, tenant, key, dest, again, expires_in })
+            }
+            "REPORT_BACK" => {
+                let (id, over, reason) = (p.id("corr")?, p.flag("complete")?, p.text("reason")?);
+                p.text("endpoint")?;
+                let outcome = outcome(reason, p.maybe("holdMs")?)?;
+                let attempt = p.number("try")?;
+                p.maybe("waitTimeS")?;
+                let allowance = allowance(p.maybe("report")?)?;
+                Event::Ended { id, attempt, outcome, over, allowance }
+            }
+            "GONE" => Event::Withdrawn(p.id("corr")?),
+            "FIRED" => {
+                p.number::<u64>("cookie")?;
+                Event::Wake
+            }
+            "INBOX" => {
+                let from = p.number("sender")?;
+                Event::Note { from, body: p.maybe("body")?.map_or(Ok(Vec::new()), unhex)? }
+            }
+            "CHECK_RESULT" => {
+                let endpoint = p.text("endpoint")?;
+                let endpoint = inst.endpoint(endpoint);
+                Event::Probed { endpoint, outcome: outcome(p.text("reason")?, None)? }
+            }
+            "DIRECTORY_UPDATE" => {
+                let scope = p.text("scope")?;
+                p.maybe("version")?;
+                let buffer = p.maybe("buffer")?;
+                let mut entries = || {
+                    let known = buffer.and_then(|b| b.parse().ok()).and_then(|b: u8| self.lists.get(&b));
+                    match known {
+                        Some(list) => inst.entries(list),
+                        None => Err(Malformed(format!("no list number {}", buffer.unwrap_or("-")))),
+                    }
+                };
+                Event::List(match scope {
+                    "update" => ListNews::Changes(entries()?),
+                    "replace" => ListNews::Whole(entries()?),
+                    "restored" => ListNews::Restored(entries()?),
+                    "unavailable" => ListNews::Unavailable,
+                    other => return Err(Malformed(format!("unknown scope {other}"))),
+                })
+            }
+            // Streams do not occur here; that one began changes nothing.
+            _ => return Ok(()),
+        };
+        inst.events.push(event);
+        Ok(())
+    }
+
+    fn reply(&mut self, batch: u64) -> String {
+        let mut text = String::new();
+        let mut actions = Vec::new();
+        for (i, inst) in &mut self.instances {
+            if !std::mem::take(&mut inst.touched) {
+                continue;
+            }
+            inst.sender.handle(self.clock, &inst.events, &mut actions);
+            inst.events.clear();
+            actions.drain(..).for_each(|a| write_action(&mut text, *i, &a, &inst.addresses));
+        }
+        let _ = writeln!(text, "YIELD\t{batch}");
+        text
+    }
+}
+
+const EVENTS: [&str; 10] = [
+    "BEGIN",
+    "KILL",
+    "WORK_ITEM",
+    "REPORT_BACK",
+    "GONE",
+    "FIRED",
+    "INBOX",
+    "CHECK_RESULT",
+    "DIRECTORY_UPDATE",
+    "STREAMING",
+];
+
+fn entry(p: &mut Parts) -> Read<Line> {
+    let zone = p.maybe("regionPart")?.unwrap_or("").to_owned();
+    p.maybe("weight")?;
+    let kind = p.maybe("sku")?.unwrap_or("").to_owned();
+    let phase = match p.text("phase")? {
+        "live" => Phase::Live,
+        "quiescing" => Phase::Draining,
+        "dead" => Phase::Gone,
+        other => return Err(Malformed(format!("unknown phase {other}"))),
+    };
+    Ok(Line { zone, kind, phase, dest: p.number("ownerNo")?, endpoint: p.text("endpoint")?.to_owned() })
+}
+
+fn write_action(text: &mut String, i: u32, action: &Action, addresses: &BTreeMap<EndpointId, String>) {
+    let address = |e: &EndpointId| addresses.get(e).map_or("-", String::as_str);
+    // Writing to a String does not fail.
+    let _ = match action {
+        Action::Send { id, endpoint, timeout } => {
+            writeln!(text, "CALL_OUT\t{i}\t{:016x}\t{}\t{}", id.0, stamp(*timeout), address(endpoint))
+        }
+        Action::Cancel { id, attempt } => writeln!(text, "RETRACT\t{i}\t{:016x}\t{attempt}", id.0),
+        Action::Refuse { id, after } => {
+            writeln!(text, "OVERLOAD_REPLY\t{i}\t{:016x}\t{}", id.0, stamp(*after))
+        }
+        Action::Fail { id } => writeln!(text, "LOSE\t{i}\t{:016x}", id.0),
+        Action::WakeAt(at) => writeln!(text, "AFTER\t{i}\t0\t{}", stamp(*at)),
+        Action::Watch => writeln!(text, "TRACK\t{i}\t1"),
+        Action::Fetch => writeln!(text, "RESOLVE\t{i}"),
+        Action::Probe { endpoint } => writeln!(text, "POLL\t{i}\t{}", address(endpoint)),
+        Action::Note { to, body } => {
+            let whom = to.map_or("all".to_owned(), |n| n.to_string());
+            writeln!(text, "POST\t{i}\t{whom}\t{}", if body.is_empty() { "-".to_owned() } else { hex(body) })
+        }
+        Action::CloseIdle { endpoint } => writeln!(text, "CLOSE_IDLE\t{i}\t{}", address(endpoint)),
+        Action::Log(line) => writeln!(text, "DEBUG\t{i}\t{line}"),
+    };
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const BEGIN: &str = "BEGIN\t3\t7\tbounds.maxAttempts=8\tbounds.mostHeld=230\tclasses.count=1\t\
+        classes.0.deadlineS=6.0\tclasses.0.effect=idempotent\tclasses.0.name=a\tclasses.0.sloS=1.0\t\
+        discovery=push\tfamilyInfo.slots=7\tkinds=k\tzones=z";
+
+    fn feed(host: &mut Host, lines: &[&str]) -> Vec<String> {
+        lines.iter().filter_map(|l| host.line(l).unwrap_or_else(|e| panic!("{l}: {}", e.0))).collect()
+    }
+
+    #[test]
+    fn a_message_is_sent_to_its_destination() {
+        let mut host = Host::default();
+        let list = ["DEFINE_LIST\t0\t1", "ENTRY\tz\t1\tk\tlive\t57\t10.0.0.1:80\t-"];
+        feed(&mut host, &["TURN\t1.0\t1", BEGIN, list[0], list[1], "DIRECTORY_UPDATE\t3\trestored\t1\t0"]);
+        assert!(feed(&mut host, &["YOUR_TURN"])[0].ends_with("YIELD\t1\n"));
+        let work = "WORK_ITEM\t3\t65c853ac5d3a91c4\ta\t-\t-\t6.0\t-\t57\t0";
+        let reply = feed(&mut host, &["TURN\t1.5\t2", work, "YOUR_TURN"]).remove(0);
+        assert!(reply.contains("CALL_OUT\t3\t65c853ac5d3a91c4\t"), "{reply}");
+        let done = "REPORT_BACK\t3\t65c853ac5d3a91c4\t1\tcompleted\t10.0.0.1:80\t-\t0\t0.1\t-";
+        let reply = feed(&mut host, &["TURN\t1.6\t3", done, "YOUR_TURN"]).remove(0);
+        assert!(!reply.contains("CALL_OUT") && !reply.contains("LOSE"), "{reply}");
+    }
+
+    #[test]
+    fn a_killed_instance_says_nothing_more() {
+        let mut host = Host::default();
+        feed(&mut host, &["TURN\t1\t1", BEGIN, "YOUR_TURN"]);
+        let work = "WORK_ITEM\t3\t65c853ac5d3a91c4\ta\t-\t-\t6.0\t-\t57\t0";
+        assert_eq!(feed(&mut host, &["TURN\t2\t2", work, "KILL\t3", "YOUR_TURN"]), ["YIELD\t2\n"]);
+    }
+
+    #[test]
+    fn what_cannot_be_read_is_said_and_never_panics() {
+        for wrong in [
+            "WHAT\t3",
+            "",
+            "WORK_ITEM\t3\tnot-hex\ta\t-\t-\t6.0\t-\t57\t0",
+            "WORK_ITEM\t3\t65c853ac5d3a91c4\tother\t-\t-\t6.0\t-\t57\t0",
+            "WORK_ITEM\t3\t65c853ac5d3a91c4\ta\t-\t-\t-6\t-\t57\t0",
+            "WORK_ITEM\t9\t65c853ac5d3a91c4\ta\t-\t-\t6.0\t-\t57\t0",
+            "WORK_ITEM\t3",
+            "REPORT_BACK\t3\t65c853ac5d3a91c4\t1\twhatever\tx\t-\t0\t0.1\t-",
+            "DIRECTORY_UPDATE\t3\treplace\t1\t4",
+            "DEFINE_LIST\t16\t0",
+            "BEGIN\t3\t7",
+            "TURN\t1\t2",
+            "YIELD\t1",
+        ] {
+            let mut host = Host::default();
+            feed(&mut host, &["TURN\t1\t1", BEGIN]);
+            assert!(host.line(wrong).is_err(), "{wrong}");
+        }
+    }
+}
--- /dev/null
+++ b/src/choice.rs
@@ -0,0 +1,895 @@
+//! Every decision of the library. Its interface (settings, events, actions) is `src/interface.rs`.
+//!
+//! The ordinary path is one fractional AIMD window for each destination or route apart, after "Stop
+//! Hard-Coding Your Agent Concurrency: Let It Tune Itself From What It Observes". All else guards it.
+
+use crate::interface::Outcome::{Cancelled, ConnectFailed, Failed, Full, Moot, Reset, Served, TimedOut};
+use crate::interface::*;
+use crate::note::{self, Word};
+use crate::state::*;
+use std::collections::{BTreeMap, BTreeSet};
+
+const MS: Micros = 1_000;
+const SEC: Micros = 1_000_000;
+/// Window: where it starts and its floor, what a served call adds, what congestion leaves of it.
+const FLOOR: f64 = 1.0;
+const STEP: f64 = 0.5;
+const CUT: f64 = 0.5;
+/// No growth for so long after a cut: many call times, so that a cut is felt before it is undone.
+const COOLDOWN: Micros = 8 * SEC;
+/// A destination may hold this share of the slots, and the second while it fails or is slow.
+const CEILING: f64 = 0.75;
+const CEILING_TROUBLED: f64 = 0.5;
+/// Less of the told allowance than this left: the window holds.
+const LOW_ALLOWANCE: f64 = 0.1;
+/// First rest after a refusal that told no wait (usual limits free a call in less), and how often it doubles.
+const REST: Micros = 250 * MS;
+const REST_DOUBLINGS: u32 = 3;
+/// It is longer where few messages come in: by this share of the time between two, up to a limit.
+const REST_FLOW: f64 = 0.5;
+const REST_MOST: Micros = 4 * SEC;
+/// Pace: its floor, what a served call makes of it, and what a note of a refusal does.
+const PACE_LEAST: f64 = 0.03;
+const PACE_UP: f64 = 1.3;
+/// So many refusals in a row, none served between: a drowned limit, not just a full one.
+const DROWNED: u32 = 2;
+const PACE_HEARD: f64 = 0.7;
+/// Least wait before a breaker's trial, since most outages that a sender sees are brief stalls.
+const TRIAL_WAIT: Micros = 500 * MS;
+/// Trials and a ramp's calls stay under this part of what would push a returning destination over, measured
+/// by what comes in for it; and all senders together make at least so many trials a second.
+const METER: f64 = 0.4;
+const TRIALS_LEAST: f64 = 1.5;
+/// So many failed calls, none served in between, open the breaker: one may be chance.
+const FAILS_OPEN: u32 = 2;
+/// Plain errors say less: destinations err now and then when sound.
+const ERRORS_OPEN: u32 = 3;
+/// Calls failed, but the last served one is no older than this: lost answers, not an outage that leaves a
+/// destination cold. Longer would risk a ramp left out after a short crash.
+const OUTAGE_LEAST: Micros = 3 * SEC;
+/// A call is overdue after so many times the estimate of the slowest usual answer, and this at least.
+const OVERDUE_TIMES: f64 = 2.0;
+const OVERDUE_LEAST: Micros = 500 * MS;
+/// Time-outs in the same measure, for what may be repeated: after overdue, so that the breaker acts first.
+const TIMEOUT_TIMES: f64 = 3.0;
+/// An endpoint that failed is passed over for so long, doubling; by class after so many errors.
+const ENDPOINT_REST: Micros = SEC;
+const ERRORS_REST: u32 = 2;
+/// A destination answering so many times slower than its best counts as slow.
+const SLOW_TIMES: f64 = 3.0;
+/// What comes in is averaged over this long: as a few messages of a thin stream take.
+const FLOW_SPAN: f64 = 20.0;
+/// A queue is taken to move at this rate at least (messages a second).
+const RATE_LEAST: f64 = 1.0;
+/// While held work waits for credit, it is looked at this often.
+const RAMP_LOOK: Micros = 100 * MS;
+/// Of the room to hold messages this share is kept free, so that the choice of what to shed is ours.
+const ROOM_FREE: f64 = 0.05;
+/// Guesses: what is left of an outage that shows, and what a call takes.
+const OUTAGE_GUESS: Micros = 6 * SEC;
+const CALL_GUESS: Micros = 300 * MS;
+/// Weight of what a message earns beside what waiting would lose.
+const EARNS: f64 = 0.2;
+/// A call that goes silent on a connection idle for so long says nothing of its destination.
+const IDLE_DOUBT: Micros = 500 * MS;
+/// A message that failed by itself waits so long before its next attempt, doubling.
+const AGAIN: Micros = 150 * MS;
+/// A watch that failed is asked for again after this, and one without an answer after twice as long.
+const WATCH_AGAIN: Micros = 2 * SEC;
+/// What was known of a route apart that left the list is kept for so long.
+const FORGET: Micros = 60 * SEC;
+/// How long a note of an outage waits for a second, and the least time between two written about a route.
+const NOTE_SPAN: Micros = 5 * SEC;
+const NOTE_LEAST: Micros = 2 * SEC;
+/// Times beyond this (centuries) are taken as this, so that sums of them stay in range.
+const FAR: Micros = 1 << 60;
+
+impl Route {
+    fn troubled(&self) -> bool {
+        self.fails > 0 || !matches!(self.health, Health::Closed) || self.srtt > SLOW_TIMES * self.best
+    }
+
+    fn served(&mut self, now: Micros, took: Micros, low: bool, ceiling: f64) {
+        let x = took as f64;
+        if self.srtt == 0.0 {
+            (self.srtt, self.rttvar, self.best) = (x, x / 2.0, x);
+        } else {
+            self.rttvar += ((x - self.srtt).abs() - self.rttvar) / 4.0;
+            self.srtt += (x - self.srtt) / 8.0;
+            self.best = (self.best + (self.srtt - self.best).max(0.0) / 256.0).min(self.srtt);
+        }
+        if !low && self.last_cut.is_none_or(|t| now >= t + COOLDOWN) {
+            self.window = (self.window + STEP).min(ceiling.max(FLOOR));
+        }
+        self.pace = (self.pace * PACE_UP).min(1.0);
+        let gap = now.saturating_sub(self.last_ok);
+        self.last_ok = now;
+        (self.fails, self.errors, self.fulls) = (0, 0, 0);
+        match self.health {
+            Health::Open { failed: true, .. } if gap >= OUTAGE_LEAST => {
+                // It came back at some time since the last failure: a quarter of that is a cautious guess.
+                self.health = Health::Ramp { since: now - (now - self.failed_at) / 4 };
+            }
+            Health::Open { .. } => self.health = Health::Closed,
+            _ => {}
+        }
+    }
+
+    /// The slowest answer that is still usual, after RFC 6298.
+    fn rto(&self, unknown: Micros) -> f64 {
+        if self.srtt == 0.0 { unknown as f64 } else { self.srtt + 4.0 * self.rttvar }
+    }
+
+    /// Opens the breaker, or pushes out the next trial of an open one.
+    fn open(&mut self, now: Micros, failed_now: bool, wait: Micros) {
+        let (since, failed) = match self.health {
+            Health::Open { since, failed, .. } => (since, failed || failed_now),
+            _ => (now, failed_now),
+        };
+        self.credit_at = if self.metered() { self.credit_at } else { now };
+        self.failed_at = now;
+        self.health = Health::Open { since, until: now + wait, failed, trial: None };
+    }
+
+    /// The share of what comes in that a destination held back or returning may be sent.
+    fn share(&self, set: &Settings, now: Micros) -> f64 {
+        let warm = match self.health {
+            Health::Ramp { since } => (now - since) as f64 / set.cold.max(1) as f64,
+            // The older the last failure seen, the longer it may be back; at most twice the first share.
+            Health::Open { .. } if !set.may_note => {
+                ((now - self.failed_at) as f64 / 2.0 / set.cold.max(1) as f64).min(set.start_share)
+            }
+            Health::Open { .. } => 0.0,
+            Health::Closed => return self.pace,
+        };
+        METER * set.fall_multiple * (set.start_share + (1.0 - set.start_share) * warm.min(1.0))
+    }
+
+    fn metered(&self) -> bool {
+        self.pace < 1.0 || !matches!(self.health, Health::Closed)
+    }
+
+    /// A refusal slows what is sent, since refused calls may use up the limit too; each served call forgives.
+    fn slow_down(&mut self, now: Micros, by: f64) {
+        self.credit_at = if self.metered() { self.credit_at } else { now };
+        self.pace = (self.pace * by).max(PACE_LEAST);
+    }
+
+    /// Counts up the credit of a route: for one more message (in part, where routes are apart), and for time.
+    /// By own traffic, so that any number of senders together stay under what the destination can bear.
+    fn accrue(&mut self, set: &Settings, now: Micros, more: f64, rate: f64) {
+        if !self.metered() {
+            return;
+        }
+        let (dt, share) = (now.saturating_sub(self.credit_at) as f64 / SEC as f64, self.share(set, now));
+        let flow = (share * rate).max(TRIALS_LEAST / f64::from(set.senders));
+        (self.credit, self.credit_at) = ((self.credit + share * more + flow * dt).min(1.0), now);
+        if matches!(self.health, Health::Ramp { since } if now >= since + set.cold) {
+            self.health = Health::Closed;
+        }
+    }
+}
+
+impl Endpoint {
+    /// Passes the endpoint over, doubling, from so many failures on. By class, it guards against ones that
+    /// fail one class, unseen by the window; also bad releases, broken accounts. Bad messages wait in vain.
+    fn fail(&mut self, class: Option<usize>, now: Micros, from: u32) {
+        let (fails, until) = self.rests.entry(class).or_default();
+        *fails += 1;
+        if *fails >= from {
+            *until = now + (ENDPOINT_REST << (*fails - from).min(3));
+        }
+    }
+}
+
+impl Dest {
+    /// The rate of what comes in for a route just now.
+    fn flow(&self, now: Micros) -> f64 {
+        let age = now.saturating_sub(self.rate_at) as f64 / SEC as f64;
+        self.rate * (-age / FLOW_SPAN).exp() * self.part()
+    }
+}
+
+/// One sender's decisions. It has no clock and does no I/O: see [`Sender::handle`].
+pub struct Sender {
+    set: Settings,
+    rng: fastrand::Rng,
+    now: Micros,
+    held: BTreeMap<MessageId, Held>,
+    live: usize,
+    calls: BTreeMap<u64, Call>,
+    next_call: u64,
+    routes: BTreeMap<RouteId, Route>,
+    endpoints: BTreeMap<EndpointId, Endpoint>,
+    dests: BTreeMap<DestinationId, Dest>,
+    queued: BTreeSet<DestinationId>,
+    keys: BTreeMap<Box<str>, Key>,
+    /// Connections idle for longer are not trusted, until then.
+    idle_safe: (Micros, Micros),
+    /// For each kind: until when connections are taken to be scarce there.
+    scarce: Vec<Micros>,
+    tenants: Vec<(f64, Micros)>,
+    out: Vec<Action>,
+    watch_at: Micros,
+    wake: Option<Micros>,
+}
+
+impl Sender {
+    /// A sender with nothing held. Randomness comes from the seed alone.
+    pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
+        settings.check()?;
+        Ok(Self {
+            rng: fastrand::Rng::with_seed(seed),
+            now: 0,
+            held: BTreeMap::new(),
+            live: 0,
+            calls: BTreeMap::new(),
+            next_call: 0,
+            routes: BTreeMap::new(),
+            endpoints: BTreeMap::new(),
+            dests: BTreeMap::new(),
+            queued: BTreeSet::new(),
+            keys: BTreeMap::new(),
+            idle_safe: (FAR, 0),
+            scarce: vec![0; settings.kinds.len()],
+            tenants: settings.tenants.iter().map(|&a| (a / settings.senders as f64, 0)).collect(),
+            out: Vec::new(),
+            watch_at: if settings.list == ListMode::Ask { 0 } else { Micros::MAX },
+            wake: None,
+            set: settings,
+        })
+    }
+
+    /// Takes in all events of one moment, then makes one dispatch pass. `now` must not run backwards.
+    pub fn handle(&mut self, now: Micros, events: &[Event], out: &mut Vec<Action>) {
+        self.now = now.clamp(self.now, FAR);
+        self.wake = self.wake.filter(|&w| w > self.now);
+        for e in events {
+            match e {
+                Event::Taken(m) => self.taken(m),
+                Event::Ended { id, attempt, outcome, over, allowance } => {
+                    self.ended(*id, *attempt, *outcome, *over, *allowance);
+                }
+                Event::Withdrawn(id) => self.finish(*id),
+                Event::List(news) => self.list(news),
+                Event::Note { from, body } => self.note(*from, body),
+                Event::Wake | Event::Probed { .. } => {}
+            }
+        }
+        if self.now >= self.watch_at {
+            self.out.push(Action::Watch);
+            self.watch_at = self.now + 2 * WATCH_AGAIN;
+        }
+        self.expire();
+        self.find_silent();
+        self.free_slots();
+        self.dispatch();
+        self.plan_wake();
+        out.append(&mut self.out);
+    }
+
+    fn jitter(&mut self, span: Micros) -> Micros {
+        (span as f64 * (0.75 + 0.5 * self.rng.f64())) as Micros
+    }
+
+    fn list(&mut self, news: &ListNews) {
+        if *news == ListNews::Unavailable {
+            let ask = self.set.list == ListMode::Ask;
+            self.watch_at = if ask { self.now + self.jitter(WATCH_AGAIN) } else { self.watch_at };
+            return;
+        }
+        for route in enter(&mut self.endpoints, &mut self.dests, &self.set.kinds, news) {
+            let credit = self.rng.f64();
+            let fresh = || Route { window: FLOOR, pace: 1.0, credit, ..Route::default() };
+            self.routes.entry(route).or_insert_with(fresh);
+        }
+        let known = &self.endpoints;
+        // A wait, and what is known of an outage, outlive a short absence from the list.
+        let recent = |r: &Route| r.last_ok.max(r.rest_until) + FORGET > self.now;
+        self.routes.retain(|(_, e), r| r.out > 0 || recent(r) || e.is_none_or(|e| known.contains_key(&e)));
+        if !matches!(news, ListNews::Restored(_)) {
+            self.watch_at = Micros::MAX;
+        }
+    }
+
+    fn taken(&mut self, m: &Message) {
+        let class = self.set.classes.get(m.class as usize).map(|c| (c.wanted, c.deadline, c.in_order));
+        let Some((wanted, deadline, in_order)) = class else {
+            return self.out.push(Action::Refuse { id: m.id, after: 0 });
+        };
+        if self.held.contains_key(&m.id) {
+            return;
+        }
+        let expires = self.now + m.expires_in.min(FAR);
+        // Where clients mark what they hand in again, what is unmarked is fresh, even with little time left.
+        let fresh = self.set.clients_mark && !m.again;
+        let aim = if fresh { self.now + wanted } else { (expires + wanted).saturating_sub(deadline) };
+        let over_share = m.tenant.is_some_and(|t| self.over_share(t as usize));
+        let key = m.key.clone().filter(|_| in_order);
+        if let Some(k) = &key {
+            self.keys.entry(k.clone()).or_default().0.push_back(m.id);
+        }
+        let class = m.class as usize;
+        let held = Held { class, dest: m.dest, key, over_share, aim, expires, ..Held::default() };
+        self.held.insert(m.id, held);
+        self.live += 1;
+        let d = self.dests.entry(m.dest).or_default();
+        d.queue.push(m.id);
+        self.queued.insert(m.dest);
+        let (flow, part) = (d.flow(self.now), d.part());
+        (d.rate, d.rate_at) = (flow / part + 1.0 / FLOW_SPAN, self.now);
+        for (_, r) in self.routes.range_mut(routes_of(m.dest)) {
+            r.accrue(&self.set, self.now, part, flow);
+        }
+        let room = self.set.max_held as f64 * (1.0 - ROOM_FREE);
+        while self.live as f64 > room.max(1.0) && self.shed() {}
+    }
+
+    /// A bucket of one second counts a tenant's share.
+    fn over_share(&mut self, tenant: usize) -> bool {
+        let Some(&rate) = self.set.tenants.get(tenant) else { return false };
+        let rate = rate / self.set.senders as f64;
+        let (tokens, at) = &mut self.tenants[tenant];
+        *tokens = (*tokens + rate * self.now.saturating_sub(*at) as f64 / SEC as f64).min(rate.max(1.0));
+        *at = self.now;
+        let over = *tokens < 1.0;
+        *tokens -= f64::from(!over);
+        over
+    }
+
+    /// Room is short: refuses what earns least for the time that it will fill a place. It guards against a
+    /// rush to one destination, or dead ones, pushing out the rest; it hurts where the wait is misjudged.
+    fn shed(&mut self) -> bool {
+        let mut victim: Option<(f64, MessageId)> = None;
+        for (dest, d) in self.waiting() {
+            let wait = self.expected_wait(dest, d);
+            for &id in d.queue.iter().filter(|id| self.may(&self.held[id]).1) {
+                let earns = self.held[&id].worth(&self.set, self.now + wait) / wait as f64;
+                if victim.is_none_or(|v| earns <= v.0) {
+                    victim = Some((earns, id));
+                }
+            }
+        }
+        let Some((_, id)) = victim else { return false };
+        self.out.push(Action::Refuse { id, after: SEC.min(self.set.max_advice) });
+        self.finish(id);
+        true
+    }
+
+    /// How long until a message that joins this queue would be answered, as far as can be told.
+    fn expected_wait(&self, dest: DestinationId, d: &Dest) -> Micros {
+        let live = d.endpoints.iter().any(|e| self.endpoints[e].live);
+        let shut = self.routes.range(routes_of(dest)).all(|(_, r)| matches!(r.health, Health::Open { .. }));
+        let base = if !live || shut { OUTAGE_GUESS } else { CALL_GUESS };
+        let rate = d.flow(self.now).max(RATE_LEAST) / d.part() * d.bundle.max(1) as f64;
+        base + (d.queue.len() as f64 / rate * SEC as f64) as Micros
+    }
+
+    /// The one place that says whether a message may be sent again, and whether it may be refused.
+    /// Nothing that may have run is sent or refused beyond what its effect allows.
+    fn may(&self, h: &Held) -> (bool, bool) {
+        let c = &self.set.classes[h.class];
+        let left = h.attempts.len() < self.set.max_attempts as usize;
+        match (c.effect, h.ran) {
+            (_, None) => (left && h.out == 0, h.out == 0),
+            (Effect::Safe, _) => (left && h.out == 0, true),
+            (Effect::Keyed, Some((since, _))) => {
+                let remembered = self.now + OVERDUE_LEAST < since + c.memory;
+                (left && h.out == 0 && remembered, h.out == 0 && c.group == Group::All)
+            }
+            (Effect::Unsafe, _) => (false, false),
+        }
+    }
+
+    /// For a keyed message that may have run: only to who would drop the repeat.
+    fn may_go_to(&self, h: &Held, id: EndpointId) -> bool {
+        let c = &self.set.classes[h.class];
+        match (c.effect, h.ran, c.group) {
+            (Effect::Keyed, Some((_, e)), Group::Endpoint) => e == id,
+            (Effect::Keyed, Some((_, e)), Group::Zone) => {
+                self.endpoints.get(&e).map(|x| x.zone) == Some(self.endpoints[&id].zone)
+            }
+            _ => true,
+        }
+    }
+
+    fn finish(&mut self, id: MessageId) {
+        let Some(h) = self.held.get_mut(&id) else { return };
+        if !h.done {
+            h.done = true;
+            self.live -= 1;
+            self.dests.entry(h.dest).and_modify(|d| d.queue.retain(|&q| q != id));
+        }
+        if h.out == 0 {
+            if let Some(k) = h.key.as_ref().and_then(|k| self.keys.get_mut(k)) {
+                k.0.retain(|&q| q != id);
+            }
+            self.held.remove(&id);
+        }
+    }
+
+    /// The last word where no more can be done: a refusal if it may be one, else no promise.
+    fn give_up(&mut self, id: MessageId) {
+        let refuse = self.may(&self.held[&id]).1;
+        self.out.push(if refuse { Action::Refuse { id, after: 0 } } else { Action::Fail { id } });
+        self.finish(id);
+    }
+
+    fn expire(&mut self) {
+        let due = self.held.iter().filter(|(_, h)| !h.done && self.now >= self.answer_by(h));
+        due.map(|(&id, _)| id).collect::<Vec<_>>().into_iter().for_each(|id| self.give_up(id));
+        let now = self.now;
+        self.keys.retain(|_, k| !k.0.is_empty() || k.1 > now);
+    }
+
+    /// With an attempt out its time-out at the deadline answers as well; else a turn earlier.
+    fn answer_by(&self, h: &Held) -> Micros {
+        if h.out > 0 { h.expires } else { h.expires.saturating_sub(2 * self.set.tick) }
+    }
+
+    fn ended(&mut self, id: MessageId, attempt: u32, outcome: Outcome, over: bool, told: Option<Allowance>) {
+        let now = self.now;
+        let Some(h) = self.held.get_mut(&id) else { return };
+        let Some(slot) = h.attempts.get_mut(attempt as usize) else { return };
+        let call_id = std::mem::replace(slot, u64::MAX);
+        let Some(call) = self.calls.get_mut(&call_id) else { return };
+        h.out -= 1;
+        let congestion = matches!(outcome, Full { .. } | TimedOut | Reset | ConnectFailed);
+        let cut = congestion && !h.congested && !call.cut;
+        h.congested |= congestion;
+        call.cut |= cut;
+        if matches!(outcome, Failed | TimedOut | Reset | Cancelled) {
+            let ran = (call.sent, call.endpoint);
+            h.ran = Some(h.ran.map_or(ran, |r| if r.0 <= ran.0 { r } else { ran }));
+        }
+        if matches!(outcome, Failed | ConnectFailed) {
+            h.not_before = now + (AGAIN << h.attempts.len().min(4));
+        }
+        if matches!(outcome, TimedOut | Reset | Cancelled)
+            && let Some(k) = h.key.as_ref().and_then(|k| self.keys.get_mut(k))
+        {
+            k.1 = k.1.max(now + self.set.key_rest);
+        }
+        let (ended, class, mut room) = (*call, h.class, false);
+        call.judged = true;
+        call.open -= 1;
+        if call.open == 0 {
+            self.calls.remove(&call_id);
+            self.routes.entry(ended.route).and_modify(|r| r.out -= 1);
+            if let Some(e) = self.endpoints.get_mut(&ended.endpoint) {
+                e.out -= 1;
+                // Turned away at the door at once: maybe a full table; served soon after: surely, no outage.
+                room = outcome == Served && e.no_room > 0 && now < e.no_room + OUTAGE_LEAST;
+                if outcome == ConnectFailed && now - ended.sent < self.set.connect_timeout / 4 {
+                    e.no_room = now;
+                }
+                if room || e.no_room == now {
+                    let until = now + if room { FORGET } else { COOLDOWN };
+                    self.scarce[e.kind] = self.scarce[e.kind].max(until);
+                }
+                if matches!(outcome, Served | Failed | Full { .. }) {
+                    e.idle.push(now);
+                    // A connection that would lie idle until it closes may be the one that another sender
+                    // cannot get: hundreds of senders fill what an endpoint accepts. Costs handshakes.
+                    if now < self.scarce[e.kind] && e.gap > self.set.conn_idle / 8 {
+                        e.idle.clear();
+                        self.out.push(Action::CloseIdle { endpoint: ended.endpoint });
+                    }
+                }
+            }
+        }
+        self.judge(call_id, Call { cut, ..ended }, class, outcome, told);
+        if room {
+            self.tell(ended.route, Word::Scarce);
+        }
+        let h = &self.held[&id];
+        let again = self.may(h).0 && now < self.answer_by(h);
+        self.queued.insert(h.dest);
+        match (over || outcome == Served || h.done, h.out, again) {
+            (true, ..) => self.finish(id),
+            (_, 0, true) => self.dests.entry(h.dest).or_default().queue.push(id),
+            (_, 0, false) => self.give_up(id),
+            _ => {}
+        }
+    }
+
+    /// What a call's end says of its destination and endpoint.
+    fn judge(&mut self, id: u64, call: Call, class: usize, outcome: Outcome, told: Option<Allowance>) {
+        let (now, route, sent) = (self.now, call.route, call.sent);
+        // The less a sender has for a destination, the more senders share it: their tries add up.
+        let flow = self.dests.get(&route.0).map_or(0.0, |d| d.flow(now)).max(f64::MIN_POSITIVE);
+        let most = REST_MOST.min(REST * u64::from(self.set.senders) / 4).max(REST);
+        let span = ((SEC as f64 * REST_FLOW / flow) as Micros).clamp(REST, most);
+        let (rest, trial_wait) = (self.jitter(span), self.jitter(TRIAL_WAIT));
+        let ceiling = self.ceiling(route.0);
+        let alone = self.dests.get(&route.0).is_none_or(|d| d.apart || d.endpoints.len() < 2);
+        let Some(r) = self.routes.get_mut(&route) else { return };
+        let Some(e) = self.endpoints.get_mut(&call.endpoint) else { return };
+        let was_trial = matches!(r.health, Health::Open { trial: Some(t), .. } if t == id);
+        let was_open = matches!(r.health, Health::Open { .. });
+        if call.cut {
+            (r.window, r.last_cut) = ((r.window * CUT).max(FLOOR), Some(now));
+        }
+        let resting = now < r.rest_until;
+        // Every message of a bundle may bring a wait, also behind one that timed out earlier.
+        if let Full { wait: Some(w) } = outcome {
+            r.rest_until = r.rest_until.max(now + w.min(FAR) + rest / 4);
+        }
+        if call.judged {
+            return;
+        }
+        let mut open = None;
+        match outcome {
+            Served => {
+                e.rests.retain(|c, _| c.is_some_and(|c| c != class));
+                // It was the message that was slow, not the connection that was gone.
+                self.idle_safe.1 *= Micros::from(call.idle < FAR);
+                let low = told.is_some_and(|a| a.left < LOW_ALLOWANCE && a.limit > 0.0);
+                r.served(now, now.saturating_sub(sent), low, ceiling);
+            }
+            Failed => {
+                r.errors += 1;
+                e.fail(Some(class), now, ERRORS_REST);
+                open = (was_trial || r.errors >= ERRORS_OPEN).then_some("errors");
+            }
+            Full { wait } => {
+                if !resting && r.fulls >= DROWNED {
+                    r.slow_down(now, CUT);
+                }
+                if wait.is_none() {
+                    r.rest_until = r.rest_until.max(now + (rest << r.fulls.min(REST_DOUBLINGS)));
+                }
+                r.fulls += 1;
+                open = was_trial.then_some("refuses all");
+            }
+            TimedOut | Reset | ConnectFailed => {
+                e.idle.clear();
+                e.fail(None, now, if alone { u32::MAX } else { 1 });
+                // Served since it was sent: slow or one endpoint's trouble, no outage of the route.
+                let bad = r.last_ok <= sent;
+                r.fails += u32::from(bad);
+                r.failed_at = now;
+                let weak = r.fails >= FAILS_OPEN || !matches!(r.health, Health::Closed);
+                open = (bad && weak).then_some("calls fail");
+            }
+            Cancelled | Moot => {}
+        }
+        match (&mut r.health, open) {
+            (Health::Open { failed, .. }, Some(_)) if !was_trial => *failed = true,
+            (Health::Open { trial, .. }, None) if was_trial => *trial = None,
+            (_, Some(_)) => r.open(now, true, trial_wait),
+            _ => {}
+        }
+        let (noted, drowned) = (r.heard.is_some(), r.fulls >= DROWNED);
+        match (outcome, open) {
+            (Served, _) => r.heard = None,
+            (_, Some(why)) if !was_open => {
+                self.log(route.0, &format!("held back: {why}"));
+                self.tell(route, Word::Down);
+            }
+            (Full { .. }, _) if drowned => self.tell(route, Word::Full),
+            _ => {}
+        }
+        if outcome == Served && (was_open || noted) {
+            self.log(route.0, "answers again");
+            self.tell(route, Word::Up);
+        }
+    }
+
+    /// Writes to the other senders what befell a route: one among hundreds sees too little of a destination.
+    /// Notes are rare, since what was told or heard just now is not told again.
+    fn tell(&mut self, route: RouteId, what: Word) {
+        let Some(r) = self.routes.get_mut(&route) else { return };
+        let told = if matches!(what, Word::Full | Word::Scarce) { &mut r.full_told } else { &mut r.told };
+        if !self.set.may_note || self.set.senders < 2 || self.now < *told + NOTE_LEAST {
+            return;
+        }
+        *told = self.now.max(1);
+        self.out.push(Action::Note { to: None, body: note::write(what, route) });
+    }
+
+    /// A note from another sender. Two who saw a route fail, with none served since, count as own failures;
+    /// one who was served ends an outage. What cannot be read is passed over; lost notes cost only time.
+    fn note(&mut self, from: u32, body: &[u8]) {
+        let now = self.now;
+        let Some((word, route)) = note::read(body).filter(|_| self.set.may_note) else { return };
+        let Some(r) = self.routes.get_mut(&route) else { return };
+        match word {
+            Word::Down => {
+                let other =
+                    r.heard.replace((from, now)).is_some_and(|h| h.0 != from && now < h.1 + NOTE_SPAN);
+                if (other || r.fails > 0) && !matches!(r.health, Health::Open { .. }) {
+                    r.told = now;
+                    r.open(now, true, 0);
+                }
+            }
+            Word::Up => {
+                (r.heard, r.fails, r.told) = (None, 0, now);
+                if let Health::Open { since, .. } = r.health {
+                    let long = now >= since + OUTAGE_LEAST;
+                    r.health = if long { Health::Ramp { since: now } } else { Health::Closed };
+                }
+            }
+            Word::Full => {
+                r.full_told = now;
+                if now >= r.last_ok + OUTAGE_LEAST {
+                    r.slow_down(now, PACE_HEARD);
+                }
+            }
+            Word::Scarce => {
+                r.full_told = now;
+                let kind = self.dests.get(&route.0).map_or(0, |d| d.kind);
+                self.scarce[kind] = now + FORGET;
+                for (&endpoint, e) in self.endpoints.iter_mut().filter(|(_, e)| e.kind == kind) {
+                    if !std::mem::take(&mut e.idle).is_empty() {
+                        self.out.push(Action::CloseIdle { endpoint });
+                    }
+                }
+            }
+        }
+    }
+
+    fn log(&mut self, dest: DestinationId, what: &str) {
+        self.out.push(Action::Log(format!("destination {} {what}", dest.0)));
+    }
+
+    /// Silence counts before the time-out does: a call overdue with nothing heard since it was sent opens the
+    /// breaker. It guards against hung and silent destinations; it might hold back one that has only a slow
+    /// message, for a trial's time.
+    fn find_silent(&mut self) {
+        let wait = self.jitter(TRIAL_WAIT);
+        let mut silent = Vec::new();
+        for (&id, c) in &mut self.calls {
+            let Some(r) = self.routes.get_mut(&c.route) else { continue };
+            if self.now >= c.overdue && (IDLE_DOUBT..FAR).contains(&c.idle) {
+                // Idle connections may be dropped unseen: the connection is blamed first, and those idle as
+                // long are closed. A hung destination shows by the next call, on a fresh connection.
+                let old = if self.now < self.idle_safe.1 { self.idle_safe.0 } else { FAR };
+                self.idle_safe = (old.min(c.idle * 3 / 4), self.now + FORGET);
+                (c.idle, c.overdue) = (FAR, c.overdue + (c.overdue - c.sent));
+                continue;
+            }
+            match r.health {
+                _ if self.now < c.overdue || r.last_ok > c.sent => {}
+                // The next trial does not wait for this one's time-out, which may be an unsafe message's.
+                Health::Open { trial: Some(t), .. } if t == id => r.open(self.now, false, wait),
+                Health::Open { .. } => {}
+                _ => {
+                    r.open(self.now, false, 0);
+                    silent.push(c.route);
+                    self.out.push(Action::Log(format!("destination {} held back: silent", c.route.0.0)));
+                }
+            }
+        }
+        silent.into_iter().for_each(|route| self.tell(route, Word::Down));
+    }
+
+    /// Short of slots with messages waiting: calls off what has been overdue longest. It guards
+    /// against hangs and lost answers that fill all slots with calls whose effect no early time-out may risk;
+    /// it costs the unsafe ones among them, so only slots that are needed are freed.
+    fn free_slots(&mut self) {
+        let waiting = self.waiting().next().is_some();
+        let gone = self.calls.values().filter(|c| c.called_off).count();
+        let free = (self.set.slots as usize + gone).saturating_sub(self.calls.len());
+        let need = (self.set.slots as usize / 4).max(1);
+        if !waiting || !self.set.may_cancel || free >= need {
+            return;
+        }
+        let mut late: Vec<(Effect, u64, MessageId, u32)> = Vec::new();
+        for (&id, h) in &self.held {
+            for (call, n) in h.attempts.iter().zip(0..) {
+                let Some(c) = self.calls.get(call).filter(|c| self.now >= c.overdue && !c.called_off) else {
+                    continue;
+                };
+                if !matches!(self.routes[&c.route].health, Health::Open { trial: Some(t), .. } if t == *call)
+                {
+                    late.push((self.set.classes[h.class].effect, *call, id, n));
+                }
+            }
+        }
+        late.sort_unstable();
+        for (_, call, id, attempt) in late.into_iter().take(need - free) {
+            self.out.push(Action::Cancel { id, attempt });
+            self.calls.entry(call).and_modify(|c| c.called_off = true);
+        }
+    }
+
+    fn waiting(&self) -> impl Iterator<Item = (DestinationId, &Dest)> {
+        self.queued.iter().map(|id| (*id, &self.dests[id])).filter(|(_, d)| !d.queue.is_empty())
+    }
+
+    fn ceiling(&self, dest: DestinationId) -> f64 {
+        let troubled = self.routes.range(routes_of(dest)).any(|(_, r)| r.troubled());
+        let share = if troubled { CEILING_TROUBLED } else { CEILING };
+        (self.set.slots as f64 * share).floor().max(1.0)
+    }
+
+    fn dispatch(&mut self) {
+        self.queued.retain(|id| !self.dests[id].queue.is_empty());
+        for &id in &self.queued {
+            let flow = self.dests[&id].flow(self.now);
+            for (_, r) in self.routes.range_mut(routes_of(id)) {
+                r.accrue(&self.set, self.now, 0.0, flow);
+            }
+        }
+        let mut barred: Vec<EndpointId> = Vec::new();
+        while self.calls.len() < self.set.slots as usize {
+            let mut best: Option<(f64, EndpointId, MessageId)> = None;
+            for (id, d) in self.waiting() {
+                let found = self.candidate(id, d, &barred);
+                if found.is_some_and(|f| best.is_none_or(|b| f.0 > b.0)) {
+                    best = found;
+                }
+            }
+            let Some((_, endpoint, id)) = best else { return };
+            self.send_call(endpoint, id, &mut barred);
+        }
+    }
+
+    /// Whether the route may start a call now; `Some(true)` if it would be a breaker's trial.
+    fn route_ready(&self, r: &Route) -> Option<bool> {
+        let ready = self.now >= r.rest_until && (r.credit >= 1.0 || !r.metered());
+        if let Health::Open { until, trial, .. } = &r.health {
+            return (trial.is_none() && ready && self.now >= *until).then_some(true);
+        }
+        let limit = if r.fails > 0 { 1 } else { r.window as u32 };
+        (ready && r.out < limit).then_some(false)
+    }
+
+    fn candidate(
+        &self,
+        dest: DestinationId,
+        d: &Dest,
+        barred: &[EndpointId],
+    ) -> Option<(f64, EndpointId, MessageId)> {
+        let total: u32 = self.routes.range(routes_of(dest)).map(|(_, r)| r.out).sum();
+        if total as f64 >= self.ceiling(dest) {
+            return None;
+        }
+        let mut ends: Vec<(bool, u32, bool, bool, EndpointId)> = Vec::new();
+        for &id in &d.endpoints {
+            let e = &self.endpoints[&id];
+            if !e.live || barred.contains(&id) || e.rests(None, self.now) {
+                continue;
+            }
+            let Some(r) = self.routes.get(&(dest, d.apart.then_some(id))) else { continue };
+            let Some(trial) = self.route_ready(r) else { continue };
+            let cold = !e.idle.iter().any(|&t| t + self.set.conn_idle > self.now);
+            ends.push((trial, e.out, cold, e.zone != self.set.zone, id));
+        }
+        ends.sort_unstable();
+        let wait = self.expected_wait(dest, d);
+        for &(trial, _, _, _, endpoint) in &ends {
+            let risk = |id| if trial { self.set.classes[self.held[id].class].effect } else { Effect::Safe };
+            let able = d.queue.iter().filter(|id| self.sendable(id, endpoint));
+            let found = able.min_by(|a, b| risk(a).cmp(&risk(b)).then(self.order(a, b, wait)));
+            if let Some(id) = found {
+                return Some((self.index(&self.held[id], wait), endpoint, *id));
+            }
+        }
+        None
+    }
+
+    /// Order of serving: what would be lost by waiting for the queue once more, then what is earned.
+    fn index(&self, h: &Held, wait: Micros) -> f64 {
+        let now = h.worth(&self.set, self.now + CALL_GUESS);
+        now - h.worth(&self.set, self.now + CALL_GUESS + wait) + EARNS * now
+    }
+
+    fn order(&self, a: &MessageId, b: &MessageId, wait: Micros) -> std::cmp::Ordering {
+        let (x, y) = (&self.held[a], &self.held[b]);
+        self.index(y, wait).total_cmp(&self.index(x, wait)).then(x.aim.cmp(&y.aim)).then(a.cmp(b))
+    }
+
+    fn sendable(&self, id: &MessageId, endpoint: EndpointId) -> bool {
+        let h = &self.held[id];
+        let rests = self.endpoints[&endpoint].rests(Some(h.class), self.now);
+        if rests || self.now < h.not_before || !self.may(h).0 || !self.may_go_to(h, endpoint) {
+            return false;
+        }
+        let Some(k) = h.key.as_ref().and_then(|k| self.keys.get(k)) else { return true };
+        k.0.front() == Some(id) && self.now >= k.1
+    }
+
+    fn send_call(&mut self, endpoint: EndpointId, id: MessageId, barred: &mut Vec<EndpointId>) {
+        let dest = self.endpoints[&endpoint].dest;
+        let d = &self.dests[&dest];
+        let route_id = (dest, d.apart.then_some(endpoint));
+        let trial = matches!(self.routes[&route_id].health, Health::Open { .. });
+        let mut load = vec![id];
+        if d.bundle > 1 {
+            barred.push(endpoint);
+            let wait = self.expected_wait(dest, d);
+            let wary =
+                |q: &MessageId| self.endpoints[&endpoint].rests.contains_key(&Some(self.held[q].class));
+            let able = |q: &&MessageId| **q != id && !trial && !wary(q) && self.sendable(q, endpoint);
+            let mut rest: Vec<MessageId> = d.queue.iter().filter(able).copied().collect();
+            rest.sort_by(|a, b| self.order(a, b, wait));
+            load.extend(rest.into_iter().take(d.bundle - 1));
+        }
+        let call = self.next_call;
+        self.next_call += 1;
+        let r = &self.routes[&route_id];
+        let class = self.held[&id].class;
+        let unknown = self.set.classes[class].wanted;
+        let overdue = self.now + ((OVERDUE_TIMES * r.rto(unknown)) as Micros).max(OVERDUE_LEAST);
+        let now = self.now;
+        let open = load.len() as u32;
+        let mut idle = 0;
+        if let Some(e) = self.endpoints.get_mut(&endpoint) {
+            e.idle.retain(|&t| t + self.set.conn_idle > now);
+            if now < self.idle_safe.1 && e.idle.iter().any(|t| t + self.idle_safe.0 < now) {
+                e.idle.clear();
+                self.out.push(Action::CloseIdle { endpoint });
+            }
+            idle = e.idle.pop().map_or(0, |t| now - t);
+        }
+        let fresh = Call { route: route_id, endpoint, sent: now, overdue, idle, open, ..Call::default() };
+        self.calls.insert(call, fresh);
+        for &id in &load {
+            let timeout = self.timeout(&self.held[&id], &self.routes[&route_id]);
+            self.out.push(Action::Send { id, endpoint, timeout });
+            if let Some(h) = self.held.get_mut(&id) {
+                h.attempts.push(call);
+                h.out += 1;
+            }
+        }
+        self.dests.entry(dest).and_modify(|d| d.queue.retain(|q| !load.contains(q)));
+        if let Some(e) = self.endpoints.get_mut(&endpoint) {
+            e.out += 1;
+            (e.gap, e.used) = (now - e.used, now);
+            // After a rest one message of the class tries; the others wait for what it finds.
+            if let Some((_, until)) = e.rests.get_mut(&Some(class)).filter(|r| r.0 >= ERRORS_REST) {
+                *until = now + ENDPOINT_REST;
+            }
+        }
+        if let Some(r) = self.routes.get_mut(&route_id) {
+            r.out += 1;
+            r.credit -= f64::from(u8::from(r.metered()));
+            if let Health::Open { trial, .. } = &mut r.health {
+                *trial = Some(call);
+            }
+        }
+    }
+
+    /// Time-outs follow observed latency. A safe message gains by another try; an unsafe one loses all by an
+    /// early time-out, so it gets the time that it has left.
+    fn timeout(&self, h: &Held, r: &Route) -> Micros {
+        let c = &self.set.classes[h.class];
+        let left = h.expires.saturating_sub(self.now).max(1);
+        if c.effect == Effect::Unsafe || h.attempts.len() + 1 >= self.set.max_attempts as usize {
+            return left;
+        }
+        ((TIMEOUT_TIMES * r.rto(c.wanted)) as Micros).max(c.wanted).min(left)
+    }
+
+    /// Asks to be woken when the next thing falls due that no event announces.
+    fn plan_wake(&mut self) {
+        let now = self.now;
+        let mut next = self.watch_at;
+        let mut at = |t: Micros| {
+            if t > now && t < next {
+                next = t;
+            }
+        };
+        for h in self.held.values().filter(|h| !h.done) {
+            at(self.answer_by(h));
+            at(h.not_before);
+        }
+        self.keys.values().for_each(|k| at(k.1));
+        self.calls.values().for_each(|c| at(c.overdue));
+        for (id, d) in self.waiting() {
+            let rests = d.endpoints.iter().flat_map(|e| self.endpoints[e].rests.values());
+            rests.for_each(|r| at(r.1));
+            for (_, r) in self.routes.range(routes_of(id)) {
+                at(r.rest_until);
+                let until = if let Health::Open { until, .. } = r.health { until } else { now };
+                at(if r.metered() { until.max(now + RAMP_LOOK) } else { now });
+            }
+        }
+        if next < Micros::MAX && self.wake.is_none_or(|w| next < w) {
+            self.out.push(Action::WakeAt(next));
+            self.wake = Some(next);
+        }
+    }
+}
--- /dev/null
+++ b/src/interface.rs
@@ -0,0 +1,380 @@
+//! What a caller hands to a [`Sender`](crate::Sender) and what it gets back. No decision is made here.
+
+use std::fmt;
+
+/// A moment or a span, in whole microseconds. The zero of the clock is the caller's.
+pub type Micros = u64;
+
+/// A message, named by the caller. An id is not used twice in a sender's life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct MessageId(pub u64);
+
+/// A destination: another firm's system, with one or more endpoints.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct DestinationId(pub u64);
+
+/// An endpoint, numbered by the caller; the number keeps its meaning for the sender's life. Where senders
+/// write to each other, it is the same at all of them, as a destination's number is.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct EndpointId(pub u64);
+
+/// How often a message may take effect.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Effect {
+    /// May be repeated freely.
+    Safe,
+    /// Repeats are dropped for a while by a group of endpoints.
+    Keyed,
+    /// Must never run twice.
+    Unsafe,
+}
+
+/// The endpoints of a destination that drop each other's repeats.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Group {
+    /// All endpoints of the destination.
+    All,
+    /// Those in one zone.
+    Zone,
+    /// Only the endpoint that had the first try.
+    Endpoint,
+}
+
+/// How worth falls once the wanted time has passed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fade {
+    /// Evenly, down to the late share at the deadline.
+    Even,
+    /// By half with each further wanted time, but not under the late share.
+    ByHalf,
+}
+
+/// A class of message.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Class {
+    /// Whether it may be repeated.
+    pub effect: Effect,
+    /// For keyed messages: who drops repeats.
+    pub group: Group,
+    /// For keyed messages: for how long, from the earliest attempt that may have run.
+    pub memory: Micros,
+    /// Full worth if delivered within this time of being handed in first.
+    pub wanted: Micros,
+    /// Given up after this time.
+    pub deadline: Micros,
+    /// Worth of one message.
+    pub worth: f64,
+    /// Share of the worth left at the deadline.
+    pub late_share: f64,
+    /// Messages with the same key go one at a time, in the order taken.
+    pub in_order: bool,
+}
+
+/// A kind of destination.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Kind {
+    /// Each endpoint is a route of its own, with its own limit and outages.
+    pub apart: bool,
+    /// Messages that may share one call.
+    pub bundle: u32,
+}
+
+/// How news of the endpoint list arrives.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListMode {
+    /// Changes come unasked.
+    Push,
+    /// Changes come only to who watches or fetches.
+    Ask,
+}
+
+/// What a sender is told at its start. See [`Settings::check`].
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// Calls out at once.
+    pub slots: u32,
+    /// Messages held at once, sent or not.
+    pub max_held: u32,
+    /// Attempts for one message.
+    pub max_attempts: u32,
+    /// Senders that share the destinations, this one included.
+    pub senders: u32,
+    /// The zone that this sender stands in.
+    pub zone: u32,
+    /// Two attempts of a message may be out at once.
+    pub second_copies: bool,
+    /// Attempts may be called off.
+    pub may_cancel: bool,
+    /// Endpoints may be probed.
+    pub may_probe: bool,
+    /// Notes to other senders are allowed.
+    pub may_note: bool,
+    /// How the list is followed.
+    pub list: ListMode,
+    /// Classes; messages name them by position.
+    pub classes: Vec<Class>,
+    /// For each tenant the messages a second, over all senders, that count in full.
+    pub tenants: Vec<f64>,
+    /// What a message over its tenant's share is worth, as a share.
+    pub over_share_worth: f64,
+    /// Kinds of destination; list entries name them by position.
+    pub kinds: Vec<Kind>,
+    /// How worth falls.
+    pub fade: Fade,
+    /// Clients mark the messages that they hand in again.
+    pub clients_mark: bool,
+    /// A returning destination has this share of its capacity or more.
+    pub start_share: f64,
+    /// And all of it after this long.
+    pub cold: Micros,
+    /// Sent more than this multiple of what it can do ...
+    pub fall_multiple: f64,
+    /// ... for this long, a cold destination falls over.
+    pub fall_after: Micros,
+    /// After an attempt that may still run, its key rests so long.
+    pub key_rest: Micros,
+    /// A connection not made within this time has failed.
+    pub connect_timeout: Micros,
+    /// Idle connections are closed after this time.
+    pub conn_idle: Micros,
+    /// Calls that one connection carries at once.
+    pub multiplex: u32,
+    /// The least time between two turns.
+    pub tick: Micros,
+    /// Longest advice on when to come back that clients heed; 0 where none is passed on.
+    pub max_advice: Micros,
+}
+
+/// Why settings were turned down.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SettingsError(pub String);
+
+impl fmt::Display for SettingsError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "settings make no sense: {}", self.0)
+    }
+}
+
+impl std::error::Error for SettingsError {}
+
+impl Settings {
+    /// Turns down settings under which no sender could work.
+    pub fn check(&self) -> Result<(), SettingsError> {
+        let share = |x: f64| (0.0..=1.0).contains(&x);
+        let sound = |x: f64| x.is_finite() && x >= 0.0;
+        let no = |what: &str| Err(SettingsError(what.to_owned()));
+        if self.slots == 0 || self.max_held == 0 || self.max_attempts == 0 || self.senders == 0 {
+            return no("slots, messages held, attempts and senders must be at least one");
+        }
+        if self.classes.is_empty() || self.kinds.is_empty() || self.multiplex == 0 {
+            return no("there must be a class, a kind of destination and a call for each connection");
+        }
+        if !share(self.over_share_worth) || !share(self.start_share) || !sound(self.fall_multiple) {
+            return no("shares lie between 0 and 1, multiples are finite");
+        }
+        if self.tenants.iter().any(|&t| !sound(t)) || self.kinds.iter().any(|k| k.bundle == 0) {
+            return no("allowances are finite and a call carries at least one message");
+        }
+        let spans =
+            [self.cold, self.fall_after, self.key_rest, self.connect_timeout, self.conn_idle, self.tick];
+        let classes = self.classes.iter().flat_map(|c| [c.memory, c.wanted, c.deadline]);
+        if spans.into_iter().chain(classes).any(|t| t > 1 << 50) {
+            return no("spans must be shorter than thirty years");
+        }
+        for c in &self.classes {
+            if c.wanted == 0 || c.deadline < c.wanted || !sound(c.worth) || !share(c.late_share) {
+                return no("a class needs a wanted time, a deadline not before it and a worth");
+            }
+        }
+        Ok(())
+    }
+}
+
+/// How an attempt ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// Delivered.
+    Served,
+    /// The destination answered with an error; it may have run.
+    Failed,
+    /// Turned away unseen, with the wait it asked for, if any.
+    Full {
+        /// Send nothing there for so long.
+        wait: Option<Micros>,
+    },
+    /// No answer in time; it may have run.
+    TimedOut,
+    /// No connection; it never ran.
+    ConnectFailed,
+    /// The connection broke; it may have run.
+    Reset,
+    /// Called off; it may have run.
+    Cancelled,
+    /// Never sent: no slot was free, its time was up, or it had no attempt left.
+    Moot,
+}
+
+/// What a destination told of its limit.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Allowance {
+    /// Share of the limit that is left.
+    pub left: f64,
+    /// The limit in calls a second; 0 where there is none.
+    pub limit: f64,
+}
+
+/// State of an endpoint on the list. It tells nothing of health.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// May be sent to.
+    Live,
+    /// Gets nothing new.
+    Draining,
+    /// Removed.
+    Gone,
+}
+
+/// A line of the endpoint list.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Entry {
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// Its destination.
+    pub dest: DestinationId,
+    /// Its zone.
+    pub zone: u32,
+    /// Its destination's kind.
+    pub kind: u32,
+    /// Its state.
+    pub phase: Phase,
+}
+
+/// News of the endpoint list.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ListNews {
+    /// Only what changed.
+    Changes(Vec<Entry>),
+    /// The whole list; what is not in it is gone.
+    Whole(Vec<Entry>),
+    /// The whole list as this sender last had it before a restart.
+    Restored(Vec<Entry>),
+    /// A watch or fetch failed, or the watch broke.
+    Unavailable,
+}
+
+/// A message taken from a client.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Message {
+    /// Its name.
+    pub id: MessageId,
+    /// Its class, by position.
+    pub class: u32,
+    /// Its tenant, by position, where there are any.
+    pub tenant: Option<u32>,
+    /// What it is about, for classes in order.
+    pub key: Option<Box<str>>,
+    /// Where it goes.
+    pub dest: DestinationId,
+    /// It is known to have been handed in before.
+    pub again: bool,
+    /// It must be answered within this time.
+    pub expires_in: Micros,
+}
+
+/// Something that happened.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    /// A client handed in a message.
+    Taken(Message),
+    /// An attempt ended. Exactly one comes for each [`Action::Send`].
+    Ended {
+        /// The message.
+        id: MessageId,
+        /// Its attempt, counted from 0.
+        attempt: u32,
+        /// How it ended.
+        outcome: Outcome,
+        /// The message is over: nothing is owed for it any more.
+        over: bool,
+        /// What was told of the limit.
+        allowance: Option<Allowance>,
+    },
+    /// The client withdrew the message.
+    Withdrawn(MessageId),
+    /// A moment asked for by [`Action::WakeAt`] has come.
+    Wake,
+    /// News of the list.
+    List(ListNews),
+    /// A note from another sender.
+    Note {
+        /// Who wrote.
+        from: u32,
+        /// What.
+        body: Vec<u8>,
+    },
+    /// A probe ended.
+    Probed {
+        /// The endpoint.
+        endpoint: EndpointId,
+        /// How.
+        outcome: Outcome,
+    },
+}
+
+/// What the caller is to do, in this order.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Start an attempt. Sends of one turn to one endpoint may travel as one call where the kind allows.
+    Send {
+        /// The message.
+        id: MessageId,
+        /// Where.
+        endpoint: EndpointId,
+        /// Give up waiting after this time.
+        timeout: Micros,
+    },
+    /// Stop waiting for an attempt.
+    Cancel {
+        /// The message.
+        id: MessageId,
+        /// Its attempt.
+        attempt: u32,
+    },
+    /// Final: handed back, trying again is harmless.
+    Refuse {
+        /// The message.
+        id: MessageId,
+        /// Advice on when to come back; 0 for none.
+        after: Micros,
+    },
+    /// Final: given up, nothing promised.
+    Fail {
+        /// The message.
+        id: MessageId,
+    },
+    /// Call again at this moment, or soon after, with [`Event::Wake`].
+    WakeAt(Micros),
+    /// Ask to be told of changes of the list.
+    Watch,
+    /// Ask for the whole list once.
+    Fetch,
+    /// Check an endpoint.
+    Probe {
+        /// The endpoint.
+        endpoint: EndpointId,
+    },
+    /// Write to another sender, or to all.
+    Note {
+        /// To whom; all if absent.
+        to: Option<u32>,
+        /// What.
+        body: Vec<u8>,
+    },
+    /// Close idle connections to an endpoint.
+    CloseIdle {
+        /// The endpoint.
+        endpoint: EndpointId,
+    },
+    /// A line for the operator.
+    Log(String),
+}
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,186 @@
+//! What a sender remembers: plain data, without decisions. They stand in `choice.rs`.
+
+use crate::interface::*;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// A destination, or one endpoint of it where its endpoints are routes apart.
+pub type RouteId = (DestinationId, Option<EndpointId>);
+
+/// All routes of a destination.
+pub fn routes_of(dest: DestinationId) -> std::ops::RangeInclusive<RouteId> {
+    (dest, None)..=(dest, Some(EndpointId(u64::MAX)))
+}
+
+/// A message from being taken until it is answered and no attempt of it is out.
+#[derive(Default)]
+pub struct Held {
+    pub class: usize,
+    pub dest: DestinationId,
+    pub key: Option<Box<str>>,
+    pub over_share: bool,
+    pub aim: Micros,
+    pub expires: Micros,
+    pub attempts: Vec<u64>,
+    pub out: u32,
+    /// The earliest attempt that may have run, and where.
+    pub ran: Option<(Micros, EndpointId)>,
+    pub congested: bool,
+    pub done: bool,
+    pub not_before: Micros,
+}
+
+/// A call that is out; of a bundle it is one.
+#[derive(Clone, Copy, Default)]
+pub struct Call {
+    pub route: RouteId,
+    pub endpoint: EndpointId,
+    pub sent: Micros,
+    pub overdue: Micros,
+    /// How long the connection had been idle, as far as is known; 0 for a fresh one.
+    pub idle: Micros,
+    pub open: u32,
+    pub judged: bool,
+    pub cut: bool,
+    pub called_off: bool,
+}
+
+#[derive(Default)]
+pub enum Health {
+    #[default]
+    Closed,
+    Open {
+        since: Micros,
+        until: Micros,
+        failed: bool,
+        trial: Option<u64>,
+    },
+    Ramp {
+        since: Micros,
+    },
+}
+
+#[derive(Default)]
+pub struct Route {
+    pub window: f64,
+    pub last_cut: Option<Micros>,
+    /// The share of what comes in that is sent while refusals show a limit; 1 where none do.
+    pub pace: f64,
+    pub full_told: Micros,
+    pub rest_until: Micros,
+    pub srtt: f64,
+    pub rttvar: f64,
+    pub best: f64,
+    pub health: Health,
+    pub last_ok: Micros,
+    pub fails: u32,
+    pub failed_at: Micros,
+    pub errors: u32,
+    pub fulls: u32,
+    /// What a route that is held back, or comes back, may be sent, and since when that was not counted up.
+    pub credit: f64,
+    pub credit_at: Micros,
+    /// Who last told of an outage, and when; and when this sender last wrote.
+    pub heard: Option<(u32, Micros)>,
+    pub told: Micros,
+    pub out: u32,
+}
+
+#[derive(Default)]
+pub struct Endpoint {
+    pub dest: DestinationId,
+    pub zone: u32,
+    pub kind: usize,
+    pub live: bool,
+    pub out: u32,
+    pub idle: Vec<Micros>,
+    /// When it was last sent to, how long after the time before, and when it refused a connect at once.
+    pub used: Micros,
+    pub gap: Micros,
+    pub no_room: Micros,
+    /// Failures with nothing served since, and a rest: for one class (plain errors), or for all.
+    pub rests: BTreeMap<Option<usize>, (u32, Micros)>,
+}
+
+#[derive(Default)]
+pub struct Dest {
+    pub apart: bool,
+    pub bundle: usize,
+    pub kind: usize,
+    pub endpoints: Vec<EndpointId>,
+    pub queue: Vec<MessageId>,
+    /// What comes in, messages a second.
+    pub rate: f64,
+    pub rate_at: Micros,
+}
+
+/// Messages of one key in the order taken, and until when the key rests.
+pub type Key = (VecDeque<MessageId>, Micros);
+
+impl Held {
+    /// What the settings say that the message earns if served at `t`.
+    pub fn worth(&self, set: &Settings, t: Micros) -> f64 {
+        let c = &set.classes[self.class];
+        let full = c.worth * if self.over_share { set.over_share_worth } else { 1.0 };
+        if t >= self.expires || t <= self.aim {
+            return if t >= self.expires { 0.0 } else { full };
+        }
+        let late = (t - self.aim) as f64;
+        full * match set.fade {
+            Fade::ByHalf => (-late / c.wanted as f64).exp2().max(c.late_share),
+            Fade::Even => {
+                1.0 - (1.0 - c.late_share) * (late / (c.deadline - c.wanted).max(1) as f64).min(1.0)
+            }
+        }
+    }
+}
+
+impl Endpoint {
+    /// Whether it rests, for one class or for all.
+    pub fn rests(&self, class: Option<usize>, now: Micros) -> bool {
+        self.rests.get(&class).is_some_and(|r| now < r.1)
+    }
+}
+
+impl Dest {
+    /// A route's part of what comes in.
+    pub fn part(&self) -> f64 {
+        if self.apart { 1.0 / self.endpoints.len().max(1) as f64 } else { 1.0 }
+    }
+}
+
+/// Enters what the list says; gives the routes that it names. What is gone and has nothing out is dropped.
+pub fn enter(
+    endpoints: &mut BTreeMap<EndpointId, Endpoint>,
+    dests: &mut BTreeMap<DestinationId, Dest>,
+    kinds: &[Kind],
+    news: &ListNews,
+) -> Vec<RouteId> {
+    let mut routes = Vec::new();
+    let list = match news {
+        ListNews::Changes(list) => list,
+        ListNews::Whole(list) | ListNews::Restored(list) => {
+            let named: BTreeSet<EndpointId> = list.iter().map(|n| n.endpoint).collect();
+            endpoints.iter_mut().for_each(|(id, e)| e.live &= named.contains(id));
+            list
+        }
+        ListNews::Unavailable => return routes,
+    };
+    for n in list {
+        let Some(kind) = kinds.get(n.kind as usize) else { continue };
+        let e =
+            endpoints.entry(n.endpoint).or_insert_with(|| Endpoint { dest: n.dest, ..Endpoint::default() });
+        (e.live, e.zone, e.kind) = (n.phase == Phase::Live, n.zone, n.kind as usize);
+        let d = dests.entry(e.dest).or_default();
+        (d.apart, d.bundle, d.kind) = (kind.apart, kind.bundle as usize, e.kind);
+        if !d.endpoints.contains(&n.endpoint) {
+            d.endpoints.push(n.endpoint);
+        }
+        routes.push((e.dest, kind.apart.then_some(n.endpoint)));
+    }
+    if list.iter().all(|n| n.phase == Phase::Live) && matches!(news, ListNews::Changes(_)) {
+        return routes;
+    }
+    endpoints.retain(|_, e| e.live || e.out > 0);
+    dests.values_mut().for_each(|d| d.endpoints.retain(|e| endpoints.contains_key(e)));
+    routes
+}
--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,211 @@
+//! What the tests share: settings, and a caller that feeds one sender and keeps what it did.
+#![allow(dead_code)]
+
+use damsonspool::*;
+
+pub const MS: Micros = 1_000;
+pub const SEC: Micros = 1_000_000;
+pub const SAFE: u32 = 0;
+pub const KEYED: u32 = 1;
+pub const UNSAFE: u32 = 2;
+pub const ORDERED: u32 = 3;
+
+pub fn class(effect: Effect, in_order: bool) -> Class {
+    let (memory, wanted, deadline) = (5 * SEC, 2 * SEC, 20 * SEC);
+    Class { effect, group: Group::All, memory, wanted, deadline, worth: 1.0, late_share: 0.3, in_order }
+}
+
+pub fn settings() -> Settings {
+    Settings {
+        slots: 16,
+        max_held: 200,
+        max_attempts: 6,
+        senders: 1,
+        zone: 0,
+        second_copies: false,
+        may_cancel: true,
+        may_probe: false,
+        may_note: false,
+        list: ListMode::Push,
+        classes: vec![
+            class(Effect::Safe, false),
+            class(Effect::Keyed, false),
+            class(Effect::Unsafe, false),
+            class(Effect::Keyed, true),
+        ],
+        tenants: vec![],
+        over_share_worth: 0.2,
+        kinds: vec![
+            Kind { apart: false, bundle: 1 },
+            Kind { apart: true, bundle: 1 },
+            Kind { apart: false, bundle: 5 },
+        ],
+        fade: Fade::Even,
+        clients_mark: false,
+        start_share: 0.2,
+        cold: 10 * SEC,
+        fall_multiple: 2.0,
+        fall_after: 2 * SEC,
+        key_rest: SEC,
+        connect_timeout: SEC,
+        conn_idle: 5 * SEC,
+        multiplex: 1,
+        tick: 5 * MS,
+        max_advice: 2 * SEC,
+    }
+}
+
+pub fn entry(endpoint: u32, dest: u64, kind: u32, phase: Phase) -> Entry {
+    Entry {
+        endpoint: EndpointId(endpoint.into()),
+        dest: DestinationId(dest),
+        zone: endpoint % 2,
+        kind,
+        phase,
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Out {
+    pub id: u64,
+    pub attempt: u32,
+    pub endpoint: u32,
+    pub at: Micros,
+    pub timeout: Micros,
+}
+
+/// A caller's side: the clock, what is out, and all that was said.
+pub struct Rig {
+    pub sender: Sender,
+    pub now: Micros,
+    pub out: Vec<Out>,
+    pub said: Vec<(Micros, Action)>,
+    pub attempts: std::collections::BTreeMap<u64, u32>,
+    pub wakes: Vec<Micros>,
+    next: u64,
+}
+
+impl Rig {
+    /// One destination, number 1, of the kind given, with so many endpoints from 0 on.
+    pub fn new(settings: Settings, kind: u32, endpoints: u32) -> Self {
+        Self::seeded(settings, kind, endpoints, 7)
+    }
+
+    pub fn seeded(settings: Settings, kind: u32, endpoints: u32, seed: u64) -> Self {
+        let sender = Sender::new(settings, seed).expect("sound settings");
+        let (out, said, wakes, attempts) = Default::default();
+        let mut rig = Self { sender, now: 100 * SEC, out, said, attempts, wakes, next: 1 };
+        let known = (0..endpoints).map(|e| entry(e, 1, kind, Phase::Live)).collect();
+        rig.feed(&[Event::List(ListNews::Restored(known))]);
+        rig
+    }
+
+    pub fn list(&mut self, entries: Vec<Entry>) {
+        self.feed(&[Event::List(ListNews::Changes(entries))]);
+    }
+
+    pub fn feed(&mut self, events: &[Event]) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.sender.handle(self.now, events, &mut actions);
+        for a in &actions {
+            match *a {
+                Action::Send { id, endpoint, timeout } => {
+                    let n = self.attempts.entry(id.0).or_default();
+                    let (attempt, at) = (*n, self.now);
+                    *n += 1;
+                    self.out.push(Out { id: id.0, attempt, endpoint: endpoint.0 as u32, at, timeout });
+                }
+                Action::WakeAt(at) => self.wakes.push(at),
+                _ => {}
+            }
+            self.said.push((self.now, a.clone()));
+        }
+        actions
+    }
+
+    /// Lets time pass, waking the sender when it asked to be, and at the end.
+    pub fn pass(&mut self, span: Micros) {
+        let end = self.now + span;
+        while let Some(&at) = self.wakes.iter().filter(|&&w| w > self.now && w <= end).min() {
+            self.now = at;
+            self.feed(&[Event::Wake]);
+        }
+        self.now = end;
+        self.feed(&[Event::Wake]);
+    }
+
+    pub fn message(&mut self, class: u32, dest: u64, key: Option<&str>, expires_in: Micros) -> (u64, Event) {
+        let id = self.next;
+        self.next += 1;
+        let (dest, key) = (DestinationId(dest), key.map(Box::from));
+        let m = Message { id: MessageId(id), class, tenant: None, key, dest, again: false, expires_in };
+        (id, Event::Taken(m))
+    }
+
+    pub fn take(&mut self, class: u32) -> u64 {
+        self.take_for(class, 1, None, 20 * SEC)
+    }
+
+    pub fn many(&mut self, count: u32) {
+        for _ in 0..count {
+            self.take(SAFE);
+        }
+    }
+
+    pub fn take_for(&mut self, class: u32, dest: u64, key: Option<&str>, expires_in: Micros) -> u64 {
+        let (id, event) = self.message(class, dest, key, expires_in);
+        self.feed(&[event]);
+        id
+    }
+
+    pub fn end(&mut self, id: u64, outcome: Outcome) -> Vec<Action> {
+        self.end_told(id, outcome, None)
+    }
+
+    pub fn end_told(&mut self, id: u64, outcome: Outcome, allowance: Option<Allowance>) -> Vec<Action> {
+        let at = self.out.iter().position(|o| o.id == id).expect("the message is out");
+        let attempt = self.out.remove(at).attempt;
+        let over = outcome == Outcome::Served;
+        self.feed(&[Event::Ended { id: MessageId(id), attempt, outcome, over, allowance }])
+    }
+
+    /// Ends all that is out just now in the same way.
+    pub fn end_all(&mut self, outcome: Outcome) {
+        for o in self.out.clone() {
+            self.end(o.id, outcome);
+        }
+    }
+
+    /// Serves so many of what is out, each after a tenth of a second.
+    pub fn serve(&mut self, count: u32) {
+        for _ in 0..count {
+            self.pass(100 * MS);
+            let id = self.out.first().expect("something is out").id;
+            self.end(id, Outcome::Served);
+        }
+    }
+
+    pub fn is_out(&self, id: u64) -> bool {
+        self.out.iter().any(|o| o.id == id)
+    }
+
+    pub fn refused(&self, id: u64) -> bool {
+        self.said.iter().any(|(_, a)| matches!(a, Action::Refuse { id: i, .. } if i.0 == id))
+    }
+
+    pub fn failed(&self, id: u64) -> bool {
+        self.said.iter().any(|(_, a)| matches!(a, Action::Fail { id: i } if i.0 == id))
+    }
+
+    pub fn answers(&self, id: u64) -> usize {
+        let one = |a: &Action| {
+            matches!(a, Action::Fail { id: i } if i.0 == id)
+                || matches!(a, Action::Refuse { id: i, .. } if i.0 == id)
+        };
+        self.said.iter().filter(|(_, a)| one(a)).count()
+    }
+
+    pub fn log_has(&self, what: &str) -> bool {
+        self.said.iter().any(|(_, a)| matches!(a, Action::Log(l) if l.contains(what)))
+    }
+}
--- /dev/null
+++ b/tests/failures.rs
@@ -0,0 +1,279 @@
+//! What fails, and how the module meets it.
+
+mod common;
+use common::*;
+use damsonspool::*;
+
+/// A destination that has served some calls fast.
+fn warm(kind: u32, endpoints: u32) -> Rig {
+    let mut rig = Rig::new(settings(), kind, endpoints);
+    rig.many(30);
+    rig.serve(30);
+    rig
+}
+
+#[test]
+fn silence_counts_before_the_time_out() {
+    let mut rig = warm(0, 1);
+    rig.many(20);
+    let out = rig.out.len();
+    // Hung: nothing answers. Long before any time-out the destination is held back, and tried one by one.
+    rig.pass(5 * SEC);
+    assert!(rig.log_has("silent"));
+    assert!(rig.out.len() <= out + 5, "{} more calls into a hang", rig.out.len() - out);
+}
+
+#[test]
+fn a_trial_goes_with_a_safe_message_if_it_can() {
+    let mut rig = warm(0, 1);
+    let (a, b) = (rig.take(SAFE), rig.take(SAFE));
+    rig.end(a, Outcome::ConnectFailed);
+    rig.end(b, Outcome::ConnectFailed);
+    for _ in 0..3 {
+        rig.take(UNSAFE);
+    }
+    rig.pass(3 * SEC);
+    let trial: Vec<u64> = rig.out.iter().map(|o| o.id).collect();
+    assert!(trial.iter().all(|id| *id == a || *id == b), "{trial:?}");
+}
+
+#[test]
+fn an_unsafe_trial_that_stays_out_does_not_bar_the_next() {
+    let mut rig = Rig::new(settings(), 0, 1);
+    for _ in 0..2 {
+        rig.take(SAFE);
+        rig.serve(1);
+    }
+    for _ in 0..20 {
+        rig.take_for(UNSAFE, 1, None, 200 * SEC);
+    }
+    let before = rig.out.len();
+    assert!(before <= 2, "the window");
+    // Nothing is answered and nothing times out: each trial gives way to the next once it is overdue.
+    rig.pass(60 * SEC);
+    assert!(rig.log_has("silent"));
+    assert!(rig.out.len() >= before + 3, "{} out after {before}", rig.out.len());
+}
+
+#[test]
+fn answers_lost_here_and_there_are_no_outage() {
+    let mut rig = warm(0, 1);
+    rig.many(12);
+    let (a, b) = (rig.out[0].id, rig.out[1].id);
+    rig.end(a, Outcome::TimedOut);
+    rig.end(b, Outcome::TimedOut);
+    rig.pass(SEC);
+    // The trial is served within the time that tells a stall from an outage: no ramp follows.
+    let trial = rig.out.last().map(|o| o.id).expect("a trial");
+    rig.end(trial, Outcome::Served);
+    let start = rig.now;
+    let mut served = 0;
+    while rig.now < start + 2 * SEC {
+        rig.pass(100 * MS);
+        for o in rig.out.clone() {
+            served += 1;
+            rig.end(o.id, Outcome::Served);
+        }
+    }
+    assert!(served >= 8, "{served} served");
+}
+
+#[test]
+fn overdue_calls_give_up_slots_that_others_need_safe_ones_first() {
+    let mut rig = Rig::new(Settings { slots: 4, ..settings() }, 0, 1);
+    rig.list((1..6).map(|e| entry(e, u64::from(e) + 1, 0, Phase::Live)).collect());
+    let unsafe_one = rig.take_for(UNSAFE, 1, None, 20 * SEC);
+    let safe = [rig.take_for(SAFE, 2, None, 20 * SEC), rig.take_for(SAFE, 3, None, 20 * SEC)];
+    rig.take_for(UNSAFE, 4, None, 20 * SEC);
+    rig.take_for(SAFE, 5, None, 20 * SEC);
+    assert_eq!(rig.out.len(), 4);
+    rig.pass(6 * SEC);
+    let called_off: Vec<u64> = rig
+        .said
+        .iter()
+        .filter_map(|(_, a)| matches!(a, Action::Cancel { .. }).then_some(a))
+        .map(|a| match a {
+            Action::Cancel { id, .. } => id.0,
+            _ => 0,
+        })
+        .collect();
+    assert!(called_off.iter().any(|id| safe.contains(id)), "{called_off:?}");
+    assert!(!called_off.contains(&unsafe_one));
+}
+
+#[test]
+fn nothing_is_called_off_where_that_is_forbidden() {
+    let mut rig = Rig::new(Settings { slots: 1, may_cancel: false, ..settings() }, 0, 1);
+    rig.take(UNSAFE);
+    rig.take(SAFE);
+    rig.pass(15 * SEC);
+    assert!(!rig.said.iter().any(|(_, a)| matches!(a, Action::Cancel { .. })));
+}
+
+#[test]
+fn untold_refusals_rest_the_destination_ever_longer_and_success_relaxes() {
+    let mut rig = Rig::new(settings(), 0, 1);
+    let id = rig.take(SAFE);
+    let mut rests = Vec::new();
+    for _ in 0..4 {
+        let from = rig.now;
+        rig.end(id, Outcome::Full { wait: None });
+        while !rig.is_out(id) {
+            rig.pass(5 * MS);
+        }
+        rests.push(rig.now - from);
+    }
+    assert!(rests[0] >= 150 * MS && rests[3] >= 2 * rests[0] && rests[3] <= 5 * SEC, "{rests:?}");
+}
+
+#[test]
+fn an_endpoint_that_fails_alone_is_passed_over() {
+    let mut rig = warm(0, 2);
+    rig.many(1);
+    let (id, bad) = (rig.out[0].id, rig.out[0].endpoint);
+    rig.end(id, Outcome::Reset);
+    rig.pass(10 * MS);
+    assert!(!rig.out.is_empty() && rig.out.iter().all(|o| o.endpoint != bad));
+}
+
+#[test]
+fn a_rush_to_one_destination_is_shed_before_the_rest() {
+    let mut rig = Rig::new(Settings { max_held: 40, ..settings() }, 0, 1);
+    rig.list(vec![entry(7, 2, 0, Phase::Live)]);
+    let other = rig.take_for(SAFE, 2, None, 20 * SEC);
+    let waiting = rig.take_for(SAFE, 2, None, 20 * SEC);
+    rig.many(80);
+    assert!(!rig.refused(other) && !rig.refused(waiting));
+    assert!(rig.said.iter().filter(|(_, a)| matches!(a, Action::Refuse { .. })).count() >= 40);
+}
+
+#[test]
+fn what_waiting_would_lose_goes_first() {
+    let mut rig = Rig::new(settings(), 0, 1);
+    rig.many(3);
+    let soon = rig.take_for(SAFE, 1, None, 700 * MS);
+    rig.serve(1);
+    assert!(rig.is_out(soon));
+}
+
+#[test]
+fn traffic_over_a_tenants_share_goes_last() {
+    let mut rig = Rig::new(Settings { tenants: vec![1.0, 100.0], ..settings() }, 0, 1);
+    let dest = DestinationId(1);
+    for (id, tenant) in [(100, 0), (101, 0), (102, 0), (103, 1)] {
+        let (id, tenant) = (MessageId(id), Some(tenant));
+        let m = Message { id, class: SAFE, tenant, key: None, dest, again: false, expires_in: 20 * SEC };
+        rig.feed(&[Event::Taken(m)]);
+    }
+    rig.serve(1);
+    assert!(rig.is_out(103));
+}
+
+#[test]
+fn a_broken_watch_is_renewed_with_backoff() {
+    let mut rig = Rig::new(Settings { list: ListMode::Ask, ..settings() }, 0, 1);
+    let watches = |rig: &Rig| rig.said.iter().filter(|(_, a)| *a == Action::Watch).count();
+    assert_eq!(watches(&rig), 1, "asked for at the start: the restored list may be stale");
+    for n in 2..6 {
+        rig.feed(&[Event::List(ListNews::Unavailable)]);
+        rig.pass(4 * SEC);
+        assert_eq!(watches(&rig), n);
+        rig.feed(&[Event::List(ListNews::Changes(vec![]))]);
+    }
+    let mut pushed = Rig::new(settings(), 0, 1);
+    pushed.pass(20 * SEC);
+    assert_eq!(watches(&pushed), 0);
+}
+
+#[test]
+fn news_of_the_unknown_does_no_harm() {
+    let mut rig = Rig::new(settings(), 0, 1);
+    let ended = |id, attempt| Event::Ended {
+        id: MessageId(id),
+        attempt,
+        outcome: Outcome::Served,
+        over: true,
+        allowance: None,
+    };
+    let id = rig.take(SAFE);
+    rig.feed(&[ended(999, 0), ended(id, 5), Event::Withdrawn(MessageId(998))]);
+    rig.feed(&[Event::Probed { endpoint: EndpointId(77), outcome: Outcome::Served }]);
+    rig.list(vec![entry(3, 1, 99, Phase::Live), entry(78, 5, 0, Phase::Gone)]);
+    rig.end(id, Outcome::Served);
+    rig.feed(&[ended(id, 0)]);
+    let far = rig.take_for(SAFE, 1, None, Micros::MAX);
+    rig.end(far, Outcome::Full { wait: Some(Micros::MAX) });
+    rig.now = Micros::MAX;
+    rig.feed(&[Event::Wake]);
+}
+
+#[test]
+fn settings_that_make_no_sense_are_turned_down() {
+    let changes: [fn(&mut Settings); 8] = [
+        |s| s.slots = 0,
+        |s| s.max_attempts = 0,
+        |s| s.max_held = 0,
+        |s| s.classes.clear(),
+        |s| s.kinds[0].bundle = 0,
+        |s| s.classes[0].worth = f64::NAN,
+        |s| s.classes[0].deadline = 0,
+        |s| s.cold = Micros::MAX,
+    ];
+    for (n, change) in changes.into_iter().enumerate() {
+        let mut set = settings();
+        change(&mut set);
+        assert!(Sender::new(set, 1).is_err(), "change {n}");
+    }
+    assert!(Sender::new(settings(), 1).is_ok());
+}
+
+#[test]
+fn an_endpoint_that_errs_on_one_class_rests_for_that_class_alone() {
+    let mut rig = warm(0, 1);
+    let (a, b) = (rig.take(UNSAFE), rig.take(UNSAFE));
+    rig.end(a, Outcome::Failed);
+    rig.end(b, Outcome::Failed);
+    let (held, safe) = (rig.take(UNSAFE), rig.take(SAFE));
+    rig.many(1);
+    rig.take(UNSAFE);
+    assert!(!rig.is_out(held) && rig.is_out(safe));
+    rig.end(safe, Outcome::Served);
+    // After the rest one of the class tries; what it finds decides for the others.
+    rig.pass(1_100 * MS);
+    assert_eq!(rig.out.iter().filter(|o| o.id >= held && o.id != safe && o.id != safe + 1).count(), 1);
+}
+
+#[test]
+fn time_outs_follow_latency_and_an_unsafe_message_gets_the_time_it_has() {
+    let timeout = |class, took: Micros, expires_in| {
+        let mut rig = Rig::new(settings(), 0, 1);
+        for _ in 0..20 {
+            let id = rig.take(SAFE);
+            rig.pass(took);
+            rig.end(id, Outcome::Served);
+        }
+        rig.take_for(class, 1, None, expires_in);
+        rig.out[0].timeout
+    };
+    let (fast, slow) = (timeout(SAFE, 100 * MS, 20 * SEC), timeout(SAFE, 3 * SEC, 20 * SEC));
+    assert_eq!(fast, 2 * SEC, "the wanted time is the floor");
+    assert!(slow > 3 * SEC && slow < 20 * SEC, "{slow}");
+    assert_eq!(timeout(SAFE, 3 * SEC, 4 * SEC), 4 * SEC, "the time left is the cap");
+    assert_eq!(timeout(UNSAFE, 100 * MS, 20 * SEC), 20 * SEC);
+}
+
+#[test]
+fn a_restarted_sender_starts_over_from_its_old_list() {
+    let mut rig = Rig::new(Settings { list: ListMode::Ask, ..settings() }, 0, 2);
+    rig.many(20);
+    rig.serve(10);
+    assert!(rig.out.len() > 1);
+    let mut again = Rig::new(Settings { list: ListMode::Ask, ..settings() }, 0, 2);
+    again.many(20);
+    assert_eq!(again.out.len(), 1, "the window starts at one");
+    assert!(again.said.iter().any(|(_, a)| *a == Action::Watch), "the old list may be stale");
+    // Outcomes of the life before mean nothing.
+    let (id, attempt, outcome) = (MessageId(500), 0, Outcome::Full { wait: None });
+    again.feed(&[Event::Ended { id, attempt, outcome, over: false, allowance: None }]);
+    assert_eq!(again.out.len(), 1);
+}
--- /dev/null
+++ b/tests/fleet.rs
@@ -0,0 +1,240 @@
+//! Many senders, few slots, thin traffic: what one sender may do is bounded by what all together do.
+
+mod common;
+use common::*;
+use damsonspool::*;
+
+fn thin(senders: u32) -> Settings {
+    Settings { slots: 3, senders, fall_multiple: 2.0, cold: 10 * SEC, start_share: 0.2, ..settings() }
+}
+
+/// So many senders with one message every fifteen seconds each, for destination 1, which refuses connections
+/// until `back` and serves from then on. Gives the moments of all calls.
+fn fleet(senders: u64, back: Micros, end: Micros) -> Vec<Micros> {
+    let mut calls = Vec::new();
+    for n in 0..senders {
+        let mut rig = Rig::seeded(thin(senders as u32), 0, 1, n + 1);
+        let start = rig.now;
+        let mut next = start + 15 * SEC * n / senders;
+        while rig.now < start + end {
+            rig.pass(100 * MS);
+            if rig.now >= next {
+                rig.take_for(SAFE, 1, None, 60 * SEC);
+                next += 15 * SEC;
+            }
+            for o in rig.out.clone() {
+                calls.push(rig.now - start);
+                let up = rig.now - start >= back;
+                rig.end(o.id, if up { Outcome::Served } else { Outcome::ConnectFailed });
+            }
+        }
+    }
+    calls
+}
+
+#[test]
+fn hundreds_of_senders_together_do_not_push_a_returning_destination() {
+    // Seven messages a second come in; the destination can do ten a second when warm, two when it comes back.
+    let (senders, back) = (100, 30 * SEC);
+    let calls = fleet(senders, back, 60 * SEC);
+    let rate = |from: Micros, to: Micros| {
+        let n = calls.iter().filter(|&&t| t >= from && t < to).count();
+        n as f64 / ((to - from) as f64 / SEC as f64)
+    };
+    assert!(rate(0, 10 * SEC) > 5.0, "who has seen nothing fail sends: {}", rate(0, 10 * SEC));
+    for second in 0..4 {
+        let from = back + second * SEC;
+        // Twice what it can do within two seconds pushes it over; some slack for chance.
+        let can = 10.0 * (0.2 + 0.8 * second as f64 / 10.0);
+        assert!(
+            rate(from, from + 2 * SEC) < 2.0 * can * 1.5,
+            "second {second}: {}",
+            rate(from, from + 2 * SEC)
+        );
+    }
+    assert!(rate(back, back + 10 * SEC) > 1.0, "it comes back all the same");
+    assert!(rate(back + 20 * SEC, back + 30 * SEC) > 4.0, "and is used again in full");
+}
+
+fn note(rig: &mut Rig, from: u32, body: &[u8]) -> Vec<Action> {
+    rig.feed(&[Event::Note { from, body: body.to_vec() }])
+}
+
+fn notes(rig: &Rig) -> Vec<Vec<u8>> {
+    let one = |a: &Action| if let Action::Note { body, .. } = a { Some(body.clone()) } else { None };
+    rig.said.iter().filter_map(|(_, a)| one(a)).collect()
+}
+
+/// A sender's own words: that destination 1 fails, and that it serves again.
+fn words() -> [Vec<u8>; 2] {
+    let mut rig = Rig::new(Settings { may_note: true, ..thin(9) }, 0, 1);
+    for _ in 0..2 {
+        rig.take(SAFE);
+        rig.end_all(Outcome::TimedOut);
+    }
+    rig.pass(40 * SEC);
+    rig.many(20);
+    rig.pass(20 * SEC);
+    rig.end_all(Outcome::Served);
+    let said = notes(&rig);
+    assert_eq!(said.len(), 2, "one word of each, not one for each call: {said:?}");
+    [said[0].clone(), said[1].clone()]
+}
+
+#[test]
+fn two_senders_word_opens_the_breaker_and_one_served_call_ends_it() {
+    let [down, up] = words();
+    let set = || Settings { may_note: true, ..thin(9) };
+    let mut rig = Rig::new(set(), 0, 1);
+    note(&mut rig, 1, &down);
+    note(&mut rig, 1, &down);
+    let one = rig.take(SAFE);
+    assert!(rig.is_out(one), "one sender's word, even said twice, holds nothing back");
+    // A trial is let through now and then, by chance: of many senders most hold back.
+    let mut held = 0;
+    for seed in 0..40 {
+        let mut rig = Rig::seeded(set(), 0, 1, seed);
+        note(&mut rig, 1, &down);
+        note(&mut rig, 2, &down);
+        let one = rig.take(SAFE);
+        if !rig.is_out(one) {
+            held += 1;
+            note(&mut rig, 3, &up);
+            rig.pass(10 * MS);
+            assert!(rig.is_out(one), "back within three seconds: a false alarm, no ramp");
+        }
+    }
+    assert!(held >= 28, "a heard-of outage counts like a seen one: {held} of 40 held back");
+}
+
+#[test]
+fn without_leave_notes_are_neither_written_nor_heeded() {
+    let [down, _] = words();
+    let mut rig = Rig::new(thin(9), 0, 1);
+    note(&mut rig, 1, &down);
+    note(&mut rig, 2, &down);
+    let one = rig.take(SAFE);
+    assert!(rig.is_out(one));
+    for _ in 0..3 {
+        rig.end_all(Outcome::TimedOut);
+    }
+    rig.pass(5 * SEC);
+    assert!(notes(&rig).is_empty());
+}
+
+#[test]
+fn what_is_no_note_or_speaks_of_the_unknown_is_passed_over() {
+    let [down, up] = words();
+    let mut rig = Rig::new(Settings { may_note: true, ..thin(9) }, 0, 1);
+    for word in [down, up] {
+        for length in 0..word.len() {
+            note(&mut rig, 1, &word[..length]);
+            note(&mut rig, 2, &word[..length]);
+        }
+        for byte in 0..word.len() {
+            let mut other = word.clone();
+            other[byte] ^= 0x55;
+            note(&mut rig, 1, &other);
+            note(&mut rig, 2, &other);
+        }
+    }
+    note(&mut rig, 1, &[0xff; 256]);
+    let one = rig.take(SAFE);
+    assert!(rig.is_out(one));
+}
+
+#[test]
+fn a_drowned_limit_is_left_alone_until_it_serves() {
+    // Refusals that told a wait, one after the other: ever fewer tries, though each wait is short.
+    let tries = |outcome: Outcome| {
+        let mut rig = Rig::new(thin(100), 0, 1);
+        let mut calls = 0;
+        for second in 0..120 {
+            if second % 5 == 0 {
+                rig.take_for(SAFE, 1, None, 600 * SEC);
+            }
+            rig.pass(SEC);
+            calls += rig.out.len();
+            rig.end_all(outcome);
+        }
+        calls
+    };
+    let (drowned, sound) = (tries(Outcome::Full { wait: Some(100 * MS) }), tries(Outcome::Served));
+    assert!(sound >= 23, "{sound}");
+    assert!(drowned <= 15, "{drowned} tries at a limit that lets nothing through");
+}
+
+#[test]
+fn a_silent_call_on_an_idle_connection_blames_the_connection() {
+    let mut rig = Rig::new(thin(9), 0, 1);
+    for _ in 0..4 {
+        let id = rig.take(SAFE);
+        rig.pass(100 * MS);
+        rig.end(id, Outcome::Served);
+    }
+    rig.pass(2 * SEC);
+    let lost = rig.take(UNSAFE);
+    rig.pass(800 * MS);
+    assert!(rig.is_out(lost) && !rig.log_has("silent"), "the destination is not held back");
+    rig.end(lost, Outcome::TimedOut);
+    rig.many(1);
+    rig.end_all(Outcome::Served);
+    rig.pass(2 * SEC);
+    // The next one on a connection that has idled as long goes on a fresh one.
+    let at = rig.said.len();
+    rig.take(UNSAFE);
+    let since: Vec<&Action> = rig.said[at..].iter().map(|(_, a)| a).collect();
+    assert!(matches!(since[..2], [Action::CloseIdle { .. }, Action::Send { .. }]), "{since:?}");
+}
+
+#[test]
+fn scarce_connections_are_not_kept_idle() {
+    let mut rig = Rig::new(Settings { conn_idle: 10 * SEC, ..thin(100) }, 0, 1);
+    let closes = |rig: &Rig| rig.said.iter().filter(|(_, a)| matches!(a, Action::CloseIdle { .. })).count();
+    let id = rig.take(SAFE);
+    rig.pass(50 * MS);
+    rig.end(id, Outcome::Served);
+    assert_eq!(closes(&rig), 0);
+    rig.pass(5 * SEC);
+    let id = rig.take(SAFE);
+    rig.end(id, Outcome::ConnectFailed);
+    rig.pass(SEC);
+    rig.end_all(Outcome::Served);
+    rig.pass(5 * SEC);
+    let id = rig.take(SAFE);
+    rig.pass(50 * MS);
+    rig.end(id, Outcome::Served);
+    assert!(closes(&rig) >= 1);
+}
+
+#[test]
+fn a_stuck_call_at_one_destination_leaves_two_slots_useful() {
+    let mut rig = Rig::new(Settings { slots: 2, ..thin(9) }, 0, 1);
+    rig.list((1..5).map(|e| entry(e, u64::from(e) + 1, 0, Phase::Live)).collect());
+    let stuck = rig.take_for(UNSAFE, 1, None, 20 * SEC);
+    let mut served = 0;
+    for n in 0..20 {
+        rig.take_for(SAFE, 2 + n % 4, None, 20 * SEC);
+        rig.pass(200 * MS);
+        for o in rig.out.clone().iter().filter(|o| o.id != stuck) {
+            served += 1;
+            rig.end(o.id, Outcome::Served);
+        }
+    }
+    assert!(served >= 19, "{served}");
+    // A destination gets one of two slots at most, so the other stays for the rest.
+    assert!(rig.is_out(stuck));
+}
+
+#[test]
+fn endpoints_replaced_in_bulk_are_left_at_once_and_the_new_ones_used() {
+    let mut rig = Rig::new(thin(9), 0, 3);
+    let gone = (0..3).map(|e| entry(e, 1, 0, Phase::Draining));
+    rig.list(gone.chain((10..13).map(|e| entry(e, 1, 0, Phase::Live))).collect());
+    for _ in 0..12 {
+        rig.take(SAFE);
+        rig.pass(100 * MS);
+        assert!(rig.out.iter().all(|o| o.endpoint >= 10), "{:?}", rig.out);
+        rig.end_all(Outcome::Served);
+    }
+}
--- /dev/null
+++ b/tests/rules.rs
@@ -0,0 +1,214 @@
+//! The six rules, one by one.
+
+mod common;
+use common::*;
+use damsonspool::*;
+
+#[test]
+fn every_message_is_answered_before_its_time_is_up() {
+    let mut rig = Rig::new(settings(), 0, 1);
+    let ids: Vec<u64> =
+        (0..3).flat_map(|c| [rig.take_for(c, 1, None, 3 * SEC), rig.take_for(c, 9, None, 3 * SEC)]).collect();
+    let start = rig.now;
+    // Whatever is sent gets no answer but its time-out; destination 9 has no endpoint.
+    for _ in 0..700 {
+        rig.pass(5 * MS);
+        let due: Vec<u64> = rig.out.iter().filter(|o| rig.now >= o.at + o.timeout).map(|o| o.id).collect();
+        due.into_iter().for_each(|id| drop(rig.end(id, Outcome::TimedOut)));
+    }
+    for id in ids {
+        assert_eq!(rig.answers(id), 1, "message {id}");
+    }
+    assert!(
+        rig.said.iter().all(|(at, a)| !matches!(a, Action::Fail { .. }) || *at <= start + 3 * SEC + 5 * MS)
+    );
+}
+
+#[test]
+fn nothing_is_owed_for_what_the_client_withdrew() {
+    let mut rig = Rig::new(settings(), 0, 1);
+    let (a, b) = (rig.take(SAFE), rig.take(SAFE));
+    rig.feed(&[Event::Withdrawn(MessageId(a)), Event::Withdrawn(MessageId(b))]);
+    rig.end(a, Outcome::Full { wait: None });
+    rig.pass(30 * SEC);
+    assert_eq!((rig.answers(a), rig.answers(b), rig.out.len()), (0, 0, 0));
+}
+
+#[test]
+fn an_unsafe_message_that_may_have_run_is_neither_sent_nor_refused() {
+    for outcome in [Outcome::TimedOut, Outcome::Failed, Outcome::Reset, Outcome::Cancelled] {
+        let mut rig = Rig::new(settings(), 0, 1);
+        let id = rig.take(UNSAFE);
+        rig.end(id, outcome);
+        rig.pass(30 * SEC);
+        assert!(rig.failed(id) && !rig.refused(id) && rig.attempts[&id] == 1, "{outcome:?}");
+    }
+}
+
+#[test]
+fn an_unsafe_message_that_never_ran_is_sent_again() {
+    for outcome in [Outcome::Full { wait: None }, Outcome::ConnectFailed, Outcome::Moot] {
+        let mut rig = Rig::new(settings(), 0, 1);
+        let id = rig.take(UNSAFE);
+        rig.end(id, outcome);
+        rig.pass(5 * SEC);
+        assert!(rig.attempts[&id] == 2, "{outcome:?}");
+    }
+}
+
+#[test]
+fn a_keyed_message_goes_again_only_within_the_memory_of_its_first_run() {
+    let mut rig = Rig::new(settings(), 0, 1);
+    let id = rig.take(KEYED);
+    rig.pass(2 * SEC);
+    rig.end(id, Outcome::Reset);
+    rig.pass(500 * MS);
+    assert_eq!(rig.attempts[&id], 2);
+    // Refused now: the memory still runs from the first attempt, which may have run.
+    rig.end(id, Outcome::Full { wait: Some(3 * SEC) });
+    rig.pass(30 * SEC);
+    assert_eq!(rig.attempts[&id], 2);
+    assert_eq!(rig.answers(id), 1);
+}
+
+#[test]
+fn a_narrow_group_binds_the_repeat_to_its_zone_and_bars_refusal() {
+    let mut set = settings();
+    set.classes[1].group = Group::Zone;
+    // Endpoints 0 and 2 share a zone, 1 is in the other.
+    let mut rig = Rig::new(set, 0, 3);
+    let id = rig.take(KEYED);
+    let first = rig.out[0].endpoint;
+    rig.end(id, Outcome::Failed);
+    rig.pass(2 * SEC);
+    assert_eq!(rig.out.first().map(|o| o.endpoint % 2), Some(first % 2));
+    rig.list((0..3).map(|e| entry(e, 1, 0, Phase::Gone)).collect());
+    rig.end(id, Outcome::Full { wait: None });
+    rig.pass(30 * SEC);
+    assert!(rig.failed(id) && !rig.refused(id));
+}
+
+#[test]
+fn a_moot_send_counts_as_an_attempt() {
+    let mut rig = Rig::new(Settings { max_attempts: 2, ..settings() }, 0, 1);
+    let id = rig.take(SAFE);
+    rig.end(id, Outcome::Moot);
+    rig.pass(SEC);
+    rig.end(id, Outcome::Moot);
+    rig.pass(SEC);
+    assert!(rig.attempts[&id] == 2 && rig.refused(id));
+}
+
+#[test]
+fn a_draining_endpoint_gets_nothing_new_and_its_messages_wait() {
+    for phase in [Phase::Draining, Phase::Gone] {
+        let mut rig = Rig::new(settings(), 0, 1);
+        rig.list(vec![entry(0, 1, 0, phase)]);
+        let id = rig.take(SAFE);
+        rig.pass(SEC);
+        assert!(!rig.is_out(id) && rig.answers(id) == 0, "{phase:?}");
+        rig.list(vec![entry(5, 1, 0, Phase::Live)]);
+        assert_eq!(rig.out.first().map(|o| o.endpoint), Some(5));
+    }
+}
+
+#[test]
+fn what_a_whole_list_leaves_out_is_gone() {
+    let mut rig = Rig::new(settings(), 0, 2);
+    rig.feed(&[Event::List(ListNews::Whole(vec![entry(1, 1, 0, Phase::Live)]))]);
+    let id = rig.take(SAFE);
+    assert_eq!(rig.out[0].endpoint, 1);
+    rig.end(id, Outcome::Served);
+    rig.feed(&[Event::List(ListNews::Whole(vec![]))]);
+    let id = rig.take(SAFE);
+    assert!(!rig.is_out(id));
+}
+
+#[test]
+fn a_told_wait_binds_the_destination_for_all_messages() {
+    let mut rig = Rig::new(settings(), 0, 2);
+    let id = rig.take(SAFE);
+    rig.end(id, Outcome::Full { wait: Some(3 * SEC) });
+    let told = rig.now;
+    rig.many(3);
+    rig.pass(10 * SEC);
+    assert!(!rig.out.is_empty() && rig.out.iter().all(|o| o.at >= told + 3 * SEC));
+}
+
+#[test]
+fn a_told_wait_binds_only_the_route_where_routes_are_apart() {
+    let mut rig = Rig::new(settings(), 1, 2);
+    let id = rig.take(SAFE);
+    let route = rig.out[0].endpoint;
+    rig.end(id, Outcome::Full { wait: Some(3 * SEC) });
+    assert!(rig.out.iter().all(|o| o.endpoint != route) && rig.is_out(id));
+}
+
+#[test]
+fn a_wait_told_behind_a_time_out_in_the_same_bundle_counts() {
+    let mut rig = Rig::new(settings(), 2, 1);
+    let (a, b) = (rig.message(SAFE, 1, None, 20 * SEC), rig.message(SAFE, 1, None, 20 * SEC));
+    rig.feed(&[a.1, b.1]);
+    rig.end(a.0, Outcome::TimedOut);
+    rig.end(b.0, Outcome::Full { wait: Some(4 * SEC) });
+    let told = rig.now;
+    rig.pass(15 * SEC);
+    assert!(!rig.out.is_empty() && rig.out.iter().all(|o| o.at >= told + 4 * SEC));
+}
+
+#[test]
+fn messages_of_one_key_go_one_at_a_time_in_order() {
+    let mut rig = Rig::new(settings(), 0, 1);
+    rig.many(8);
+    rig.serve(8);
+    let (a, b) =
+        (rig.take_for(ORDERED, 1, Some("k"), 20 * SEC), rig.take_for(ORDERED, 1, Some("k"), 20 * SEC));
+    let other = rig.take_for(ORDERED, 1, Some("x"), 20 * SEC);
+    assert!(rig.is_out(a) && !rig.is_out(b) && rig.is_out(other));
+    rig.end(a, Outcome::Served);
+    assert!(rig.is_out(b));
+}
+
+#[test]
+fn a_key_rests_after_an_attempt_that_may_still_run_even_if_its_message_is_over() {
+    let mut rig = Rig::new(settings(), 0, 1);
+    let a = rig.take_for(ORDERED, 1, Some("k"), 20 * SEC);
+    let b = rig.take_for(ORDERED, 1, Some("k"), 20 * SEC);
+    rig.feed(&[Event::Withdrawn(MessageId(a))]);
+    rig.pass(100 * MS);
+    assert!(!rig.is_out(b), "an attempt of the first is still out");
+    rig.end(a, Outcome::TimedOut);
+    let ended = rig.now;
+    rig.pass(4 * SEC);
+    assert!(rig.out.iter().any(|o| o.id == b && o.at >= ended + SEC));
+}
+
+#[test]
+fn after_an_outage_the_backlog_comes_back_slowly() {
+    let mut rig = Rig::new(settings(), 0, 1);
+    rig.many(40);
+    rig.serve(40);
+    rig.many(60);
+    // Down for eight seconds: each call fails at once.
+    let down = rig.now;
+    let mut tries = 0;
+    while rig.now < down + 8 * SEC {
+        rig.pass(50 * MS);
+        for o in rig.out.clone() {
+            tries += 1;
+            rig.end(o.id, Outcome::ConnectFailed);
+        }
+    }
+    assert!(tries < 30, "{tries} calls at a dead destination");
+    // Back: in the next two seconds far less than the rate served before.
+    let back = rig.now;
+    let mut sent = 0;
+    while rig.now < back + 4 * SEC {
+        rig.pass(50 * MS);
+        for o in rig.out.clone() {
+            sent += 1;
+            rig.end(o.id, Outcome::Served);
+        }
+    }
+    assert!((1..=8).contains(&sent), "{sent} calls in the first four seconds");
+}
