--- /dev/null
+++ b/src/bin/notchpoint/calls.rs
@@ -0,0 +1,502 @@
+//! Connections and calls to endpoints: what a call came to, and whether it can have run.
+
+use crate::io::{Observed, Observer};
+use crate::journal::Journal;
+use crate::node::Input;
+use bytes::Bytes;
+use damsonspool::*;
+use http_body_util::{BodyExt, Full as Body, Limited};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::header::{CONNECTION, CONTENT_LENGTH, HOST, HeaderMap, RETRY_AFTER};
+use hyper::{Request, Response, StatusCode, body::Incoming};
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, sleep_until, timeout};
+
+/// An answer's body tells at most a line for each message of a batch.
+const ANSWER: usize = 64 << 10;
+/// An idle connection is dropped after this share of the time after which its endpoint may close it: the
+/// rest covers the way there, so that no request meets a closing connection.
+const IDLE_SHARE: f64 = 0.8;
+const SWEEP: Duration = Duration::from_millis(500);
+/// How long a connection may take to be ready for the next call before it is let go.
+const SETTLE: Duration = Duration::from_millis(20);
+
+/// A message in a call.
+#[derive(Clone, Debug)]
+pub struct Item {
+    pub id: MessageId,
+    pub attempt: u32,
+    pub timeout: Duration,
+    pub body: Bytes,
+}
+
+/// An endpoint as the list has it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Target {
+    pub address: SocketAddr,
+    pub dest: DestinationId,
+    pub live: bool,
+    pub apart: bool,
+    /// Messages in one call at most.
+    pub bundle: usize,
+}
+
+impl Target {
+    fn route(&self, id: EndpointId) -> Route {
+        (self.dest, self.apart.then_some(id))
+    }
+}
+
+type Route = (DestinationId, Option<EndpointId>);
+
+/// One outcome, and what came with it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct End {
+    outcome: Outcome,
+    over: bool,
+    allowance: Option<Allowance>,
+}
+
+impl From<Outcome> for End {
+    fn from(outcome: Outcome) -> Self {
+        Self { outcome, over: outcome == Outcome::Served, allowance: None }
+    }
+}
+
+/// What a call came to: for all alike, or for each message (what is not named may have run).
+enum Answer {
+    Alike(End),
+    Each(HashMap<MessageId, End>),
+}
+
+/// How much of the present request has been written.
+#[derive(Default)]
+struct Progress {
+    /// How much of the blank line that ends the head was seen; 4 once it was.
+    head: Cell<usize>,
+    body_left: Cell<usize>,
+}
+
+impl Progress {
+    fn expect(&self, body: usize) {
+        self.head.set(0);
+        self.body_left.set(body);
+    }
+
+    fn complete(&self) -> bool {
+        self.head.get() == 4 && self.body_left.get() == 0
+    }
+}
+
+impl Observer for Rc<Progress> {
+    fn wrote(&self, mut bytes: &[u8]) {
+        while self.head.get() < 4 {
+            let Some((&b, rest)) = bytes.split_first() else { return };
+            let seen = self.head.get();
+            self.head.set(match (b == b"\r\n\r\n"[seen], b) {
+                (true, _) => seen + 1,
+                (false, b'\r') => 1,
+                _ => 0,
+            });
+            bytes = rest;
+        }
+        self.body_left.set(self.body_left.get().saturating_sub(bytes.len()));
+    }
+}
+
+struct Connection {
+    sender: SendRequest<Body<Bytes>>,
+    driver: Driver,
+    progress: Rc<Progress>,
+}
+
+impl Connection {
+    /// Ends the connection, and returns once it has ended: until then its call holds a slot over there.
+    async fn close(mut self) {
+        self.driver.0.abort();
+        let _ = (&mut self.driver.0).await;
+    }
+}
+
+/// The task that moves a connection's bytes; the connection ends with it.
+struct Driver(JoinHandle<()>);
+
+impl Drop for Driver {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+struct Idle {
+    connection: Connection,
+    since: Instant,
+}
+
+pub struct Calls {
+    targets: RefCell<HashMap<EndpointId, Target>>,
+    pool: RefCell<HashMap<EndpointId, Vec<Idle>>>,
+    waits: RefCell<HashMap<Route, Instant>>,
+    cancels: RefCell<HashMap<(MessageId, u32), UnboundedSender<(MessageId, u32)>>>,
+    out: Cell<usize>,
+    journal: Rc<RefCell<Journal>>,
+    inputs: UnboundedSender<Input>,
+    connect_timeout: Duration,
+    idle: Duration,
+    second_copies: bool,
+}
+
+impl Calls {
+    pub fn new(set: &Settings, journal: Rc<RefCell<Journal>>, inputs: UnboundedSender<Input>) -> Rc<Self> {
+        let calls = Rc::new(Self {
+            targets: RefCell::default(),
+            pool: RefCell::default(),
+            waits: RefCell::default(),
+            cancels: RefCell::default(),
+            out: Cell::new(0),
+            journal,
+            inputs,
+            connect_timeout: Duration::from_micros(set.connect_timeout),
+            idle: Duration::from_micros(set.conn_idle).mul_f64(IDLE_SHARE),
+            second_copies: set.second_copies,
+        });
+        let swept = Rc::downgrade(&calls);
+        tokio::task::spawn_local(async move {
+            while let Some(calls) = swept.upgrade() {
+                calls.sweep();
+                drop(calls);
+                tokio::time::sleep(SWEEP).await;
+            }
+        });
+        calls
+    }
+
+    /// Calls that are out.
+    pub fn out(&self) -> usize {
+        self.out.get()
+    }
+
+    /// What the list says of an endpoint; connections to one that moved or left are closed.
+    pub fn list(&self, id: EndpointId, target: Option<Target>) {
+        let old = match target {
+            Some(t) => self.targets.borrow_mut().insert(id, t),
+            None => self.targets.borrow_mut().remove(&id),
+        };
+        if old.map(|t| (t.address, t.live)) != target.map(|t| (t.address, t.live)) {
+            self.close_idle(id);
+        }
+    }
+
+    /// Messages in one call to an endpoint at most.
+    pub fn bundle(&self, id: EndpointId) -> usize {
+        self.targets.borrow().get(&id).map_or(1, |t| t.bundle)
+    }
+
+    pub fn listed(&self) -> Vec<EndpointId> {
+        self.targets.borrow().keys().copied().collect()
+    }
+
+    pub fn close_idle(&self, id: EndpointId) {
+        self.pool.borrow_mut().remove(&id);
+    }
+
+    fn sweep(&self) {
+        self.pool.borrow_mut().retain(|_, idle| {
+            idle.retain(|i| self.fresh(i));
+            !idle.is_empty()
+        });
+        let now = Instant::now();
+        self.waits.borrow_mut().retain(|_, until| *until > now);
+    }
+
+    fn fresh(&self, idle: &Idle) -> bool {
+        !idle.connection.sender.is_closed() && idle.since.elapsed() < self.idle
+    }
+
+    /// Stops waiting for an attempt.
+    pub fn cancel(&self, id: MessageId, attempt: u32) {
+        if let Some(call) = self.cancels.borrow().get(&(id, attempt)) {
+            let _ = call.send((id, attempt));
+        }
+    }
+
+    /// Starts one call with these messages. Each of them ends once.
+    pub fn start(self: &Rc<Self>, endpoint: EndpointId, mut items: Vec<Item>) {
+        let (cancel, cancelled) = unbounded_channel();
+        let least = items.iter().map(|i| i.timeout).min().unwrap_or_default();
+        for i in &mut items {
+            if !self.second_copies {
+                // One sent again while the call goes on for the others would be a second copy.
+                i.timeout = least;
+            }
+            self.cancels.borrow_mut().insert((i.id, i.attempt), cancel.clone());
+        }
+        self.out.set(self.out.get() + 1);
+        let calls = self.clone();
+        tokio::task::spawn_local(async move {
+            calls.call(endpoint, items, cancelled).await;
+            calls.out.set(calls.out.get() - 1);
+        });
+    }
+
+    async fn call(
+        self: &Rc<Self>,
+        endpoint: EndpointId,
+        items: Vec<Item>,
+        mut cancelled: UnboundedReceiver<(MessageId, u32)>,
+    ) {
+        let started = Instant::now();
+        let waiting = RefCell::new(items);
+        let connection = RefCell::new(None);
+        // Nothing of an earlier request counts: the progress is this one's once the connection is there.
+        let progress: RefCell<Option<Rc<Progress>>> = RefCell::new(None);
+        let written = || progress.borrow().as_ref().is_some_and(|p| p.complete());
+        let mut last = Vec::new();
+        let answer = {
+            let exchange = self.exchange(endpoint, started, &waiting, &connection, &progress);
+            tokio::pin!(exchange);
+            loop {
+                let next = waiting.borrow().iter().map(|i| started + i.timeout).min();
+                let Some(next) = next else { break None };
+                let outcome = tokio::select! {
+                    biased;
+                    answer = &mut exchange => break Some(answer),
+                    Some(one) = cancelled.recv() => {
+                        let outcome = if written() { Outcome::Cancelled } else { Outcome::Moot };
+                        last = take(&waiting, |i| (i.id, i.attempt) == one);
+                        outcome
+                    }
+                    () = sleep_until(next) => {
+                        let outcome = if written() { Outcome::TimedOut } else { Outcome::ConnectFailed };
+                        last = take(&waiting, |i| started + i.timeout <= next);
+                        outcome
+                    }
+                };
+                let ended = std::mem::take(&mut last).into_iter().map(|i| (i, End::from(outcome)));
+                if waiting.borrow().is_empty() {
+                    // The connection goes first: the call holds its slot for as long as that is open.
+                    last = ended.map(|(i, _)| i).collect();
+                    break Some(Ok(Answer::Alike(outcome.into())));
+                }
+                ended.for_each(|(i, end)| self.report(endpoint, &i, end));
+            }
+        };
+        let open = connection.borrow_mut().take();
+        if let Some(c) = open {
+            c.close().await;
+        }
+        last.extend(waiting.take());
+        for item in last {
+            let end = match &answer {
+                Some(Ok(Answer::Alike(end))) => *end,
+                Some(Ok(Answer::Each(ends))) => ends.get(&item.id).copied().unwrap_or(Outcome::Failed.into()),
+                _ if written() => Outcome::Reset.into(),
+                _ => Outcome::ConnectFailed.into(),
+            };
+            self.report(endpoint, &item, end);
+        }
+    }
+
+    fn report(&self, endpoint: EndpointId, item: &Item, end: End) {
+        let (id, attempt, outcome) = (item.id, item.attempt, end.outcome);
+        let mut journal = self.journal.borrow_mut();
+        if end.over || outcome == Outcome::Served {
+            journal.end(id);
+        } else if matches!(outcome, Outcome::Full { .. } | Outcome::ConnectFailed | Outcome::Moot) {
+            journal.never_ran(id, attempt);
+        }
+        if let (Outcome::Full { wait: Some(wait) }, Some(t)) = (outcome, self.targets.borrow().get(&endpoint))
+        {
+            let until = Instant::now() + Duration::from_micros(wait);
+            let mut waits = self.waits.borrow_mut();
+            let w = waits.entry(t.route(endpoint)).or_insert(until);
+            *w = until.max(*w);
+        }
+        self.cancels.borrow_mut().remove(&(id, attempt));
+        let (over, allowance) = (end.over, end.allowance);
+        let _ = self.inputs.send(Input::Event(Event::Ended { id, attempt, outcome, over, allowance }));
+    }
+
+    /// The call itself. An error is a connection that failed; how far the request got tells what that means.
+    async fn exchange(
+        &self,
+        endpoint: EndpointId,
+        started: Instant,
+        waiting: &RefCell<Vec<Item>>,
+        connection: &RefCell<Option<Connection>>,
+        progress: &RefCell<Option<Rc<Progress>>>,
+    ) -> Result<Answer, ()> {
+        let moot = Ok(Answer::Alike(Outcome::Moot.into()));
+        let Some(target) = self.target(endpoint) else { return moot };
+        let mut conn = match self.pooled(endpoint) {
+            Some(c) => c,
+            None => self.connect(target.address).await?,
+        };
+        // Connecting takes time: the list or a wait may have closed the door meanwhile, and messages may be over.
+        if self.target(endpoint).is_none_or(|t| t.address != target.address) {
+            conn.close().await;
+            return moot;
+        }
+        let gone = take(waiting, |i| {
+            let mut journal = self.journal.borrow_mut();
+            let open = journal.get(i.id).is_some_and(|m| m.verdict.is_none());
+            !open || journal.attempt(i.id, i.attempt, endpoint).is_err()
+        });
+        gone.iter().for_each(|i| self.report(endpoint, i, Outcome::Moot.into()));
+        let sent = waiting.borrow().clone();
+        let Some(request) = request(target.address, &sent, started.elapsed(), &conn.progress) else {
+            self.release(endpoint, conn).await;
+            return moot;
+        };
+        *progress.borrow_mut() = Some(conn.progress.clone());
+        let answer = conn.sender.send_request(request);
+        *connection.borrow_mut() = Some(conn);
+        let response = answer.await.map_err(drop)?;
+        let keep = !closes(&response);
+        let batch = sent.len() > 1 && response.status() == StatusCode::OK;
+        let (end, wait) = (read_status(&response), read_wait(response.headers()));
+        let body = Limited::new(response.into_body(), ANSWER).collect().await;
+        let keep = keep && body.is_ok();
+        let answer = match (batch, body) {
+            (false, _) => Answer::Alike(end),
+            (true, Ok(body)) => Answer::Each(read_batch(&body.to_bytes(), wait, end.allowance)),
+            (true, Err(_)) => return Err(()),
+        };
+        let conn = connection.borrow_mut().take();
+        if let Some(conn) = conn.filter(|_| keep) {
+            self.release(endpoint, conn).await;
+        }
+        Ok(answer)
+    }
+
+    /// The endpoint, where a call may begin now.
+    fn target(&self, id: EndpointId) -> Option<Target> {
+        let target = self.targets.borrow().get(&id).copied().filter(|t| t.live)?;
+        let waits = self.waits.borrow();
+        waits.get(&target.route(id)).is_none_or(|&until| Instant::now() >= until).then_some(target)
+    }
+
+    /// The connection used last: the others may then grow old and close.
+    fn pooled(&self, id: EndpointId) -> Option<Connection> {
+        let mut pool = self.pool.borrow_mut();
+        let idle = pool.get_mut(&id)?;
+        idle.retain(|i| self.fresh(i) && i.connection.sender.is_ready());
+        idle.pop().map(|i| i.connection)
+    }
+
+    async fn release(&self, id: EndpointId, mut connection: Connection) {
+        let ready = timeout(SETTLE, connection.sender.ready()).await;
+        if !matches!(ready, Ok(Ok(()))) || self.targets.borrow().get(&id).is_none_or(|t| !t.live) {
+            return connection.close().await;
+        }
+        self.pool.borrow_mut().entry(id).or_default().push(Idle { connection, since: Instant::now() });
+    }
+
+    async fn connect(&self, address: SocketAddr) -> Result<Connection, ()> {
+        let stream = timeout(self.connect_timeout, TcpStream::connect(address)).await;
+        let stream = stream.map_err(drop)?.map_err(drop)?;
+        stream.set_nodelay(true).map_err(drop)?;
+        let progress = Rc::new(Progress::default());
+        let (sender, driver) =
+            http1::handshake(Observed::new(stream, progress.clone())).await.map_err(drop)?;
+        // Its end shows at the sender.
+        let driver = Driver(tokio::task::spawn_local(async move { drop(driver.await) }));
+        Ok(Connection { sender, driver, progress })
+    }
+}
+
+fn take(waiting: &RefCell<Vec<Item>>, which: impl FnMut(&mut Item) -> bool) -> Vec<Item> {
+    waiting.borrow_mut().extract_if(.., which).collect()
+}
+
+fn request(
+    host: SocketAddr,
+    items: &[Item],
+    elapsed: Duration,
+    progress: &Progress,
+) -> Option<Request<Body<Bytes>>> {
+    let patience = items.iter().map(|i| i.timeout).max()?.saturating_sub(elapsed).as_millis().max(1) as u64;
+    let builder = Request::post(if items.len() > 1 { "/v1/messages:batch" } else { "/v1/messages" })
+        .header(HOST, host.to_string())
+        .header("X-Timeout-Ms", patience);
+    let (builder, body) = match items {
+        [one] => (builder.header("X-Request-ID", format!("{:016x}", one.id.0)), one.body.clone()),
+        many => {
+            let mut lines = Vec::new();
+            for i in many {
+                lines.extend(format!("{:016x} - {}\r\n", i.id.0, i.body.len()).into_bytes());
+                lines.extend(&i.body);
+                lines.extend(b"\r\n");
+            }
+            (builder, lines.into())
+        }
+    };
+    progress.expect(body.len());
+    builder.header(CONTENT_LENGTH, body.len()).body(Body::new(body)).ok()
+}
+
+fn closes(response: &Response<Incoming>) -> bool {
+    let said = response.headers().get_all(CONNECTION).iter().filter_map(|v| v.to_str().ok());
+    said.flat_map(|v| v.split(',')).any(|v| v.trim().eq_ignore_ascii_case("close"))
+}
+
+fn read_status(response: &Response<Incoming>) -> End {
+    let headers = response.headers();
+    let no_slot = headers.get("X-No-Slot").is_some_and(|v| v == "1");
+    let (outcome, over) = match response.status().as_u16() {
+        200 => (Outcome::Served, true),
+        503 if no_slot => (Outcome::Moot, false),
+        429 | 503 => (Outcome::Full { wait: read_wait(headers) }, false),
+        504 | 413 => (Outcome::Moot, false),
+        410 => (Outcome::Moot, true),
+        other => {
+            if other != 500 {
+                eprintln!("an endpoint answered {other}");
+            }
+            (Outcome::Failed, false)
+        }
+    };
+    End { outcome, over, allowance: read_allowance(headers) }
+}
+
+/// Seconds, with decimals; a fraction of a microsecond counts in full. Waits of over a day are not believed.
+fn read_wait(headers: &HeaderMap) -> Option<Micros> {
+    let seconds: f64 = headers.get(RETRY_AFTER)?.to_str().ok()?.trim().parse().ok()?;
+    (seconds > 0.0).then(|| (seconds.min(86_400.0) * 1e6).ceil() as Micros)
+}
+
+/// `TEXT x0=0.4, x1=25`
+fn read_allowance(headers: &HeaderMap) -> Option<Allowance> {
+    let text = headers.get("X-Server-Load")?.to_str().ok()?;
+    let field = |name: &str| {
+        let pairs = text.split([' ', ',']).filter_map(|pair| pair.split_once('='));
+        pairs.filter(|(n, _)| *n == name).find_map(|(_, v)| v.parse::<f64>().ok())
+    };
+    Some(Allowance { left: field("x0")?, limit: field("x1")? })
+}
+
+fn read_batch(body: &[u8], wait: Option<Micros>, allowance: Option<Allowance>) -> HashMap<MessageId, End> {
+    let mut ends = HashMap::new();
+    for line in String::from_utf8_lossy(body).lines() {
+        let mut words = line.split_ascii_whitespace();
+        let (Some(id), Some(word)) = (words.next(), words.next()) else { continue };
+        let Ok(id) = u64::from_str_radix(id, 16) else { continue };
+        let outcome = match word {
+            "done" => Outcome::Served,
+            "failed" => Outcome::Failed,
+            "busy" => Outcome::Full { wait },
+            "void" | "used_up" => Outcome::Moot,
+            _ => continue,
+        };
+        let over = matches!(word, "done" | "void");
+        // Said twice, only the first word counts.
+        ends.entry(MessageId(id)).or_insert(End { outcome, over, allowance });
+    }
+    ends
+}
--- /dev/null
+++ b/src/bin/notchpoint/discovery.rs
@@ -0,0 +1,129 @@
+//! The watch on the list of endpoints. When to watch again after a failure is the module's decision.
+
+use crate::node::Input;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Empty};
+use hyper::Request;
+use hyper::client::conn::http1;
+use hyper::header::HOST;
+use hyper_util::rt::TokioIo;
+use serde::Deserialize;
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::task::AbortHandle;
+use tokio::time::timeout;
+
+/// Two heartbeats of 2 s, and a little for the way: a watch silent for longer is dead.
+const SILENCE: Duration = Duration::from_millis(4_500);
+/// A longer line is no list.
+const LONGEST: usize = 4 << 20;
+
+/// The list, or what changed in it.
+#[derive(Clone, Debug, Default, Deserialize)]
+pub struct Listing {
+    pub revision: u64,
+    #[serde(default)]
+    pub complete: bool,
+    #[serde(default)]
+    pub members: Vec<Member>,
+}
+
+/// An endpoint's line.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Member {
+    pub id: String,
+    pub host_port: SocketAddr,
+    #[serde(default)]
+    pub locality: String,
+    #[serde(default)]
+    pub flavor: String,
+    pub cell: u64,
+    pub phase: State,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "lowercase")]
+pub enum State {
+    Up,
+    Draining,
+    Removed,
+}
+
+pub struct Discovery {
+    address: SocketAddr,
+    revision: Rc<Cell<u64>>,
+    inputs: UnboundedSender<Input>,
+    watch: RefCell<Option<AbortHandle>>,
+}
+
+impl Discovery {
+    pub fn new(address: SocketAddr, revision: u64, inputs: UnboundedSender<Input>) -> Self {
+        Self { address, revision: Rc::new(Cell::new(revision)), inputs, watch: RefCell::default() }
+    }
+
+    /// Begins a watch in place of the one before.
+    pub fn watch(&self) {
+        let (address, revision, inputs) = (self.address, self.revision.clone(), self.inputs.clone());
+        let task = tokio::task::spawn_local(async move {
+            if let Err(why) = follow(address, &revision, &inputs).await {
+                eprintln!("discovery: {why}");
+            }
+            let _ = inputs.send(Input::Unlisted);
+        });
+        if let Some(old) = self.watch.borrow_mut().replace(task.abort_handle()) {
+            old.abort();
+        }
+    }
+}
+
+type Failure = Box<dyn std::error::Error>;
+
+async fn follow(
+    address: SocketAddr,
+    revision: &Cell<u64>,
+    inputs: &UnboundedSender<Input>,
+) -> Result<(), Failure> {
+    let stream = timeout(SILENCE, TcpStream::connect(address)).await??;
+    stream.set_nodelay(true)?;
+    let (mut sender, driver) = http1::handshake(TokioIo::new(stream)).await?;
+    let driver = tokio::task::spawn_local(driver);
+    let _closed_with_the_watch = AbortOnDrop(driver.abort_handle());
+    let request = Request::get(format!("/discovery/hosts?stream=1&index={}", revision.get()))
+        .header(HOST, address.to_string())
+        .body(Empty::<Bytes>::new())?;
+    let response = timeout(SILENCE, sender.send_request(request)).await??;
+    if response.status() != 200 {
+        return Err(format!("a watch was answered {}", response.status()).into());
+    }
+    let mut body = response.into_body();
+    let mut pending = Vec::new();
+    while let Some(frame) = timeout(SILENCE, body.frame()).await? {
+        let Ok(data) = frame?.into_data() else { continue };
+        pending.extend(&data);
+        while let Some(end) = pending.iter().position(|&b| b == b'\n') {
+            let line: Vec<u8> = pending.drain(..=end).collect();
+            let line = line.trim_ascii();
+            // Also an empty line answers the watch: nothing has changed.
+            let empty = Listing { revision: revision.get(), ..Listing::default() };
+            let news: Listing = if line.is_empty() { empty } else { serde_json::from_slice(line)? };
+            revision.set(news.revision);
+            let _ = inputs.send(Input::Listed(news));
+        }
+        if pending.len() > LONGEST {
+            return Err("a line is too long".into());
+        }
+    }
+    Err("the watch ended".into())
+}
+
+struct AbortOnDrop(AbortHandle);
+
+impl Drop for AbortOnDrop {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
--- /dev/null
+++ b/src/bin/notchpoint/journal.rs
@@ -0,0 +1,348 @@
+//! The durable log of what was taken on, and the messages that are open by it.
+//!
+//! Append-only records, each with length and checksum. What is written outlasts the process without a sync.
+//! A file is replaced by writing a new one and renaming it, so that both together stay under the disk limit.
+
+use bytes::Bytes;
+use damsonspool::{EndpointId, MessageId};
+use std::collections::BTreeMap;
+use std::fs::{self, File, OpenOptions};
+use std::io::{self, Read, Write};
+use std::path::{Path, PathBuf};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+const FILE: &str = "journal";
+const NEW: &str = "journal.new";
+/// Length and checksum stand before each record.
+const HEAD: usize = 8;
+/// A record holds one body of 64 KiB at most; a longer length is garbage.
+const LONGEST: usize = 1 << 17;
+/// What the records of a message's attempts and end may add to its first one.
+const TAIL: u64 = 512;
+/// Kept free of the limit: two files are rounded up to 512 bytes, and the folder may count.
+const SPARE: u64 = 16 << 10;
+
+/// Unix time in microseconds: deadlines outlast the process only by this clock.
+pub fn unix_now() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros() as u64)
+}
+
+/// How a message that is not delivered ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    Dead,
+    /// Handing it in again is harmless, after so many milliseconds if not 0.
+    Bounced(u64),
+}
+
+/// An attempt whose first byte may have been written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Attempt {
+    pub number: u32,
+    pub endpoint: EndpointId,
+    /// Unix time in microseconds.
+    pub at: u64,
+    /// An outcome proved that it never ran.
+    pub never_ran: bool,
+}
+
+/// A message from being taken on to its end.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Open {
+    pub class: String,
+    pub tenant: String,
+    pub dest: u64,
+    /// Unix time in microseconds.
+    pub deadline: u64,
+    pub body: Bytes,
+    pub attempts: Vec<Attempt>,
+    pub verdict: Option<Verdict>,
+}
+
+impl Open {
+    pub fn new(class: &str, tenant: &str, dest: u64, deadline: u64, body: Bytes) -> Self {
+        let (class, tenant) = (class.to_owned(), tenant.to_owned());
+        Self { class, tenant, dest, deadline, body, attempts: Vec::new(), verdict: None }
+    }
+
+    /// What it takes of the disk at most.
+    fn weight(&self) -> u64 {
+        (HEAD + 32 + self.class.len() + self.tenant.len() + self.body.len()) as u64 + TAIL
+    }
+}
+
+pub struct Journal {
+    folder: PathBuf,
+    file: File,
+    size: u64,
+    limit: u64,
+    /// The weight of all that is open.
+    weight: u64,
+    /// A failed write left the file in doubt: it must be written anew before anything is added.
+    broken: bool,
+    open: BTreeMap<MessageId, Open>,
+}
+
+impl Journal {
+    /// Reads what an earlier process left, drops a torn tail, and starts a file with what is still open.
+    pub fn open(folder: &Path, limit: u64) -> io::Result<Self> {
+        // Left by a process that ended within a replacement; the old file is whole.
+        match fs::remove_file(folder.join(NEW)) {
+            Err(e) if e.kind() != io::ErrorKind::NotFound => return Err(e),
+            _ => {}
+        }
+        let mut old = Vec::new();
+        match File::open(folder.join(FILE)) {
+            Ok(mut f) => drop(f.read_to_end(&mut old)?),
+            Err(e) if e.kind() == io::ErrorKind::NotFound => {}
+            Err(e) => return Err(e),
+        }
+        let mut open = BTreeMap::new();
+        let mut rest = &old[..];
+        while let Some((record, after)) = unframe(rest) {
+            if replay(record, &mut open).is_none() {
+                break;
+            }
+            rest = after;
+        }
+        let file = OpenOptions::new().create(true).append(true).open(folder.join(FILE))?;
+        let weight = open.values().map(Open::weight).sum();
+        let folder = folder.to_owned();
+        let mut journal = Self { folder, file, size: old.len() as u64, limit, weight, broken: false, open };
+        journal.replace()?;
+        Ok(journal)
+    }
+
+    pub fn get(&self, id: MessageId) -> Option<&Open> {
+        self.open.get(&id)
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = (MessageId, &Open)> {
+        self.open.iter().map(|(&id, m)| (id, m))
+    }
+
+    /// Messages without an end or a verdict.
+    pub fn held(&self) -> usize {
+        self.open.values().filter(|m| m.verdict.is_none()).count()
+    }
+
+    /// Takes a message on. After an error nothing was taken on.
+    pub fn take(&mut self, id: MessageId, message: Open) -> io::Result<()> {
+        let weight = message.weight();
+        // Old and new file must fit beside each other, with a tenth of the room for what is added between.
+        if 2 * (self.weight + weight) + self.limit / 10 + SPARE > self.limit {
+            return Err(io::Error::from(io::ErrorKind::StorageFull));
+        }
+        self.append(&taken(id, &message))?;
+        self.weight += weight;
+        self.open.insert(id, message);
+        Ok(())
+    }
+
+    /// To be called before an attempt's first byte is written; after an error it must not be.
+    pub fn attempt(&mut self, id: MessageId, number: u32, endpoint: EndpointId) -> io::Result<()> {
+        let Some(m) = self.open.get_mut(&id) else { return Ok(()) };
+        let attempt = Attempt { number, endpoint, at: unix_now(), never_ran: false };
+        m.attempts.push(attempt);
+        self.append(&attempted(id, &attempt)).inspect_err(|_| {
+            if let Some(m) = self.open.get_mut(&id) {
+                m.attempts.pop();
+            }
+        })
+    }
+
+    /// An outcome proved that an attempt never ran. Losing this record costs a message, never a repeat.
+    pub fn never_ran(&mut self, id: MessageId, number: u32) {
+        let attempts = self.open.get_mut(&id).into_iter().flat_map(|m| &mut m.attempts);
+        let Some(attempt) = attempts.into_iter().find(|a| a.number == number) else { return };
+        attempt.never_ran = true;
+        let record = not_run(id, number);
+        self.append_or_log(&record);
+    }
+
+    /// A verdict is written before its notice: from then on the client may hand the message in again.
+    pub fn verdict(&mut self, id: MessageId, verdict: Verdict) {
+        let Some(m) = self.open.get_mut(&id) else { return };
+        m.verdict = Some(verdict);
+        self.append_or_log(&judged(id, verdict));
+    }
+
+    pub fn end(&mut self, id: MessageId) {
+        let Some(m) = self.open.remove(&id) else { return };
+        self.weight -= m.weight();
+        self.append_or_log(&ended(id));
+    }
+
+    fn append_or_log(&mut self, record: &[u8]) {
+        if let Err(e) = self.append(record) {
+            eprintln!("journal: {e}");
+        }
+    }
+
+    fn append(&mut self, record: &[u8]) -> io::Result<()> {
+        let add = (HEAD + record.len()) as u64;
+        // What is open already shows the change, so that the new file may hold it: it does no harm twice.
+        if self.broken || self.size + add + self.weight + SPARE > self.limit {
+            self.replace()?;
+        }
+        let framed = frame(record);
+        if let Err(e) = self.file.write_all(&framed) {
+            self.broken = self.file.set_len(self.size).is_err();
+            return Err(e);
+        }
+        self.size += add;
+        Ok(())
+    }
+
+    /// Writes a new file with what is open and puts it in the old one's place.
+    fn replace(&mut self) -> io::Result<()> {
+        let mut text = Vec::new();
+        for (&id, m) in &self.open {
+            text.extend(frame(&taken(id, m)));
+            for a in &m.attempts {
+                text.extend(frame(&attempted(id, a)));
+                if a.never_ran {
+                    text.extend(frame(&not_run(id, a.number)));
+                }
+            }
+            if let Some(v) = m.verdict {
+                text.extend(frame(&judged(id, v)));
+            }
+        }
+        let path = self.folder.join(NEW);
+        let file = OpenOptions::new().create(true).append(true).open(&path)?;
+        file.set_len(0)?;
+        if let Err(e) = (&file).write_all(&text).and_then(|()| fs::rename(&path, self.folder.join(FILE))) {
+            // A half-written file would count against the limit for as long as it stays.
+            let _ = fs::remove_file(&path);
+            return Err(e);
+        }
+        (self.file, self.size, self.broken) = (file, text.len() as u64, false);
+        Ok(())
+    }
+}
+
+fn frame(record: &[u8]) -> Vec<u8> {
+    let mut framed = Vec::with_capacity(HEAD + record.len());
+    framed.extend((record.len() as u32).to_le_bytes());
+    framed.extend(crc32fast::hash(record).to_le_bytes());
+    framed.extend(record);
+    framed
+}
+
+/// The first record and what follows it; nothing where it is torn.
+fn unframe(bytes: &[u8]) -> Option<(&[u8], &[u8])> {
+    let (length, rest) = bytes.split_first_chunk::<4>()?;
+    let (sum, rest) = rest.split_first_chunk::<4>()?;
+    let length = u32::from_le_bytes(*length) as usize;
+    let (record, rest) = rest.split_at_checked(length.min(LONGEST))?;
+    (length <= LONGEST && crc32fast::hash(record) == u32::from_le_bytes(*sum)).then_some((record, rest))
+}
+
+fn start(kind: u8, id: MessageId) -> Vec<u8> {
+    let mut record = vec![kind];
+    record.extend(id.0.to_le_bytes());
+    record
+}
+
+fn taken(id: MessageId, m: &Open) -> Vec<u8> {
+    let mut record = start(b'T', id);
+    record.extend(m.dest.to_le_bytes());
+    record.extend(m.deadline.to_le_bytes());
+    for name in [&m.class, &m.tenant] {
+        record.extend((name.len() as u16).to_le_bytes());
+        record.extend(name.as_bytes());
+    }
+    record.extend(&m.body);
+    record
+}
+
+fn attempted(id: MessageId, a: &Attempt) -> Vec<u8> {
+    let mut record = start(b'A', id);
+    record.extend(a.number.to_le_bytes());
+    record.extend(a.endpoint.0.to_le_bytes());
+    record.extend(a.at.to_le_bytes());
+    record
+}
+
+fn not_run(id: MessageId, number: u32) -> Vec<u8> {
+    let mut record = start(b'N', id);
+    record.extend(number.to_le_bytes());
+    record
+}
+
+fn judged(id: MessageId, verdict: Verdict) -> Vec<u8> {
+    let mut record = start(b'V', id);
+    match verdict {
+        Verdict::Dead => record.push(0),
+        Verdict::Bounced(wait) => {
+            record.push(1);
+            record.extend(wait.to_le_bytes());
+        }
+    }
+    record
+}
+
+fn ended(id: MessageId) -> Vec<u8> {
+    start(b'E', id)
+}
+
+struct Fields<'a>(&'a [u8]);
+
+impl<'a> Fields<'a> {
+    fn bytes<const N: usize>(&mut self) -> Option<[u8; N]> {
+        let (head, rest) = self.0.split_first_chunk::<N>()?;
+        self.0 = rest;
+        Some(*head)
+    }
+
+    fn number(&mut self) -> Option<u64> {
+        self.bytes().map(u64::from_le_bytes)
+    }
+
+    fn small(&mut self) -> Option<u32> {
+        self.bytes().map(u32::from_le_bytes)
+    }
+
+    fn name(&mut self) -> Option<String> {
+        let length = u16::from_le_bytes(self.bytes()?) as usize;
+        let (name, rest) = self.0.split_at_checked(length)?;
+        self.0 = rest;
+        String::from_utf8(name.to_vec()).ok()
+    }
+}
+
+/// Does over again what a record tells; nothing where it cannot be read.
+fn replay(record: &[u8], open: &mut BTreeMap<MessageId, Open>) -> Option<()> {
+    let mut f = Fields(record);
+    let [kind] = f.bytes()?;
+    let id = MessageId(f.number()?);
+    match kind {
+        b'T' => {
+            let (dest, deadline) = (f.number()?, f.number()?);
+            let (class, tenant) = (f.name()?, f.name()?);
+            let body = Bytes::copy_from_slice(f.0);
+            open.insert(id, Open { body, ..Open::new(&class, &tenant, dest, deadline, Bytes::new()) });
+        }
+        b'A' => {
+            let (number, endpoint, at) = (f.small()?, EndpointId(f.number()?), f.number()?);
+            let attempts = &mut open.get_mut(&id)?.attempts;
+            if attempts.iter().all(|a| a.number != number) {
+                attempts.push(Attempt { number, endpoint, at, never_ran: false });
+            }
+        }
+        b'N' => {
+            let number = f.small()?;
+            let attempts = open.get_mut(&id)?.attempts.iter_mut();
+            attempts.filter(|a| a.number == number).for_each(|a| a.never_ran = true);
+        }
+        b'V' => {
+            let bounced = f.bytes()? != [0];
+            let verdict = if bounced { Verdict::Bounced(f.number()?) } else { Verdict::Dead };
+            open.get_mut(&id)?.verdict = Some(verdict);
+        }
+        b'E' => drop(open.remove(&id)),
+        _ => return None,
+    }
+    Some(())
+}
--- /dev/null
+++ b/src/bin/notchpoint/node.rs
@@ -0,0 +1,300 @@
+//! The one owner of the decision module: hands it what happened, once a tick at most, and does what it says.
+
+use crate::calls::{Calls, Item, Target};
+use crate::config::{Config, Names};
+use crate::discovery::{Discovery, Listing, Member, State};
+use crate::journal::{Journal, Open, Verdict, unix_now};
+use crate::peers::Peers;
+use crate::reports::Reports;
+use damsonspool::*;
+use std::cell::RefCell;
+use std::collections::{HashMap, HashSet};
+use std::future::pending;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::time::{Instant, sleep_until};
+
+/// The module's clock starts here, so that no span looks back beyond its zero.
+const CLOCK_START: Micros = 100_000_000;
+
+/// What the parts of the program tell the node.
+#[derive(Debug)]
+pub enum Input {
+    Event(Event),
+    /// A message was taken on, and its client can have heard it; the time left counts from then.
+    Taken(Message, Instant),
+    Listed(Listing),
+    /// The watch failed or ended.
+    Unlisted,
+}
+
+pub struct Node {
+    sender: Sender,
+    names: Names,
+    kinds: Vec<Kind>,
+    tick: Duration,
+    started: Instant,
+    journal: Rc<RefCell<Journal>>,
+    calls: Rc<Calls>,
+    reports: Rc<Reports>,
+    discovery: Discovery,
+    peers: Option<Peers>,
+    inputs: UnboundedReceiver<Input>,
+    /// The attempts made for each message that is open or has one out.
+    attempts: HashMap<MessageId, Attempts>,
+    wake: Option<Instant>,
+    last_turn: Option<Instant>,
+    events: Vec<Event>,
+}
+
+#[derive(Default)]
+struct Attempts {
+    made: u32,
+    out: u32,
+}
+
+/// What a node is made of.
+pub struct Parts {
+    pub journal: Rc<RefCell<Journal>>,
+    pub calls: Rc<Calls>,
+    pub reports: Rc<Reports>,
+    pub discovery: Discovery,
+    pub peers: Option<Peers>,
+    pub inputs: UnboundedReceiver<Input>,
+}
+
+impl Node {
+    /// A node that has the list known before, and all messages that an earlier process left open.
+    pub fn new(config: &Config, parts: Parts) -> Result<Self, SettingsError> {
+        let Parts { journal, calls, reports, discovery, peers, inputs } = parts;
+        let mut node = Self {
+            sender: Sender::new(config.settings.clone(), config.seed)?,
+            names: config.names.clone(),
+            kinds: config.settings.kinds.clone(),
+            tick: Duration::from_micros(config.settings.tick),
+            started: Instant::now(),
+            journal,
+            calls,
+            reports,
+            discovery,
+            peers,
+            inputs,
+            attempts: HashMap::new(),
+            wake: None,
+            last_turn: None,
+            events: Vec::new(),
+        };
+        let entries = node.entries(&config.known, true);
+        node.events.push(Event::List(ListNews::Restored(entries)));
+        node.resume();
+        Ok(node)
+    }
+
+    /// Takes up what the journal holds open. What becomes of each is the module's decision.
+    fn resume(&mut self) {
+        let journal = self.journal.clone();
+        for (id, open) in journal.borrow().iter() {
+            if let Some(verdict) = open.verdict {
+                self.reports.push(id, verdict);
+                continue;
+            }
+            let made = open.attempts.iter().map(|a| a.number + 1).max().unwrap_or(0);
+            self.attempts.insert(id, Attempts { made, out: 0 });
+            let Some(event) = self.resumed(id, open, made) else {
+                // Its class left the settings: nothing but its end can come of it.
+                self.reports.push(id, Verdict::Dead);
+                continue;
+            };
+            self.events.push(event);
+        }
+    }
+
+    fn resumed(&self, id: MessageId, open: &Open, attempts: u32) -> Option<Event> {
+        let place = |list: &[String], name: &str| list.iter().position(|n| n == name).map(|n| n as u32);
+        let now = unix_now();
+        let ran = open.attempts.iter().filter(|a| !a.never_ran).min_by_key(|a| a.at);
+        let message = Message {
+            id,
+            class: place(&self.names.classes, &open.class)?,
+            tenant: place(&self.names.tenants, &open.tenant),
+            key: None,
+            dest: DestinationId(open.dest),
+            again: true,
+            expires_in: open.deadline.saturating_sub(now),
+        };
+        let ran = ran.map(|a| (now.saturating_sub(a.at), a.endpoint));
+        Some(Event::Resumed { message, attempts, ran })
+    }
+
+    fn now(&self) -> Micros {
+        CLOCK_START + self.started.elapsed().as_micros() as Micros
+    }
+
+    /// Runs for as long as it is polled. Dropping it between two polls stops all decisions; calls that are
+    /// out go on, and their ends still reach the journal.
+    pub async fn run(&mut self) {
+        loop {
+            let wake = self.wake;
+            let alarm = async {
+                match wake {
+                    Some(at) => sleep_until(at).await,
+                    None => pending().await,
+                }
+            };
+            if self.events.is_empty() {
+                tokio::select! {
+                    input = self.inputs.recv() => {
+                        let Some(input) = input else { return };
+                        self.note(input);
+                    }
+                    () = alarm => {
+                        self.wake = None;
+                        self.events.push(Event::Wake);
+                    }
+                }
+            }
+            // What comes within a tick of the last turn waits for the next; after quiet a turn is due at once.
+            if let Some(due) = self.last_turn.map(|t| t + self.tick) {
+                sleep_until(due).await;
+            }
+            while let Ok(input) = self.inputs.try_recv() {
+                self.note(input);
+            }
+            self.turn();
+        }
+    }
+
+    fn note(&mut self, input: Input) {
+        let event = match input {
+            Input::Event(event) => event,
+            Input::Taken(mut message, since) => {
+                message.expires_in = message.expires_in.saturating_sub(since.elapsed().as_micros() as Micros);
+                self.attempts.insert(message.id, Attempts::default());
+                Event::Taken(message)
+            }
+            Input::Listed(news) => {
+                let entries = self.entries(&news, news.complete);
+                Event::List(if news.complete { ListNews::Whole(entries) } else { ListNews::Changes(entries) })
+            }
+            Input::Unlisted => Event::List(ListNews::Unavailable),
+        };
+        if let Event::Ended { id, .. } = event {
+            let open = self.journal.borrow().get(id).is_some_and(|m| m.verdict.is_none());
+            if let Some(a) = self.attempts.get_mut(&id) {
+                a.out -= 1;
+                if a.out == 0 && !open {
+                    self.attempts.remove(&id);
+                }
+            }
+        }
+        self.events.push(event);
+    }
+
+    /// Enters a list where calls are made from, and turns it into the module's form.
+    fn entries(&self, news: &Listing, whole: bool) -> Vec<Entry> {
+        let entries: Vec<Entry> = news.members.iter().map(|m| self.entry(m)).collect();
+        if whole {
+            let named: HashSet<_> = entries.iter().map(|e| e.endpoint).collect();
+            let left = self.calls.listed().into_iter().filter(|id| !named.contains(id));
+            left.for_each(|id| self.calls.list(id, None));
+        }
+        for (e, m) in entries.iter().zip(&news.members) {
+            // The module makes no use of an endpoint whose kind the settings do not name.
+            let Some(&Kind { apart, bundle }) = self.kinds.get(e.kind as usize) else { continue };
+            let (live, bundle) = (e.phase == Phase::Live, bundle as usize);
+            let target = Target { address: m.host_port, dest: e.dest, live, apart, bundle };
+            self.calls.list(e.endpoint, (e.phase != Phase::Gone).then_some(target));
+        }
+        entries
+    }
+
+    fn entry(&self, m: &Member) -> Entry {
+        let place = |list: &[String], name: &str| list.iter().position(|n| n == name).map(|n| n as u32);
+        Entry {
+            endpoint: endpoint(&m.id),
+            dest: DestinationId(m.cell),
+            zone: place(&self.names.zones, &m.locality).unwrap_or(u32::MAX),
+            kind: place(&self.names.kinds, &m.flavor).unwrap_or(u32::MAX),
+            phase: match m.phase {
+                State::Up => Phase::Live,
+                State::Draining => Phase::Draining,
+                State::Removed => Phase::Gone,
+            },
+        }
+    }
+
+    fn turn(&mut self) {
+        let mut actions = Vec::new();
+        let events = std::mem::take(&mut self.events);
+        self.last_turn = Some(Instant::now());
+        self.sender.handle(self.now(), &events, &mut actions);
+        let mut loads: Vec<(EndpointId, Vec<Item>)> = Vec::new();
+        for action in actions {
+            match action {
+                Action::Send { id, endpoint, timeout } => self.load(&mut loads, id, endpoint, timeout),
+                Action::Cancel { id, attempt } => self.calls.cancel(id, attempt),
+                Action::Refuse { id, after } => self.end(id, Verdict::Bounced(after.div_ceil(1_000))),
+                Action::Fail { id } => self.end(id, Verdict::Dead),
+                Action::WakeAt(at) => {
+                    let at = self.started + Duration::from_micros(at.saturating_sub(CLOCK_START));
+                    self.wake = Some(self.wake.map_or(at, |w| w.min(at)));
+                }
+                Action::Watch => self.discovery.watch(),
+                Action::Note { to, body } => {
+                    if let Some(peers) = &self.peers {
+                        peers.send(to, &body);
+                    }
+                }
+                Action::CloseIdle { endpoint } => self.calls.close_idle(endpoint),
+                Action::Log(line) => println!("{line}"),
+                // The protocol has no probes, and the module asks for none; a watch brings the whole list.
+                Action::Probe { .. } | Action::Fetch => {}
+            }
+        }
+        loads.into_iter().for_each(|(endpoint, items)| self.calls.start(endpoint, items));
+    }
+
+    /// Adds a message to the call that this turn makes to an endpoint, as far as its kind allows.
+    fn load(
+        &mut self,
+        loads: &mut Vec<(EndpointId, Vec<Item>)>,
+        id: MessageId,
+        endpoint: EndpointId,
+        timeout: Micros,
+    ) {
+        let most = self.calls.bundle(endpoint);
+        let body = self.journal.borrow().get(id).map(|m| m.body.clone()).unwrap_or_default();
+        let made = self.attempts.entry(id).or_default();
+        let item = Item { id, attempt: made.made, timeout: Duration::from_micros(timeout), body };
+        made.made += 1;
+        made.out += 1;
+        match loads.iter_mut().find(|(e, items)| *e == endpoint && items.len() < most) {
+            Some((_, items)) => items.push(item),
+            None => loads.push((endpoint, vec![item])),
+        }
+    }
+
+    /// The module has given a message up: the record comes first, then the notice, at once.
+    fn end(&mut self, id: MessageId, verdict: Verdict) {
+        if self.journal.borrow().get(id).is_none() {
+            return;
+        }
+        self.journal.borrow_mut().verdict(id, verdict);
+        self.reports.push(id, verdict);
+        if self.attempts.get(&id).is_some_and(|a| a.out == 0) {
+            self.attempts.remove(&id);
+        }
+    }
+
+    /// Nothing is owed to anyone.
+    pub fn is_done(&self) -> bool {
+        self.journal.borrow().iter().next().is_none()
+    }
+}
+
+/// The number of an endpoint's id: the same at every sender, since notes name it (FNV-1a).
+fn endpoint(id: &str) -> EndpointId {
+    let fold = |h: u64, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3);
+    EndpointId(id.bytes().fold(0xcbf2_9ce4_8422_2325, fold))
+}
--- /dev/null
+++ b/src/bin/notchpoint/peers.rs
@@ -0,0 +1,55 @@
+//! Notes between senders, by UDP.
+
+use crate::config::Config;
+use crate::node::Input;
+use damsonspool::Event;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc::UnboundedSender;
+
+/// A longer datagram is not allowed.
+const LONGEST: usize = 256;
+
+pub struct Peers {
+    socket: Rc<UdpSocket>,
+    peers: Vec<SocketAddr>,
+    all: Option<SocketAddr>,
+}
+
+impl Peers {
+    pub async fn bind(
+        address: SocketAddr,
+        config: &Config,
+        inputs: UnboundedSender<Input>,
+    ) -> io::Result<Self> {
+        let socket = Rc::new(UdpSocket::bind(address).await?);
+        let (peers, all) = (config.peers.clone(), config.peers_all);
+        let (heard, known) = (socket.clone(), peers.clone());
+        tokio::task::spawn_local(async move {
+            let mut buffer = [0; LONGEST + 1];
+            loop {
+                // An error tells of an earlier datagram that found nobody; the socket stays sound.
+                let Ok((n, from)) = heard.recv_from(&mut buffer).await else {
+                    tokio::task::yield_now().await;
+                    continue;
+                };
+                // Only senders of the tier are believed.
+                if let Some(from) = known.iter().position(|p| *p == from).filter(|_| n <= LONGEST) {
+                    let (from, body) = (from as u32, buffer[..n].to_vec());
+                    let _ = inputs.send(Input::Event(Event::Note { from, body }));
+                }
+            }
+        });
+        Ok(Self { socket, peers, all })
+    }
+
+    /// A note may be lost, so failing to send one is no matter.
+    pub fn send(&self, to: Option<u32>, body: &[u8]) {
+        let to = to.map_or(self.all, |n| self.peers.get(n as usize).copied());
+        if let Some(to) = to.filter(|_| body.len() <= LONGEST) {
+            let _ = self.socket.try_send_to(body, to);
+        }
+    }
+}
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -246,7 +246,8 @@
         self.wake = self.wake.filter(|&w| w > self.now);
         for e in events {
             match e {
-                Event::Taken(m) => self.taken(m),
+                Event::Taken(m) => self.taken(m, 0, None),
+                Event::Resumed { message, attempts, ran } => self.resumed(message, *attempts, *ran),
                 Event::Ended { id, attempt, outcome, over, allowance } => {
                     self.ended(*id, *attempt, *outcome, *over, *allowance);
                 }
@@ -292,7 +293,16 @@
         }
     }
 
-    fn taken(&mut self, m: &Message) {
+    /// An earlier process may have sent it: its attempts count, and what may have run binds as ever.
+    fn resumed(&mut self, m: &Message, attempts: u32, ran: Option<(Micros, EndpointId)>) {
+        let ran = ran.map(|(ago, endpoint)| (self.now.saturating_sub(ago), endpoint));
+        self.taken(m, attempts, ran);
+        if self.held.get(&m.id).is_some_and(|h| !h.done && !self.may(h).0) {
+            self.give_up(m.id);
+        }
+    }
+
+    fn taken(&mut self, m: &Message, attempts: u32, ran: Option<(Micros, EndpointId)>) {
         let class = self.set.classes.get(m.class as usize).map(|c| (c.wanted, c.deadline, c.in_order));
         let Some((wanted, deadline, in_order)) = class else {
             return self.out.push(Action::Refuse { id: m.id, after: 0 });
@@ -310,7 +320,10 @@
             self.keys.entry(k.clone()).or_default().0.push_back(m.id);
         }
         let class = m.class as usize;
-        let held = Held { class, dest: m.dest, key, over_share, aim, expires, ..Held::default() };
+        // No call of this process bears the number that stands for earlier attempts.
+        let attempts = vec![u64::MAX; attempts as usize];
+        let held =
+            Held { class, dest: m.dest, key, over_share, aim, expires, attempts, ran, ..Held::default() };
         self.held.insert(m.id, held);
         self.live += 1;
         let d = self.dests.entry(m.dest).or_default();
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -286,6 +286,15 @@
 pub enum Event {
     /// A client handed in a message.
     Taken(Message),
+    /// A message that an earlier process of this sender had taken is taken up again.
+    Resumed {
+        /// The message; what it is given to expire counts from now.
+        message: Message,
+        /// Attempts made before; the next one's number.
+        attempts: u32,
+        /// The earliest of them that may have run: how long ago it was sent, and where.
+        ran: Option<(Micros, EndpointId)>,
+    },
     /// An attempt ended. Exactly one comes for each [`Action::Send`].
     Ended {
         /// The message.
