--- a/src/bin/notchpoint/calls.rs
+++ b/src/bin/notchpoint/calls.rs
@@ -54,6 +54,9 @@
     }
 }
 
+/// An attempt, by its message and number.
+type AttemptId = (MessageId, u32);
+/// What shares a limit and waits: a destination, or one endpoint of it where they are apart.
 type Route = (DestinationId, Option<EndpointId>);
 
 /// One outcome, and what came with it.
@@ -143,7 +146,7 @@
     targets: RefCell<HashMap<EndpointId, Target>>,
     pool: RefCell<HashMap<EndpointId, Vec<Idle>>>,
     waits: RefCell<HashMap<Route, Instant>>,
-    cancels: RefCell<HashMap<(MessageId, u32), UnboundedSender<(MessageId, u32)>>>,
+    cancels: RefCell<HashMap<AttemptId, UnboundedSender<AttemptId>>>,
     out: Cell<usize>,
     journal: Rc<RefCell<Journal>>,
     inputs: UnboundedSender<Input>,
@@ -249,7 +252,7 @@
         self: &Rc<Self>,
         endpoint: EndpointId,
         items: Vec<Item>,
-        mut cancelled: UnboundedReceiver<(MessageId, u32)>,
+        mut cancelled: UnboundedReceiver<AttemptId>,
     ) {
         let started = Instant::now();
         let waiting = RefCell::new(items);
@@ -338,7 +341,7 @@
             Some(c) => c,
             None => self.connect(target.address).await?,
         };
-        // Connecting takes time: the list or a wait may have closed the door meanwhile, and messages may be over.
+        // Connecting takes time: the list or a wait may have closed the door meanwhile, or messages be over.
         if self.target(endpoint).is_none_or(|t| t.address != target.address) {
             conn.close().await;
             return moot;
@@ -500,3 +503,82 @@
     }
     ends
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::journal::Open;
+    use tokio::io::AsyncReadExt;
+    use tokio::net::TcpListener;
+
+    #[test]
+    fn a_request_is_complete_with_its_last_byte_and_not_before() {
+        let bytes = b"POST / HTTP/1.1\r\nA: b\r\r\n\r\nbo\r\n\r\ndy";
+        for cut in 0..bytes.len() {
+            let progress = Rc::new(Progress::default());
+            progress.expect(8);
+            for part in [&bytes[..cut], &bytes[cut..]] {
+                assert!(!progress.complete());
+                progress.wrote(part);
+            }
+            assert!(progress.complete(), "cut at {cut}");
+            progress.expect(0);
+            assert!(!progress.complete(), "a new request");
+        }
+    }
+
+    #[test]
+    fn a_batch_answer_is_read_as_far_as_it_makes_sense() {
+        let body = b"000000000000000a done\r\n000000000000000a failed\r\nxyz done\r\n000000000000000b\r\n\
+            000000000000000c busy\r\n000000000000000d void\r\n\xff\xfe\r\n000000000000000e used_up";
+        let ends = read_batch(body, Some(5), None);
+        let mut found: Vec<_> = ends.iter().map(|(id, e)| (id.0, e.outcome, e.over)).collect();
+        found.sort_by_key(|f| f.0);
+        let full = Outcome::Full { wait: Some(5) };
+        let (served, moot) = (Outcome::Served, Outcome::Moot);
+        assert_eq!(found, [(10, served, true), (12, full, false), (13, moot, true), (14, moot, false)]);
+    }
+
+    /// One call with a body so long that no socket takes it whole, to an endpoint that reads one byte.
+    /// Gives the outcome, and whether the journal holds that the attempt never ran.
+    async fn long_call(cut: bool, patience: Duration, cancel: bool) -> (Outcome, bool) {
+        let folder = tempfile::tempdir().expect("a folder");
+        let config = crate::config::read(crate::config::tests::TEXT).expect("sound");
+        let journal = Rc::new(RefCell::new(Journal::open(folder.path(), 3_000_000).expect("a journal")));
+        let (id, endpoint) = (MessageId(1), EndpointId(2));
+        journal.borrow_mut().take(id, Open::new("payment", "acme", 3, u64::MAX, Bytes::new())).expect("room");
+        let (inputs, mut received) = unbounded_channel();
+        let calls = Calls::new(&config.settings, journal.clone(), inputs);
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let dest = DestinationId(3);
+        calls.list(endpoint, Some(Target { address, dest, live: true, apart: false, bundle: 1 }));
+        let body = Bytes::from(vec![0; 64 << 20]);
+        calls.start(endpoint, vec![Item { id, attempt: 0, timeout: patience, body }]);
+        let (mut stream, _) = listener.accept().await.expect("a call");
+        stream.read_u8().await.expect("its first byte");
+        assert!(!journal.borrow().get(id).expect("open").attempts[0].never_ran, "it is under way");
+        if cancel {
+            calls.cancel(id, 0);
+        }
+        let kept = (!cut).then_some(stream);
+        let Some(Input::Event(Event::Ended { outcome, .. })) = received.recv().await else {
+            panic!("the call has an end");
+        };
+        drop(kept);
+        let never_ran = journal.borrow().get(id).expect("open").attempts[0].never_ran;
+        (outcome, never_ran)
+    }
+
+    #[test]
+    fn a_call_that_ends_before_its_last_byte_never_ran() {
+        // Guards unsafe messages: taken for a reset or a time-out, they would be lost.
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        let local = tokio::task::LocalSet::new();
+        let long = Duration::from_secs(600);
+        let play = |cut, patience, cancel| local.block_on(&runtime, long_call(cut, patience, cancel));
+        assert_eq!(play(true, long, false), (Outcome::ConnectFailed, true));
+        assert_eq!(play(false, long, true), (Outcome::Moot, true));
+        assert_eq!(play(false, Duration::from_millis(200), false), (Outcome::ConnectFailed, true));
+    }
+}
--- a/src/bin/notchpoint/config.rs
+++ b/src/bin/notchpoint/config.rs
@@ -311,10 +311,12 @@
 pub mod tests {
     use super::*;
 
-    pub const TEXT: &str = r#"{"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"8c1f30d27a5be964",
+    pub const TEXT: &str = r#"{"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:1",
+        "seed":"8c1f30d27a5be964",
         "limits":{"cores":1.0,"memory_mb":192,"sockets":1024,"disk_mb":3},"novel":1,
         "peer_listen":"127.0.0.1:0","peers":["127.0.0.1:2"],"peers_all":"127.0.0.1:3",
-        "known":{"revision":41,"complete":true,"members":[{"id":"s-1","host_port":"127.0.0.1:4","locality":"b",
+        "known":{"revision":41,"complete":true,"members":[{"id":"s-1","host_port":"127.0.0.1:4",
+            "locality":"b",
             "flavor":"shop","cell":3,"phase":"up","size":1.0,"up_since_ms":0}]},
         "settings":{"bounds":{"cancelling":true,"connIdleS":5.0,"connectTimeoutS":1.5,"maxAttempts":8,
             "maxRetryAfterS":2.0,"mostHeld":230,"multiplex":1,"parallelTries":true,"peerMessages":true,
--- a/src/bin/notchpoint/journal.rs
+++ b/src/bin/notchpoint/journal.rs
@@ -346,3 +346,106 @@
     }
     Some(())
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const LIMIT: u64 = 300_000;
+
+    fn open(folder: &Path) -> Journal {
+        Journal::open(folder, LIMIT).expect("a journal")
+    }
+
+    fn message(body: usize) -> Open {
+        Open::new("payment", "acme", 3, 1_000, vec![7; body].into())
+    }
+
+    fn used(folder: &Path) -> u64 {
+        let files = fs::read_dir(folder).expect("a folder").flatten();
+        files.map(|f| f.metadata().expect("a file").len().div_ceil(512) * 512).sum()
+    }
+
+    #[test]
+    fn what_is_written_is_there_for_the_next_process() {
+        let folder = tempfile::tempdir().expect("a folder");
+        let mut journal = open(folder.path());
+        let ids: Vec<MessageId> = (0..4).map(MessageId).collect();
+        for &id in &ids {
+            journal.take(id, message(5)).expect("room");
+            journal.attempt(id, 0, EndpointId(9)).expect("room");
+        }
+        journal.never_ran(ids[1], 0);
+        journal.verdict(ids[2], Verdict::Bounced(250));
+        journal.end(ids[3]);
+        let left: Vec<(MessageId, Open)> = journal.iter().map(|(id, m)| (id, m.clone())).collect();
+        drop(journal);
+        // Twice: read from the records as they came, and from the file that replaced them.
+        for _ in 0..2 {
+            let journal = open(folder.path());
+            assert_eq!(journal.iter().map(|(id, m)| (id, m.clone())).collect::<Vec<_>>(), left);
+        }
+        assert_eq!(left.iter().map(|(id, _)| id.0).collect::<Vec<_>>(), [0, 1, 2]);
+        assert!(!left[0].1.attempts[0].never_ran && left[1].1.attempts[0].never_ran);
+        assert_eq!(left[2].1.verdict, Some(Verdict::Bounced(250)));
+    }
+
+    #[test]
+    fn a_tail_torn_anywhere_is_dropped_and_the_rest_kept() {
+        let folder = tempfile::tempdir().expect("a folder");
+        let mut journal = open(folder.path());
+        journal.take(MessageId(1), message(5)).expect("room");
+        let whole = journal.size as usize;
+        journal.take(MessageId(2), message(50)).expect("room");
+        let text = fs::read(folder.path().join(FILE)).expect("a file");
+        for cut in whole..text.len() {
+            fs::write(folder.path().join(FILE), &text[..cut]).expect("written");
+            assert_eq!(open(folder.path()).iter().count(), 1, "cut at {cut}");
+            let mut spoilt = text.clone();
+            spoilt[cut] ^= 0x40;
+            fs::write(folder.path().join(FILE), &spoilt).expect("written");
+            assert_eq!(open(folder.path()).iter().count(), 1, "spoilt at {cut}");
+        }
+    }
+
+    #[test]
+    fn old_and_new_file_stay_under_the_limit_and_ends_always_find_room() {
+        let folder = tempfile::tempdir().expect("a folder");
+        let mut journal = open(folder.path());
+        let mut last = None;
+        for n in 0..400 {
+            let id = MessageId(n);
+            match journal.take(id, message(20_000)) {
+                Ok(()) => last = Some(id),
+                // Full: refused, and mended by an end.
+                Err(e) => {
+                    assert_eq!(e.kind(), io::ErrorKind::StorageFull);
+                    let first = journal.iter().next().expect("something is open").0;
+                    journal.end(first);
+                }
+            }
+            if let Some(id) = last {
+                for number in 0..8 {
+                    journal.attempt(id, number, EndpointId(1)).expect("room");
+                    journal.never_ran(id, number);
+                }
+            }
+            // While the file is replaced, what is open lies in both.
+            assert!(used(folder.path()) + journal.weight < LIMIT, "{}", used(folder.path()));
+        }
+        assert_eq!(open(folder.path()).iter().count(), journal.iter().count());
+    }
+
+    #[test]
+    fn a_message_that_could_not_be_written_is_not_taken_on() {
+        let folder = tempfile::tempdir().expect("a folder");
+        let mut journal = open(folder.path());
+        journal.take(MessageId(1), message(5)).expect("room");
+        // A file that cannot be written to, as on a broken disk; later writing works again.
+        journal.file = File::open(folder.path().join(FILE)).expect("a file");
+        assert!(journal.take(MessageId(2), message(5)).is_err());
+        assert!(journal.broken && journal.get(MessageId(2)).is_none());
+        journal.take(MessageId(3), message(5)).expect("written anew");
+        assert_eq!(open(folder.path()).iter().map(|(id, _)| id.0).collect::<Vec<_>>(), [1, 3]);
+    }
+}
--- a/src/bin/notchpoint/main.rs
+++ b/src/bin/notchpoint/main.rs
@@ -94,6 +94,7 @@
     });
     // What was left open is taken up: only now is the sender ready.
     let listener = TcpListener::bind(config.listen).await?;
+    println!("listening on {}", listener.local_addr()?);
     // Half of the descriptors for clients leaves enough for calls, idle connections and the rest.
     tokio::task::spawn_local(inbound::serve(inbound.clone(), listener, (config.sockets / 2).max(1)));
     tokio::select! {
--- a/src/bin/notchpoint/node.rs
+++ b/src/bin/notchpoint/node.rs
@@ -154,7 +154,7 @@
                     }
                 }
             }
-            // What comes within a tick of the last turn waits for the next; after quiet a turn is due at once.
+            // What comes within a tick of the last turn waits; after quiet a turn is due at once.
             if let Some(due) = self.last_turn.map(|t| t + self.tick) {
                 sleep_until(due).await;
             }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -212,3 +212,39 @@
     }
     assert!((1..=8).contains(&sent), "{sent} calls in the first four seconds");
 }
+
+#[test]
+fn what_an_earlier_process_may_have_run_binds_the_next() {
+    let earlier = |class: u32, attempts: u32, ran: Option<(Micros, EndpointId)>| {
+        let mut rig = Rig::new(settings(), 0, 1);
+        let (id, event) = rig.message(class, 1, None, 20 * SEC);
+        let Event::Taken(message) = event else { panic!("{event:?}") };
+        rig.feed(&[Event::Resumed { message, attempts, ran }]);
+        (rig, id)
+    };
+    let ran = Some((SEC, EndpointId(0)));
+    // An unsafe one that may have run is given up at once; one that never ran goes again, as safe ones do.
+    let (rig, id) = earlier(UNSAFE, 1, ran);
+    assert!(rig.failed(id) && rig.out.is_empty());
+    for (class, ran) in [(UNSAFE, None), (SAFE, ran)] {
+        let (mut rig, id) = earlier(class, 1, ran);
+        assert!(rig.is_out(id));
+        rig.feed(&[Event::Ended {
+            id: MessageId(id),
+            attempt: 1,
+            outcome: Outcome::Served,
+            over: true,
+            allowance: None,
+        }]);
+        rig.pass(30 * SEC);
+        assert_eq!(rig.answers(id), 0);
+    }
+    // A keyed one goes again only while its first attempt is remembered.
+    let (rig, id) = earlier(KEYED, 1, ran);
+    assert!(rig.is_out(id));
+    let (rig, id) = earlier(KEYED, 1, Some((6 * SEC, EndpointId(0))));
+    assert!(rig.out.is_empty() && rig.answers(id) == 1);
+    // Attempts count over the whole life.
+    let (rig, id) = earlier(SAFE, settings().max_attempts, ran);
+    assert!(rig.out.is_empty() && rig.answers(id) == 1);
+}
--- /dev/null
+++ b/tests/sockets/main.rs
@@ -0,0 +1,327 @@
+//! The program on loopback sockets, as clients, endpoints and the platform see it.
+
+mod world;
+
+use std::net::TcpListener;
+use std::time::Duration;
+use world::*;
+
+const LONG: u64 = 60_000;
+
+fn ok() -> Reply {
+    answer("200 OK", "", "")
+}
+
+fn same(text: String) -> String {
+    text
+}
+
+/// A node with one endpoint of destination 3.
+fn one(kind: &str, does: impl FnMut(&Heard) -> Reply + Send + 'static) -> (Node, Endpoint) {
+    let endpoint = Endpoint::new(does);
+    (Node::new(&[member("s-1", endpoint.address, kind, 3, "up")], same), endpoint)
+}
+
+#[test]
+fn a_message_is_delivered_unchanged() {
+    let (node, endpoint) = one("shop", |_| ok());
+    // Bodies hold any bytes, also ones that look like the end of a head or like a batch's line.
+    let body = b"\0\xff\r\n\r\n9b1f03aa5c7e2d41 - 5\r\n".as_slice();
+    assert_eq!(node.hand_in("update", 0x9b1f, 3, LONG, body).status(), 202);
+    let call = endpoint.call(0);
+    assert_eq!((call.line.as_str(), call.body.as_slice()), ("POST /v1/messages", body));
+    assert_eq!(call.header("x-request-id"), "0000000000009b1f");
+    assert!(call.header("x-timeout-ms").parse::<u64>().is_ok_and(|ms| ms <= LONG));
+}
+
+#[test]
+fn one_connection_serves_call_after_call() {
+    // Guards against a connection, and its price, for each message.
+    let (node, endpoint) = one("shop", |_| ok());
+    for id in 0..3 {
+        node.hand_in("payment", id, 3, LONG, b"");
+        let call = endpoint.call(id as usize);
+        assert_eq!(call.connection, 0);
+    }
+}
+
+#[test]
+fn a_connection_that_was_closed_is_not_used_again() {
+    // A call on a stale connection would end as a reset, and an unsafe message with it. Both ways of closing:
+    // said beforehand, and without a word.
+    for head in ["Connection: close\r\n", ""] {
+        let text = format!("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n{head}\r\n");
+        let (node, endpoint) = one("shop", move |_| Reply::Last(text.clone()));
+        for id in 0..3 {
+            node.hand_in("payment", id, 3, LONG, b"");
+            endpoint.call(id as usize);
+            until("the close", || *endpoint.closed.lock().expect("sound") > id as usize);
+        }
+        assert!(!node.platform.has_notice(0) && !node.platform.has_notice(1));
+    }
+}
+
+#[test]
+fn a_call_that_ended_after_its_last_byte_may_have_run() {
+    let (node, endpoint) = one("shop", |r| if r.body == b"cut" { Reply::Cut } else { ok() });
+    node.hand_in("payment", 1, 3, LONG, b"cut");
+    assert!(node.platform.notice(1).contains("\"dead\""));
+    assert_eq!(endpoint.calls(), 1);
+}
+
+#[test]
+fn a_safe_message_is_sent_again_after_a_reset() {
+    let mut first = true;
+    let cut = move |_: &Heard| if std::mem::take(&mut first) { Reply::Cut } else { ok() };
+    let (node, endpoint) = one("shop", cut);
+    node.hand_in("update", 1, 3, LONG, b"");
+    assert_eq!(endpoint.call(1).header("x-request-id"), format!("{:016x}", 1));
+    assert!(!node.platform.has_notice(1));
+}
+
+#[test]
+fn an_unsafe_message_whose_connection_never_came_up_is_sent_again() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    drop(listener);
+    let node = Node::new(&[member("s-1", address, "shop", 3, "up")], same);
+    assert_eq!(node.hand_in("payment", 1, 3, LONG, b"").status(), 202);
+    std::thread::sleep(Duration::from_millis(300));
+    let endpoint = Endpoint::on(TcpListener::bind(address).expect("the same port"), |_| ok());
+    assert_eq!(endpoint.call(0).header("x-request-id"), format!("{:016x}", 1));
+    assert!(!node.platform.has_notice(1));
+}
+
+#[test]
+fn what_was_open_when_the_process_was_killed_is_taken_up() {
+    // The first process's calls hang: a safe message goes again, an unsafe one may have run and is given up.
+    let mut calls = 0;
+    let (mut node, endpoint) = one("chain", move |_| {
+        calls += 1;
+        if calls == 1 { Reply::Hang } else { ok() }
+    });
+    let other = Endpoint::new(|_| Reply::Hang);
+    node.platform.tell(42, &[member("s-2", other.address, "shop", 4, "up")]);
+    node.hand_in("update", 1, 3, LONG, b"safe");
+    node.hand_in("payment", 2, 4, LONG, b"unsafe");
+    // Nobody has destination 5: this one was never sent.
+    node.hand_in("payment", 3, 5, 20_000, b"unsent");
+    endpoint.call(0);
+    other.call(0);
+    node.restart();
+    assert!(node.platform.notice(2).contains("\"dead\""));
+    assert_eq!(endpoint.call(1).body, b"safe");
+    assert_eq!(other.calls(), 1);
+    assert!(!node.platform.has_notice(1) && !node.platform.has_notice(3));
+    // The last one lost nothing by the restart: it goes as soon as somebody takes it.
+    node.platform.tell(43, &[member("s-3", endpoint.address, "shop", 5, "up")]);
+    until("the unsent one", || endpoint.heard.lock().expect("sound").iter().any(|h| h.body == b"unsent"));
+}
+
+#[test]
+fn a_torn_record_costs_nothing_but_itself() {
+    let (mut node, _endpoint) = one("shop", |_| Reply::Hang);
+    node.hand_in("payment", 1, 9, LONG, b"whole");
+    node.kill();
+    let mut text = std::fs::read(node.journal()).expect("a journal");
+    text.extend([200, 0, 0, 0, 1, 2, 3, 4, b'T', 5]);
+    std::fs::write(node.journal(), text).expect("written");
+    node.restart();
+    let taker = Endpoint::new(|_| ok());
+    node.platform.tell(42, &[member("s-9", taker.address, "shop", 9, "up")]);
+    assert_eq!(taker.call(0).body, b"whole");
+}
+
+#[test]
+fn what_ran_out_of_time_meanwhile_is_ended_at_the_start() {
+    let (mut node, _endpoint) = one("shop", |_| ok());
+    node.hand_in("payment", 1, 9, 2_000, b"");
+    node.kill();
+    std::thread::sleep(Duration::from_millis(2_000));
+    node.restart();
+    assert!(node.platform.notice(1).contains("\"bounced\""));
+}
+
+#[test]
+fn a_notice_is_repeated_until_it_is_taken_also_by_the_next_process() {
+    let (mut node, _endpoint) = one("shop", |_| answer("500 Broken", "", ""));
+    *node.platform.turn_away.lock().expect("sound") = usize::MAX;
+    node.hand_in("payment", 1, 3, LONG, b"");
+    until("tries", || *node.platform.turn_away.lock().expect("sound") < usize::MAX - 2);
+    node.restart();
+    *node.platform.turn_away.lock().expect("sound") = 2;
+    assert!(node.platform.notice(1).contains("\"dead\""));
+}
+
+#[test]
+fn a_wait_is_heeded_for_every_message() {
+    let mut first = true;
+    let does = move |_: &Heard| {
+        if std::mem::take(&mut first) { answer("429 Wait", "Retry-After: 1.25\r\n", "") } else { ok() }
+    };
+    let (node, endpoint) = one("shop", does);
+    node.hand_in("payment", 1, 3, LONG, b"");
+    let told = endpoint.call(0).at;
+    node.hand_in("payment", 2, 3, LONG, b"");
+    endpoint.call(2);
+    for n in 1..3 {
+        assert!(endpoint.call(n).at - told >= Duration::from_millis(1_250), "call {n}");
+    }
+}
+
+#[test]
+fn nothing_new_goes_to_an_endpoint_that_drains() {
+    let (node, draining) = one("shop", |_| ok());
+    let (other, mark) = (Endpoint::new(|_| ok()), Endpoint::new(|_| ok()));
+    let news = [
+        member("s-1", draining.address, "shop", 3, "draining"),
+        member("s-2", other.address, "shop", 3, "up"),
+        member("s-3", mark.address, "shop", 4, "up"),
+    ];
+    node.platform.tell(42, &news);
+    // Once this one is delivered, the sender knows the news.
+    node.hand_in("update", 1, 4, LONG, b"");
+    mark.call(0);
+    for id in 2..6 {
+        node.hand_in("update", id, 3, LONG, b"");
+    }
+    other.call(3);
+    assert_eq!(draining.calls(), 0);
+}
+
+#[test]
+fn a_broken_watch_is_taken_up_again() {
+    let (node, _endpoint) = one("shop", |_| ok());
+    until("a watch", || !node.platform.watches.lock().expect("sound").is_empty());
+    // Dropping its end ends the watch.
+    node.platform.watches.lock().expect("sound").clear();
+    let late = Endpoint::new(|_| ok());
+    node.hand_in("update", 1, 4, LONG, b"");
+    node.platform.tell(42, &[member("s-2", late.address, "shop", 4, "up")]);
+    late.call(0);
+}
+
+#[test]
+fn messages_of_one_turn_share_a_call_and_each_has_its_own_end() {
+    // The first call hangs until more are waiting; they then go as one. One line of the answer is missing:
+    // that message may have run. One is turned away: it goes again.
+    let (hold, held) = std::sync::mpsc::channel::<()>();
+    let mut calls = 0;
+    let (node, endpoint) = one("chain", move |r: &Heard| {
+        calls += 1;
+        match calls {
+            1 => held.recv().map_or(Reply::Cut, |()| ok()),
+            2 => {
+                let ids = r.ids();
+                answer("200 OK", "", &format!("{} done\r\n{} busy\r\ngarbage\r\n", ids[0], ids[1]))
+            }
+            _ => ok(),
+        }
+    });
+    let mut client = Client::new(node.address);
+    for id in 1..=4 {
+        if id == 2 {
+            endpoint.call(0);
+        }
+        assert_eq!(client.hand_in("payment", id, 3, LONG, b"x\r\ny").status(), 202);
+    }
+    hold.send(()).expect("it waits");
+    let batch = endpoint.call(1);
+    let ids = batch.ids();
+    assert_eq!((batch.line.as_str(), ids.len()), ("POST /v1/messages:batch", 3));
+    let text = String::from_utf8(batch.body).expect("text");
+    assert!(text.starts_with(&format!("{} - 4\r\nx\r\ny\r\n", ids[0])), "{text:?}");
+    let number = |id: &str| u64::from_str_radix(id, 16).expect("an id");
+    assert!(node.platform.notice(number(&ids[2])).contains("\"dead\""));
+    assert_eq!(endpoint.call(2).header("x-request-id"), ids[1]);
+    assert!(!node.platform.has_notice(number(&ids[0])) && !node.platform.has_notice(number(&ids[1])));
+}
+
+#[test]
+fn a_message_that_is_over_elsewhere_is_not_reported() {
+    let (node, endpoint) = one("shop", |_| answer("410 Gone", "", ""));
+    node.hand_in("payment", 1, 3, 1_000, b"");
+    endpoint.call(0);
+    node.hand_in("payment", 2, 9, 500, b"");
+    // The second ends later by its time alone: by then the first one's notice would have come.
+    assert!(node.platform.notice(2).contains("\"bounced\""));
+    assert!(!node.platform.has_notice(1) && endpoint.calls() == 1);
+}
+
+#[test]
+fn sigterm_ends_what_runs_and_refuses_what_comes() {
+    let (hold, held) = std::sync::mpsc::channel::<()>();
+    let (mut node, endpoint) = one("shop", move |_| held.recv().map_or(Reply::Cut, |()| ok()));
+    let mut kept = Client::new(node.address);
+    let mut idle = Client::new(node.address);
+    assert_eq!(kept.hand_in("payment", 1, 3, LONG, b"").status(), 202);
+    assert_eq!(idle.ask("GET /up", &[], b"").status(), 200);
+    endpoint.call(0);
+    node.terminate();
+    // Connections still come, and those that were kept are answered once more.
+    until("the drain", || node.ask("GET /up", &[], b"").status() == 503);
+    let refused = kept.hand_in("payment", 2, 3, LONG, b"");
+    assert_eq!((refused.status(), refused.header("connection")), (503, "close"));
+    hold.send(()).expect("it waits");
+    assert!(idle.ended() && node.exit());
+    assert_eq!(endpoint.calls(), 1);
+    node.start_again();
+    node.hand_in("payment", 3, 9, 300, b"");
+    node.platform.notice(3);
+    assert!(!node.platform.has_notice(1), "it was delivered");
+}
+
+#[test]
+fn when_there_is_no_room_clients_are_told_when_to_come_back() {
+    let node = Node::new(&[], |text| text.replace("\"mostHeld\": 230", "\"mostHeld\": 2"));
+    let statuses: Vec<u16> = (0..2).map(|id| node.hand_in("payment", id, 3, LONG, b"").status()).collect();
+    assert!(statuses.iter().all(|s| *s == 202), "{statuses:?}");
+    // The module keeps some of the room free, so one more may find a place.
+    let answers: Vec<Heard> = (2..9).map(|id| node.hand_in("payment", id, 3, LONG, b"")).collect();
+    let refused = answers.iter().find(|a| a.status() == 503);
+    assert!(refused.is_none_or(|a| a.header("retry-after") == "1.000"));
+}
+
+#[test]
+fn a_full_disk_refuses_and_lives_on() {
+    let node = Node::new(&[], |text| text.replace("\"disk_mb\": 3", "\"disk_mb\": 0.3"));
+    let body = vec![7; 60_000];
+    let statuses: Vec<u16> = (0..6).map(|id| node.hand_in("payment", id, 3, LONG, &body).status()).collect();
+    assert!(statuses.starts_with(&[202]) && statuses.ends_with(&[503, 503]), "{statuses:?}");
+    let size = std::fs::metadata(node.journal()).expect("a journal").len();
+    assert!(size < 300_000 && node.ask("GET /up", &[], b"").status() == 200);
+}
+
+#[test]
+fn what_cannot_be_a_message_is_turned_down_and_takes_nothing_on() {
+    let (node, endpoint) = one("shop", |_| ok());
+    let id = "00000000000000aa";
+    let good = headers(id, "update", "60000", "dest=3");
+    let with = |name: &str, value: &'static str| {
+        good.iter().map(|h| if h.0 == name { (h.0, value) } else { *h }).collect::<Vec<_>>()
+    };
+    let cases = [
+        ("POST /update", with("X-Request-ID", "short"), 400),
+        ("POST /update", with("X-Request-ID", "00000000000000AA"), 400),
+        ("POST /update", with("X-Tenant-Id", "nobody"), 400),
+        ("POST /update", with("X-Priority-Class", "payment"), 400),
+        ("POST /update", with("X-Timeout-Ms", "-5"), 400),
+        ("POST /update", with("X-Timeout-Ms", "99999999999999999999"), 400),
+        ("POST /update", with("X-Timeout-Ms", "0"), 503),
+        ("POST /update", with("X-Envelope", "cell=3"), 400),
+        ("POST /update", with("X-Envelope", "dest=x"), 400),
+        ("POST /update", vec![], 400),
+        ("POST /unknown", good.to_vec(), 404),
+        ("POST /", good.to_vec(), 404),
+        ("GET /update", good.to_vec(), 405),
+        ("DELETE /up", vec![], 405),
+    ];
+    for (line, headers, status) in cases {
+        assert_eq!(node.ask(line, &headers, b"x").status(), status, "{line} {headers:?}");
+    }
+    assert_eq!(node.ask("POST /update", &good, &vec![0; (64 << 10) + 1]).status(), 413);
+    // Nothing of all this was kept: the id is still free, and the program still works.
+    assert_eq!(node.ask("POST /update", &good, &vec![1; 64 << 10]).status(), 202);
+    assert_eq!(endpoint.call(0).body.len(), 64 << 10);
+    assert_eq!(endpoint.calls(), 1);
+}
--- /dev/null
+++ b/tests/sockets/world.rs
@@ -0,0 +1,360 @@
+//! What stands round the program in the tests: endpoints, the platform, clients, all on loopback sockets.
+//! It waits on conditions; the one time limit is only there so that a failing test ends.
+
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::{Sender, channel};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+const LIMIT: Duration = Duration::from_secs(60);
+
+pub fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let start = Instant::now();
+    while !holds() {
+        assert!(start.elapsed() < LIMIT, "never came: {what}");
+        thread::sleep(Duration::from_millis(5));
+    }
+}
+
+#[derive(Clone, Debug)]
+pub struct Heard {
+    /// `METHOD path` of a request, the status of an answer.
+    pub line: String,
+    pub headers: BTreeMap<String, String>,
+    pub body: Vec<u8>,
+    pub at: Instant,
+    pub connection: usize,
+}
+
+impl Heard {
+    pub fn header(&self, name: &str) -> &str {
+        self.headers.get(name).map_or("", String::as_str)
+    }
+
+    pub fn status(&self) -> u16 {
+        self.line.parse().expect("a status")
+    }
+
+    /// The ids of a batch's messages, in their order.
+    pub fn ids(&self) -> Vec<String> {
+        let text = String::from_utf8_lossy(&self.body).into_owned();
+        text.lines().filter(|l| l.contains(" - ")).map(|l| l[..16].to_owned()).collect()
+    }
+}
+
+/// Reads a request or an answer; nothing where the connection ends before its last byte.
+fn hear(from: &mut impl BufRead, connection: usize) -> Option<Heard> {
+    let mut first = String::new();
+    from.read_line(&mut first).ok().filter(|n| *n > 0)?;
+    let mut words = first.split_whitespace();
+    let (a, b) = (words.next()?.to_owned(), words.next()?.to_owned());
+    let line = if a.starts_with("HTTP/") { b } else { format!("{a} {b}") };
+    let mut headers = BTreeMap::new();
+    loop {
+        let mut text = String::new();
+        from.read_line(&mut text).ok().filter(|n| *n > 0)?;
+        let Some((name, value)) = text.trim_end().split_once(": ") else { break };
+        headers.insert(name.to_lowercase(), value.to_owned());
+    }
+    let length = headers.get("content-length").and_then(|l| l.parse().ok()).unwrap_or(0);
+    let mut body = vec![0; length];
+    from.read_exact(&mut body).ok()?;
+    Some(Heard { line, headers, body, at: Instant::now(), connection })
+}
+
+pub fn answer(status: &str, headers: &str, body: &str) -> Reply {
+    Reply::Say(format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n{headers}\r\n{body}", body.len()))
+}
+
+pub enum Reply {
+    Say(String),
+    /// Says it and ends the connection.
+    Last(String),
+    /// Keeps silent, with the connection open.
+    Hang,
+    Cut,
+}
+
+pub type Log = Arc<Mutex<Vec<Heard>>>;
+
+/// A partner's endpoint. It does what the test says, call by call.
+pub struct Endpoint {
+    pub address: SocketAddr,
+    pub heard: Log,
+    pub closed: Arc<Mutex<usize>>,
+}
+
+impl Endpoint {
+    pub fn new(does: impl FnMut(&Heard) -> Reply + Send + 'static) -> Self {
+        Self::on(TcpListener::bind("127.0.0.1:0").expect("a port"), does)
+    }
+
+    pub fn on(listener: TcpListener, does: impl FnMut(&Heard) -> Reply + Send + 'static) -> Self {
+        let address = listener.local_addr().expect("an address");
+        let (heard, closed) = (Log::default(), Arc::<Mutex<usize>>::default());
+        let (log, ends, does) = (heard.clone(), closed.clone(), Arc::new(Mutex::new(does)));
+        thread::spawn(move || {
+            for (number, stream) in listener.incoming().enumerate() {
+                let (log, ends, does) = (log.clone(), ends.clone(), does.clone());
+                thread::spawn(move || {
+                    let Ok(stream) = stream else { return };
+                    let mut reader = BufReader::new(&stream);
+                    while let Some(request) = hear(&mut reader, number) {
+                        log.lock().expect("sound").push(request.clone());
+                        let reply = (does.lock().expect("sound"))(&request);
+                        let said = match &reply {
+                            Reply::Say(text) | Reply::Last(text) => (&stream).write_all(text.as_bytes()),
+                            Reply::Hang => continue,
+                            Reply::Cut => break,
+                        };
+                        if said.is_err() || matches!(reply, Reply::Last(_)) {
+                            break;
+                        }
+                    }
+                    drop(stream);
+                    *ends.lock().expect("sound") += 1;
+                });
+            }
+        });
+        Self { address, heard, closed }
+    }
+
+    pub fn calls(&self) -> usize {
+        self.heard.lock().expect("sound").len()
+    }
+
+    pub fn call(&self, n: usize) -> Heard {
+        until("a call", || self.calls() > n);
+        self.heard.lock().expect("sound")[n].clone()
+    }
+}
+
+/// Discovery and the place for notices.
+#[derive(Clone)]
+pub struct Platform {
+    pub address: SocketAddr,
+    pub notices: Arc<Mutex<Vec<String>>>,
+    /// So many requests with notices are turned away first.
+    pub turn_away: Arc<Mutex<usize>>,
+    pub watches: Arc<Mutex<Vec<Sender<String>>>>,
+}
+
+impl Platform {
+    pub fn new() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let platform = Self {
+            address: listener.local_addr().expect("an address"),
+            notices: Arc::default(),
+            turn_away: Arc::default(),
+            watches: Arc::default(),
+        };
+        let shared = platform.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let shared = shared.clone();
+                thread::spawn(move || shared.talk(&stream));
+            }
+        });
+        platform
+    }
+
+    fn talk(&self, mut stream: &TcpStream) {
+        let mut reader = BufReader::new(stream);
+        while let Some(request) = hear(&mut reader, 0) {
+            if request.line.starts_with("GET ") {
+                let (tell, told) = channel();
+                self.watches.lock().expect("sound").push(tell);
+                let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+                let mut fine = stream.write_all(head.as_bytes()).is_ok();
+                while fine {
+                    // While nothing changes, an empty line comes.
+                    let line = match told.recv_timeout(Duration::from_secs(1)) {
+                        Ok(line) => line + "\n",
+                        Err(std::sync::mpsc::RecvTimeoutError::Timeout) => "\n".to_owned(),
+                        Err(_) => return,
+                    };
+                    fine = write!(stream, "{:x}\r\n{line}\r\n", line.len()).is_ok();
+                }
+                return;
+            }
+            let away = {
+                let mut left = self.turn_away.lock().expect("sound");
+                let away = *left > 0;
+                *left -= usize::from(away);
+                away
+            };
+            if !away {
+                let text = String::from_utf8(request.body).expect("text");
+                self.notices.lock().expect("sound").extend(text.lines().map(str::to_owned));
+            }
+            let status = if away { "503 No" } else { "204 Fine" };
+            if write!(stream, "HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n").is_err() {
+                return;
+            }
+        }
+    }
+
+    /// Tells all watches of a change.
+    pub fn tell(&self, revision: u64, members: &[String]) {
+        until("a watch", || !self.watches.lock().expect("sound").is_empty());
+        let line =
+            format!("{{\"revision\":{revision},\"complete\":false,\"members\":[{}]}}", members.join(","));
+        self.watches.lock().expect("sound").retain(|w| w.send(line.clone()).is_ok());
+    }
+
+    /// The notice for a message, once it has come.
+    pub fn notice(&self, id: u64) -> String {
+        let found = || {
+            let notices = self.notices.lock().expect("sound");
+            notices.iter().find(|n| n.contains(&format!("{id:016x}"))).cloned()
+        };
+        until("a notice", || found().is_some());
+        found().expect("it has come")
+    }
+
+    pub fn has_notice(&self, id: u64) -> bool {
+        self.notices.lock().expect("sound").iter().any(|n| n.contains(&format!("{id:016x}")))
+    }
+}
+
+pub fn member(id: &str, address: SocketAddr, kind: &str, dest: u64, phase: &str) -> String {
+    format!(
+        "{{\"id\":\"{id}\",\"host_port\":\"{address}\",\"locality\":\"a\",\"flavor\":\"{kind}\",\
+         \"cell\":{dest},\"phase\":\"{phase}\",\"size\":1.0,\"up_since_ms\":0}}"
+    )
+}
+
+/// The program, with its folder. It is killed when dropped.
+pub struct Node {
+    pub folder: tempfile::TempDir,
+    pub platform: Platform,
+    pub address: SocketAddr,
+    child: Child,
+}
+
+impl Node {
+    /// Knows these endpoints from the start; `change` alters its configuration.
+    pub fn new(members: &[String], change: impl Fn(String) -> String) -> Self {
+        let platform = Platform::new();
+        let folder = tempfile::tempdir().expect("a folder");
+        let text = include_str!("config.json")
+            .replace("DISCOVERY", &platform.address.to_string())
+            .replace("MEMBERS", &members.join(","));
+        std::fs::create_dir(folder.path().join("state")).expect("a folder");
+        std::fs::write(folder.path().join("config.json"), change(text)).expect("a file");
+        let (child, address) = start(&folder);
+        let node = Self { folder, platform, address, child };
+        assert_eq!(node.ask("GET /up", &[], b"").status(), 200);
+        node
+    }
+
+    /// Ends it as SIGKILL does and starts it again.
+    pub fn restart(&mut self) {
+        self.kill();
+        // Only the new process's watch is told of what changes from here on.
+        self.platform.watches.lock().expect("sound").clear();
+        self.start_again();
+    }
+
+    pub fn start_again(&mut self) {
+        (self.child, self.address) = start(&self.folder);
+    }
+
+    pub fn kill(&mut self) {
+        self.child.kill().expect("it runs");
+        self.child.wait().expect("it ended");
+    }
+
+    pub fn terminate(&self) {
+        let pid = self.child.id().to_string();
+        assert!(Command::new("kill").args(["-TERM", &pid]).status().expect("kill").success());
+    }
+
+    pub fn exit(&mut self) -> bool {
+        until("its exit", || self.child.try_wait().expect("a child").is_some());
+        self.child.wait().expect("a child").success()
+    }
+
+    pub fn ask(&self, line: &str, headers: &[(&str, &str)], body: &[u8]) -> Heard {
+        Client::new(self.address).ask(line, headers, body)
+    }
+
+    /// Hands in a message, and gives the answer.
+    pub fn hand_in(&self, class: &str, id: u64, dest: u64, ms: u64, body: &[u8]) -> Heard {
+        Client::new(self.address).hand_in(class, id, dest, ms, body)
+    }
+
+    pub fn journal(&self) -> std::path::PathBuf {
+        self.folder.path().join("state/journal")
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn start(folder: &tempfile::TempDir) -> (Child, SocketAddr) {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_notchpoint"))
+        .env("BALANCER_CONFIG", folder.path().join("config.json"))
+        .env("BALANCER_STATE", folder.path().join("state"))
+        .stdout(Stdio::piped())
+        .spawn()
+        .expect("the program");
+    let mut lines = BufReader::new(child.stdout.take().expect("its output")).lines();
+    let address = loop {
+        let line = lines.next().expect("it started").expect("text");
+        if let Some(address) = line.strip_prefix("listening on ") {
+            break address.parse().expect("an address");
+        }
+    };
+    // What it says later is read, so that it never blocks on a full pipe.
+    thread::spawn(move || lines.for_each(drop));
+    (child, address)
+}
+
+/// One connection of a client.
+pub struct Client(BufReader<TcpStream>);
+
+impl Client {
+    pub fn new(address: SocketAddr) -> Self {
+        let stream = TcpStream::connect(address).expect("a connection");
+        stream.set_read_timeout(Some(LIMIT)).expect("an option");
+        Self(BufReader::new(stream))
+    }
+
+    pub fn send(&mut self, line: &str, headers: &[(&str, &str)], body: &[u8]) {
+        let mut text = format!("{line} HTTP/1.1\r\nHost: api.internal\r\nContent-Length: {}\r\n", body.len());
+        headers.iter().for_each(|(name, value)| text += &format!("{name}: {value}\r\n"));
+        let bytes = [text.as_bytes(), b"\r\n", body].concat();
+        // An answer may come before all is written.
+        let _ = self.0.get_mut().write_all(&bytes);
+    }
+
+    pub fn ask(&mut self, line: &str, headers: &[(&str, &str)], body: &[u8]) -> Heard {
+        self.send(line, headers, body);
+        hear(&mut self.0, 0).expect("an answer")
+    }
+
+    pub fn hand_in(&mut self, class: &str, id: u64, dest: u64, ms: u64, body: &[u8]) -> Heard {
+        let (id, ms, dest) = (format!("{id:016x}"), ms.to_string(), format!("dest={dest}"));
+        let headers = headers(&id, class, &ms, &dest);
+        self.ask(&format!("POST /{class}"), &headers, body)
+    }
+
+    /// The other side has ended the connection.
+    pub fn ended(&mut self) -> bool {
+        self.0.read(&mut [0; 1]).is_ok_and(|n| n == 0)
+    }
+}
+
+pub fn headers<'a>(id: &'a str, class: &'a str, ms: &'a str, dest: &'a str) -> [(&'a str, &'a str); 5] {
+    let (tenant, class) = (("X-Tenant-Id", "acme"), ("X-Priority-Class", class));
+    [("X-Request-ID", id), class, tenant, ("X-Timeout-Ms", ms), ("X-Envelope", dest)]
+}
