Guards found by reading the sender, and advice with every refusal

The module's last refusal named no time to come back, which the request asks for. Tests: an id in use, the advice in a notice.

--- a/src/bin/notchpoint/calls.rs
+++ b/src/bin/notchpoint/calls.rs
@@ -1,5 +1,6 @@
 //! Connections and calls to endpoints: what a call came to, and whether it can have run.
 
+use crate::config::Config;
 use crate::io::{Observed, Observer};
 use crate::journal::Journal;
 use crate::node::Input;
@@ -152,11 +153,14 @@
     inputs: UnboundedSender<Input>,
     connect_timeout: Duration,
     idle: Duration,
+    /// Connections that may stand idle, so that descriptors are left for clients.
+    most_idle: usize,
     second_copies: bool,
 }
 
 impl Calls {
-    pub fn new(set: &Settings, journal: Rc<RefCell<Journal>>, inputs: UnboundedSender<Input>) -> Rc<Self> {
+    pub fn new(config: &Config, journal: Rc<RefCell<Journal>>, inputs: UnboundedSender<Input>) -> Rc<Self> {
+        let set = &config.settings;
         let calls = Rc::new(Self {
             targets: RefCell::default(),
             pool: RefCell::default(),
@@ -167,6 +171,7 @@
             inputs,
             connect_timeout: Duration::from_micros(set.connect_timeout),
             idle: Duration::from_micros(set.conn_idle).mul_f64(IDLE_SHARE),
+            most_idle: config.sockets / 4,
             second_copies: set.second_copies,
         });
         let swept = Rc::downgrade(&calls);
@@ -185,6 +190,11 @@
         self.out.get()
     }
 
+    /// An attempt of this message is out.
+    pub fn has_out(&self, id: MessageId) -> bool {
+        self.cancels.borrow().keys().any(|k| k.0 == id)
+    }
+
     /// What the list says of an endpoint; connections to one that moved or left are closed.
     pub fn list(&self, id: EndpointId, target: Option<Target>) {
         let old = match target {
@@ -395,7 +405,9 @@
 
     async fn release(&self, id: EndpointId, mut connection: Connection) {
         let ready = timeout(SETTLE, connection.sender.ready()).await;
-        if !matches!(ready, Ok(Ok(()))) || self.targets.borrow().get(&id).is_none_or(|t| !t.live) {
+        let idle: usize = self.pool.borrow().values().map(Vec::len).sum();
+        let room = idle < self.most_idle;
+        if !room || !matches!(ready, Ok(Ok(()))) || self.targets.borrow().get(&id).is_none_or(|t| !t.live) {
             return connection.close().await;
         }
         self.pool.borrow_mut().entry(id).or_default().push(Idle { connection, since: Instant::now() });
@@ -548,7 +560,7 @@
         let (id, endpoint) = (MessageId(1), EndpointId(2));
         journal.borrow_mut().take(id, Open::new("payment", "acme", 3, u64::MAX, Bytes::new())).expect("room");
         let (inputs, mut received) = unbounded_channel();
-        let calls = Calls::new(&config.settings, journal.clone(), inputs);
+        let calls = Calls::new(&config, journal.clone(), inputs);
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("an address");
         let dest = DestinationId(3);
--- a/src/bin/notchpoint/discovery.rs
+++ b/src/bin/notchpoint/discovery.rs
@@ -17,8 +17,9 @@
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
-/// Two heartbeats of 2 s, and a little for the way: a watch silent for longer is dead.
-const SILENCE: Duration = Duration::from_millis(4_500);
+/// Two heartbeats of 2 s, and a little for the way: a watch silent for longer is dead. A change counts as
+/// told 6 s after it at the latest, so the next watch must not be much later.
+const SILENCE: Duration = Duration::from_millis(4_100);
 /// A longer line is no list.
 const LONGEST: usize = 4 << 20;
 
--- a/src/bin/notchpoint/inbound.rs
+++ b/src/bin/notchpoint/inbound.rs
@@ -1,5 +1,6 @@
 //! Where clients connect: `GET /up` and `POST /CLASS`.
 
+use crate::calls::Calls;
 use crate::config::Names;
 use crate::io::{Observed, Observer};
 use crate::journal::{Journal, Open, unix_now};
@@ -38,6 +39,7 @@
     pub set: Settings,
     pub names: Names,
     pub journal: Rc<RefCell<Journal>>,
+    pub calls: Rc<Calls>,
     pub inputs: UnboundedSender<Input>,
     /// The process is about to end: nothing more is taken on.
     pub draining: Cell<bool>,
@@ -183,7 +185,8 @@
         return Ok(come_back(inbound));
     }
     let mut journal = inbound.journal.borrow_mut();
-    if journal.get(handed.id).is_some() {
+    // An id is new each time. One that is still in use would mix up the ends of two messages.
+    if journal.get(handed.id).is_some() || inbound.calls.has_out(handed.id) {
         return Err(StatusCode::CONFLICT);
     }
     let left = handed.time.saturating_sub(since.elapsed());
--- a/src/bin/notchpoint/main.rs
+++ b/src/bin/notchpoint/main.rs
@@ -68,7 +68,7 @@
     let journal = Journal::open(&variable("BALANCER_STATE")?, config.disk)?;
     let journal = Rc::new(RefCell::new(journal));
     let (inputs, received) = unbounded_channel();
-    let calls = Calls::new(&config.settings, journal.clone(), inputs.clone());
+    let calls = Calls::new(&config, journal.clone(), inputs.clone());
     let reports = Reports::new(config.discovery, journal.clone());
     let discovery = Discovery::new(config.discovery, config.known.revision, inputs.clone());
     let peers = match config.peer_listen.filter(|_| config.settings.may_note) {
@@ -88,6 +88,7 @@
         set: config.settings,
         names: config.names,
         journal,
+        calls: calls.clone(),
         inputs,
         draining: Cell::new(false),
         close: watch::Sender::new(false),
--- a/src/bin/notchpoint/node.rs
+++ b/src/bin/notchpoint/node.rs
@@ -182,7 +182,7 @@
         if let Event::Ended { id, .. } = event {
             let open = self.journal.borrow().get(id).is_some_and(|m| m.verdict.is_none());
             if let Some(a) = self.attempts.get_mut(&id) {
-                a.out -= 1;
+                a.out = a.out.saturating_sub(1);
                 if a.out == 0 && !open {
                     self.attempts.remove(&id);
                 }
--- a/src/bin/notchpoint/peers.rs
+++ b/src/bin/notchpoint/peers.rs
@@ -6,11 +6,14 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc::UnboundedSender;
+use tokio::time::sleep;
 
 /// A longer datagram is not allowed.
 const LONGEST: usize = 256;
+const AGAIN: Duration = Duration::from_millis(10);
 
 pub struct Peers {
     socket: Rc<UdpSocket>,
@@ -30,9 +33,9 @@
         tokio::task::spawn_local(async move {
             let mut buffer = [0; LONGEST + 1];
             loop {
-                // An error tells of an earlier datagram that found nobody; the socket stays sound.
+                // An error tells of an earlier datagram that found nobody. A lasting one must not spin.
                 let Ok((n, from)) = heard.recv_from(&mut buffer).await else {
-                    tokio::task::yield_now().await;
+                    sleep(AGAIN).await;
                     continue;
                 };
                 // Only senders of the tier are believed.
--- a/src/bin/notchpoint/reports.rs
+++ b/src/bin/notchpoint/reports.rs
@@ -16,8 +16,10 @@
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
 
-/// Notices are answered at once: a longer silence is a lost connection. Two tries fit into the time allowed.
-const ANSWER: Duration = Duration::from_millis(100);
+/// Notices are answered at once: a longer silence is a lost connection. It is believed for longer each time,
+/// so that a slow platform is not asked over and over.
+const ANSWER_FIRST: Duration = Duration::from_millis(200);
+const ANSWER_MOST: Duration = Duration::from_secs(2);
 const AGAIN_FIRST: Duration = Duration::from_millis(10);
 const AGAIN_MOST: Duration = Duration::from_millis(200);
 /// Notices in one request: it stays well under 64 KiB.
@@ -52,16 +54,16 @@
 
     async fn run(&self) {
         let mut connection = None;
-        let mut again = AGAIN_FIRST;
+        let (mut again, mut patience) = (AGAIN_FIRST, ANSWER_FIRST);
         loop {
             let batch: Vec<_> = self.waiting.borrow().iter().take(MOST).copied().collect();
             if batch.is_empty() {
                 self.news.notified().await;
                 continue;
             }
-            match timeout(ANSWER, self.post(&mut connection, &batch)).await {
+            match timeout(patience, self.post(&mut connection, &batch)).await {
                 Ok(Ok(())) => {
-                    again = AGAIN_FIRST;
+                    (again, patience) = (AGAIN_FIRST, ANSWER_FIRST);
                     self.waiting.borrow_mut().drain(..batch.len());
                     let mut journal = self.journal.borrow_mut();
                     batch.iter().for_each(|(id, _)| journal.end(*id));
@@ -72,7 +74,7 @@
                     }
                     connection = None;
                     sleep(again.mul_f64(0.5 + fastrand::f64())).await;
-                    again = (2 * again).min(AGAIN_MOST);
+                    (again, patience) = ((2 * again).min(AGAIN_MOST), (2 * patience).min(ANSWER_MOST));
                 }
             }
         }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -421,10 +421,11 @@
         }
     }
 
-    /// The last word where no more can be done: a refusal if it may be one, else no promise.
+    /// The last word where no more can be done: a refusal if it may be one, else no promise. It comes at
+    /// once, so a client that may try again is told when: after as long as the next trial would wait.
     fn give_up(&mut self, id: MessageId) {
-        let refuse = self.may(&self.held[&id]).1;
-        self.out.push(if refuse { Action::Refuse { id, after: 0 } } else { Action::Fail { id } });
+        let (refuse, after) = (self.may(&self.held[&id]).1, TRIAL_WAIT.min(self.set.max_advice));
+        self.out.push(if refuse { Action::Refuse { id, after } } else { Action::Fail { id } });
         self.finish(id);
     }
 
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -139,7 +139,8 @@
     node.kill();
     std::thread::sleep(Duration::from_millis(2_000));
     node.restart();
-    assert!(node.platform.notice(1).contains("\"bounced\""));
+    // The client is told when to come back.
+    assert!(node.platform.notice(1).contains("\"bounced\",\"wait_ms\":500"));
 }
 
 #[test]
@@ -282,6 +283,18 @@
     assert!(refused.is_none_or(|a| a.header("retry-after") == "1.000"));
 }
 
+#[test]
+fn an_id_that_is_in_use_is_not_taken_on_twice() {
+    // Guards against the end of one message being taken for the other's.
+    let (node, endpoint) = one("shop", |_| Reply::Hang);
+    assert_eq!(node.hand_in("update", 1, 3, 500, b"").status(), 202);
+    endpoint.call(0);
+    assert_eq!(node.hand_in("update", 1, 3, 500, b"").status(), 409);
+    node.platform.notice(1);
+    // Once it has ended, it may come again.
+    until("a free id", || node.hand_in("update", 1, 9, 500, b"").status() == 202);
+}
+
 #[test]
 fn a_full_disk_refuses_and_lives_on() {
     let node = Node::new(&[], |text| text.replace("\"disk_mb\": 3", "\"disk_mb\": 0.3"));
