--- a/src/bin/notchpoint/inbound.rs
+++ b/src/bin/notchpoint/inbound.rs
@@ -274,3 +274,57 @@
     let fits = text.len() == 16 && text.bytes().all(|b| matches!(b, b'0'..=b'9' | b'a'..=b'f'));
     u64::from_str_radix(text, 16).ok().filter(|_| fits).map(MessageId)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use tokio::sync::mpsc::unbounded_channel;
+
+    #[test]
+    fn a_message_counts_only_once_its_client_can_have_heard() {
+        // Guards against sending what its client, gone before the answer, has handed in elsewhere by now.
+        let local = tokio::task::LocalSet::new();
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        local.block_on(&runtime, async {
+            let folder = tempfile::tempdir().expect("a folder");
+            let config = crate::config::read(crate::config::tests::TEXT).expect("sound");
+            let journal = Rc::new(RefCell::new(Journal::open(folder.path(), 3_000_000).expect("a journal")));
+            let (inputs, mut received) = unbounded_channel();
+            let inbound = Rc::new(Inbound {
+                calls: Calls::new(&config, journal.clone(), inputs.clone()),
+                set: config.settings,
+                names: config.names,
+                journal: journal.clone(),
+                inputs,
+                draining: Cell::new(false),
+                close: watch::Sender::new(false),
+            });
+            let take = |id: u64| {
+                let (id, class, tenant, dest) = (MessageId(id), 0, None, DestinationId(3));
+                let open = Open::new("update", "acme", 3, u64::MAX, Bytes::new());
+                journal.borrow_mut().take(id, open).expect("room");
+                let (again, key, expires_in) = (false, None, 1_000_000);
+                let message = Message { id, class, tenant, key, dest, again, expires_in };
+                let due = Due { message, since: Instant::now(), begun: false };
+                let due = RefCell::new(Some(due));
+                Rc::new(Receipt { due, inbound: inbound.clone() })
+            };
+            // The connection ends before anything, or before all of the answer is written.
+            for begun in [false, true] {
+                let receipt = take(1);
+                receipt.flushed();
+                if begun {
+                    receipt.wrote(b"HTTP/1.1 2");
+                }
+                drop(receipt);
+                assert!(journal.borrow().get(MessageId(1)).is_none() && received.try_recv().is_err());
+            }
+            let receipt = take(2);
+            receipt.wrote(b"HTTP/1.1 202 Accepted\r\n\r\n");
+            receipt.flushed();
+            drop(receipt);
+            assert!(journal.borrow().get(MessageId(2)).is_some());
+            assert!(matches!(received.try_recv(), Ok(Input::Taken(m, _)) if m.id == MessageId(2)));
+        });
+    }
+}
