--- a/src/bin/notchpoint/discovery.rs
+++ b/src/bin/notchpoint/discovery.rs
@@ -55,7 +55,7 @@
 }
 
 pub struct Discovery {
-    address: SocketAddr,
+    address: Cell<SocketAddr>,
     revision: Rc<Cell<u64>>,
     inputs: UnboundedSender<Input>,
     watch: RefCell<Option<AbortHandle>>,
@@ -63,12 +63,21 @@
 
 impl Discovery {
     pub fn new(address: SocketAddr, revision: u64, inputs: UnboundedSender<Input>) -> Self {
-        Self { address, revision: Rc::new(Cell::new(revision)), inputs, watch: RefCell::default() }
+        let (address, revision) = (Cell::new(address), Rc::new(Cell::new(revision)));
+        Self { address, revision, inputs, watch: RefCell::default() }
+    }
+
+    /// The list is kept elsewhere from now on. The watch begins there at once: what it tells counts as told
+    /// a few seconds later, and the old place ends its connections in its own time.
+    pub fn relocate(&self, address: SocketAddr) {
+        if self.address.replace(address) != address {
+            self.watch();
+        }
     }
 
     /// Begins a watch in place of the one before.
     pub fn watch(&self) {
-        let (address, revision, inputs) = (self.address, self.revision.clone(), self.inputs.clone());
+        let (address, revision, inputs) = (self.address.get(), self.revision.clone(), self.inputs.clone());
         let task = tokio::task::spawn_local(async move {
             if let Err(why) = follow(address, &revision, &inputs).await {
                 eprintln!("discovery: {why}");
--- a/src/bin/notchpoint/main.rs
+++ b/src/bin/notchpoint/main.rs
@@ -24,7 +24,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{mpsc::unbounded_channel, watch};
 use tokio::time::{Instant, sleep, timeout_at};
 
@@ -62,7 +62,10 @@
 }
 
 async fn run() -> Result<(), Failure> {
-    let config = read(&variable("BALANCER_CONFIG")?)?;
+    // First of all: without a handler the signal would end the process.
+    let hangup = signal(SignalKind::hangup())?;
+    let path = variable("BALANCER_CONFIG")?;
+    let config = read(&path)?;
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let journal = Journal::open(&variable("BALANCER_STATE")?, config.disk)?;
@@ -71,6 +74,8 @@
     let calls = Calls::new(&config, journal.clone(), inputs.clone());
     let reports = Reports::new(config.discovery, journal.clone());
     let discovery = Discovery::new(config.discovery, config.known.revision, inputs.clone());
+    let discovery = Rc::new(discovery);
+    tokio::task::spawn_local(reload(hangup, path, discovery.clone(), reports.clone()));
     let peers = match config.peer_listen.filter(|_| config.settings.may_note) {
         Some(address) => Some(Peers::bind(address, &config, inputs.clone()).await?),
         None => None,
@@ -117,3 +122,18 @@
     }
     Ok(())
 }
+
+/// On SIGHUP the configuration is read anew and what may change while the process runs is taken from it: where
+/// discovery is. One that cannot be read changes nothing.
+async fn reload(mut hangup: Signal, path: PathBuf, discovery: Rc<Discovery>, reports: Rc<Reports>) {
+    while hangup.recv().await.is_some() {
+        match read(&path) {
+            Ok(config) => {
+                println!("configuration read anew: discovery at {}", config.discovery);
+                discovery.relocate(config.discovery);
+                reports.relocate(config.discovery);
+            }
+            Err(why) => eprintln!("the configuration stays as it was: {why}"),
+        }
+    }
+}
--- a/src/bin/notchpoint/node.rs
+++ b/src/bin/notchpoint/node.rs
@@ -38,7 +38,7 @@
     journal: Rc<RefCell<Journal>>,
     calls: Rc<Calls>,
     reports: Rc<Reports>,
-    discovery: Discovery,
+    discovery: Rc<Discovery>,
     peers: Option<Peers>,
     inputs: UnboundedReceiver<Input>,
     /// The attempts made for each message that is open or has one out.
@@ -59,7 +59,7 @@
     pub journal: Rc<RefCell<Journal>>,
     pub calls: Rc<Calls>,
     pub reports: Rc<Reports>,
-    pub discovery: Discovery,
+    pub discovery: Rc<Discovery>,
     pub peers: Option<Peers>,
     pub inputs: UnboundedReceiver<Input>,
 }
--- a/src/bin/notchpoint/reports.rs
+++ b/src/bin/notchpoint/reports.rs
@@ -8,7 +8,7 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{CONTENT_TYPE, HOST};
 use hyper_util::rt::TokioIo;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -28,7 +28,8 @@
 type Failure = Box<dyn std::error::Error>;
 
 pub struct Reports {
-    address: SocketAddr,
+    address: Cell<SocketAddr>,
+    relocated: Notify,
     waiting: RefCell<Vec<(MessageId, Verdict)>>,
     news: Notify,
     journal: Rc<RefCell<Journal>>,
@@ -36,7 +37,8 @@
 
 impl Reports {
     pub fn new(address: SocketAddr, journal: Rc<RefCell<Journal>>) -> Rc<Self> {
-        let reports = Rc::new(Self { address, waiting: RefCell::default(), news: Notify::new(), journal });
+        let (address, relocated, news) = (Cell::new(address), Notify::new(), Notify::new());
+        let reports = Rc::new(Self { address, relocated, waiting: RefCell::default(), news, journal });
         let task = reports.clone();
         tokio::task::spawn_local(async move { task.run().await });
         reports
@@ -47,6 +49,13 @@
         self.news.notify_one();
     }
 
+    /// Notices go elsewhere from now on, also those that are under way: told twice they do no harm.
+    pub fn relocate(&self, address: SocketAddr) {
+        if self.address.replace(address) != address {
+            self.relocated.notify_one();
+        }
+    }
+
     /// Nothing is left to be told.
     pub fn is_empty(&self) -> bool {
         self.waiting.borrow().is_empty()
@@ -58,10 +67,21 @@
         loop {
             let batch: Vec<_> = self.waiting.borrow().iter().take(MOST).copied().collect();
             if batch.is_empty() {
-                self.news.notified().await;
+                tokio::select! {
+                    () = self.news.notified() => {}
+                    () = self.relocated.notified() => connection = None,
+                }
                 continue;
             }
-            match timeout(patience, self.post(&mut connection, &batch)).await {
+            let posted = tokio::select! {
+                posted = timeout(patience, self.post(&mut connection, &batch)) => posted,
+                () = self.relocated.notified() => {
+                    connection = None;
+                    (again, patience) = (AGAIN_FIRST, ANSWER_FIRST);
+                    continue;
+                }
+            };
+            match posted {
                 Ok(Ok(())) => {
                     (again, patience) = (AGAIN_FIRST, ANSWER_FIRST);
                     self.waiting.borrow_mut().drain(..batch.len());
@@ -73,7 +93,14 @@
                         eprintln!("reports: {why}");
                     }
                     connection = None;
-                    sleep(again.mul_f64(0.5 + fastrand::f64())).await;
+                    tokio::select! {
+                        () = sleep(again.mul_f64(0.5 + fastrand::f64())) => {}
+                        // The new place has not failed yet.
+                        () = self.relocated.notified() => {
+                            (again, patience) = (AGAIN_FIRST, ANSWER_FIRST);
+                            continue;
+                        }
+                    }
                     (again, patience) = ((2 * again).min(AGAIN_MOST), (2 * patience).min(ANSWER_MOST));
                 }
             }
@@ -88,7 +115,7 @@
         let sender = match connection.take() {
             Some(c) if !c.is_closed() => connection.insert(c),
             _ => {
-                let stream = TcpStream::connect(self.address).await?;
+                let stream = TcpStream::connect(self.address.get()).await?;
                 stream.set_nodelay(true)?;
                 let (sender, driver) = http1::handshake(TokioIo::new(stream)).await?;
                 tokio::task::spawn_local(driver);
@@ -98,7 +125,7 @@
         sender.ready().await?;
         let lines: String = batch.iter().map(|(id, v)| line(*id, *v)).collect();
         let request = Request::post("/reports")
-            .header(HOST, self.address.to_string())
+            .header(HOST, self.address.get().to_string())
             .header(CONTENT_TYPE, "application/x-ndjson")
             .body(Full::from(lines))?;
         let response = sender.send_request(request).await?;
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -339,3 +339,27 @@
     assert_eq!(endpoint.call(0).body.len(), 64 << 10);
     assert_eq!(endpoint.calls(), 1);
 }
+
+#[test]
+fn sighup_moves_the_watch_and_the_notices_and_ends_nothing() {
+    // Guards against dying of the signal, and against talking to a discovery that has gone: the old one takes
+    // the request with the notice and never answers.
+    let (node, endpoint) =
+        one("shop", |r| if r.body == b"bad" { answer("500 Broken", "", "") } else { ok() });
+    *node.platform.turn_away.lock().expect("sound") = usize::MAX;
+    assert_eq!(node.hand_in("payment", 1, 3, LONG, b"bad").status(), 202);
+    until("tries", || *node.platform.turn_away.lock().expect("sound") < usize::MAX - 1);
+    // A file that cannot be read changes nothing.
+    let config = node.config();
+    node.reload("{");
+    assert_eq!(node.hand_in("update", 2, 3, LONG, b"").status(), 202);
+    assert_eq!(endpoint.call(1).header("x-request-id"), format!("{:016x}", 2));
+    let moved = Platform::new();
+    node.reload(&config.replace(&node.platform.address.to_string(), &moved.address.to_string()));
+    assert!(moved.notice(1).contains("\"dead\""));
+    let late = Endpoint::new(|_| ok());
+    moved.tell(42, &[member("s-2", late.address, "shop", 4, "up")]);
+    until("the news", || node.hand_in("update", 3, 4, LONG, b"").status() == 202);
+    assert_eq!(late.call(0).header("x-request-id"), format!("{:016x}", 3));
+    assert!(!node.platform.has_notice(1));
+}
--- a/tests/sockets/world.rs
+++ b/tests/sockets/world.rs
@@ -270,8 +270,22 @@
     }
 
     pub fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    /// Replaces the configuration, and says so.
+    pub fn reload(&self, text: &str) {
+        std::fs::write(self.folder.path().join("config.json"), text).expect("a file");
+        self.signal("-HUP");
+    }
+
+    fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
-        assert!(Command::new("kill").args(["-TERM", &pid]).status().expect("kill").success());
+        assert!(Command::new("kill").args([name, &pid]).status().expect("kill").success());
+    }
+
+    pub fn config(&self) -> String {
+        std::fs::read_to_string(self.folder.path().join("config.json")).expect("a file")
     }
 
     pub fn exit(&mut self) -> bool {
