Clients: places by age, bounded reading, nothing taken on that must not be

At fault: one header time-out of 60 s for idle and half heads, and no accept while full. hyper drops Content-Length beside Transfer-Encoding from what it shows (h1/role.rs), in either order.

--- a/src/bin/notchpoint/calls.rs
+++ b/src/bin/notchpoint/calls.rs
@@ -25,6 +25,8 @@
 /// An idle connection is dropped after this share of the time after which its endpoint may close it: the
 /// rest covers the way there, so that no request meets a closing connection.
 const IDLE_SHARE: f64 = 0.8;
+/// A destination whose last endpoint left the list is known for so long: a replacement may be under way.
+const LATELY: Duration = Duration::from_secs(60);
 const SWEEP: Duration = Duration::from_millis(500);
 /// How long a connection may take to be ready for the next call before it is let go.
 const SETTLE: Duration = Duration::from_millis(20);
@@ -100,6 +102,8 @@
 }
 
 impl Observer for Rc<Progress> {
+    fn read(&self, _: &[u8]) {}
+
     fn wrote(&self, mut bytes: &[u8]) {
         while self.head.get() < 4 {
             let Some((&b, rest)) = bytes.split_first() else { return };
@@ -145,6 +149,8 @@
 
 pub struct Calls {
     targets: RefCell<HashMap<EndpointId, Target>>,
+    /// The destinations that the list names, or, until then, has named.
+    named: RefCell<HashMap<DestinationId, Option<Instant>>>,
     pool: RefCell<HashMap<EndpointId, Vec<Idle>>>,
     waits: RefCell<HashMap<Route, Instant>>,
     cancels: RefCell<HashMap<AttemptId, UnboundedSender<AttemptId>>>,
@@ -163,6 +169,7 @@
         let set = &config.settings;
         let calls = Rc::new(Self {
             targets: RefCell::default(),
+            named: RefCell::default(),
             pool: RefCell::default(),
             waits: RefCell::default(),
             cancels: RefCell::default(),
@@ -204,6 +211,15 @@
         if old.map(|t| (t.address, t.live)) != target.map(|t| (t.address, t.live)) {
             self.close_idle(id);
         }
+        let left = old.filter(|o| self.targets.borrow().values().all(|t| t.dest != o.dest));
+        let mut named = self.named.borrow_mut();
+        named.extend(left.map(|o| (o.dest, Some(Instant::now() + LATELY))));
+        named.extend(target.map(|t| (t.dest, None)));
+    }
+
+    /// The list names this destination, or did lately.
+    pub fn knows(&self, dest: DestinationId) -> bool {
+        self.named.borrow().contains_key(&dest)
     }
 
     /// Messages in one call to an endpoint at most.
@@ -226,6 +242,7 @@
         });
         let now = Instant::now();
         self.waits.borrow_mut().retain(|_, until| *until > now);
+        self.named.borrow_mut().retain(|_, until| until.is_none_or(|t| t > now));
     }
 
     fn fresh(&self, idle: &Idle) -> bool {
@@ -415,7 +432,7 @@
 
     async fn connect(&self, address: SocketAddr) -> Result<Connection, ()> {
         let stream = timeout(self.connect_timeout, TcpStream::connect(address)).await;
-        let stream = stream.map_err(drop)?.map_err(drop)?;
+        let stream = Rc::new(stream.map_err(drop)?.map_err(drop)?);
         stream.set_nodelay(true).map_err(drop)?;
         let progress = Rc::new(Progress::default());
         let (sender, driver) =
--- a/src/bin/notchpoint/io.rs
+++ b/src/bin/notchpoint/io.rs
@@ -1,13 +1,22 @@
-//! A socket that tells what passes out of it: what a peer can have heard decides what may be done next.
+//! A socket that tells what passes on it: what a peer can have heard, and what it has said, decide what may be
+//! done next.
 
 use hyper::rt::{Read, ReadBufCursor, Write};
-use hyper_util::rt::TokioIo;
-use std::io;
+use socket2::SockRef;
+use std::io::{self, ErrorKind};
+use std::mem::MaybeUninit;
+use std::net::Shutdown;
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::rc::Rc;
+use std::task::{Context, Poll, ready};
 use tokio::net::TcpStream;
 
+/// Read at a time: far more than a usual request or answer, and little enough to lie on the stack.
+const BLOCK: usize = 4 << 10;
+
 pub trait Observer {
+    /// These bytes came from the peer, and are handed on.
+    fn read(&self, bytes: &[u8]);
     /// These bytes were handed to the system.
     fn wrote(&self, bytes: &[u8]);
     /// Nothing is left unwritten.
@@ -15,44 +24,68 @@
 }
 
 pub struct Observed<O> {
-    inner: TokioIo<TcpStream>,
+    stream: Rc<TcpStream>,
     observer: O,
 }
 
 impl<O> Observed<O> {
-    pub fn new(stream: TcpStream, observer: O) -> Self {
-        Self { inner: TokioIo::new(stream), observer }
+    pub fn new(stream: Rc<TcpStream>, observer: O) -> Self {
+        Self { stream, observer }
     }
 }
 
-impl<O: Unpin> Read for Observed<O> {
+/// Whether the peer has said nothing that was not read yet, its end included. It asks the system itself: what
+/// the runtime knows of a socket is as old as its last look.
+pub fn is_quiet(stream: &TcpStream) -> bool {
+    let peeked = SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]);
+    peeked.is_err_and(|e| e.kind() == ErrorKind::WouldBlock)
+}
+
+/// Runs an operation of the system until it is done or the socket is not ready for it.
+fn attempt<T>(
+    cx: &mut Context<'_>,
+    ready: impl Fn(&mut Context<'_>) -> Poll<io::Result<()>>,
+    mut run: impl FnMut() -> io::Result<T>,
+) -> Poll<io::Result<T>> {
+    loop {
+        ready!(ready(cx))?;
+        match run() {
+            Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+            done => return Poll::Ready(done),
+        }
+    }
+}
+
+impl<O: Observer + Unpin> Read for Observed<O> {
     fn poll_read(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-        buf: ReadBufCursor<'_>,
+        mut buf: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_read(cx, buf)
+        let mut block = [0; BLOCK];
+        let room = BLOCK.min(buf.remaining());
+        let stream = &self.stream;
+        let n = ready!(attempt(cx, |cx| stream.poll_read_ready(cx), || stream.try_read(&mut block[..room])))?;
+        self.observer.read(&block[..n]);
+        buf.put_slice(&block[..n]);
+        Poll::Ready(Ok(()))
     }
 }
 
 impl<O: Observer + Unpin> Write for Observed<O> {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        let done = Pin::new(&mut self.inner).poll_write(cx, buf);
-        if let Poll::Ready(Ok(n)) = done {
-            self.observer.wrote(&buf[..n]);
-        }
-        done
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        let stream = &self.stream;
+        let n = ready!(attempt(cx, |cx| stream.poll_write_ready(cx), || stream.try_write(buf)))?;
+        self.observer.wrote(&buf[..n]);
+        Poll::Ready(Ok(n))
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let done = Pin::new(&mut self.inner).poll_flush(cx);
-        if let Poll::Ready(Ok(())) = done {
-            self.observer.flushed();
-        }
-        done
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.observer.flushed();
+        Poll::Ready(Ok(()))
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_shutdown(cx)
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(SockRef::from(&*self.stream).shutdown(Shutdown::Write))
     }
 }
--- a/src/bin/notchpoint/journal.rs
+++ b/src/bin/notchpoint/journal.rs
@@ -81,6 +81,8 @@
     /// A failed write left the file in doubt: it must be written anew before anything is added.
     broken: bool,
     open: BTreeMap<MessageId, Open>,
+    /// Messages without an end or a verdict.
+    held: usize,
 }
 
 impl Journal {
@@ -108,7 +110,9 @@
         let file = OpenOptions::new().create(true).append(true).open(folder.join(FILE))?;
         let weight = open.values().map(Open::weight).sum();
         let folder = folder.to_owned();
-        let mut journal = Self { folder, file, size: old.len() as u64, limit, weight, broken: false, open };
+        let held = open.values().filter(|m| m.verdict.is_none()).count();
+        let size = old.len() as u64;
+        let mut journal = Self { folder, file, size, limit, weight, broken: false, open, held };
         journal.replace()?;
         Ok(journal)
     }
@@ -123,7 +127,7 @@
 
     /// Messages without an end or a verdict.
     pub fn held(&self) -> usize {
-        self.open.values().filter(|m| m.verdict.is_none()).count()
+        self.held
     }
 
     /// Takes a message on. After an error nothing was taken on.
@@ -135,6 +139,7 @@
         }
         self.append(&taken(id, &message))?;
         self.weight += weight;
+        self.held += 1;
         self.open.insert(id, message);
         Ok(())
     }
@@ -163,13 +168,16 @@
     /// A verdict is written before its notice: from then on the client may hand the message in again.
     pub fn verdict(&mut self, id: MessageId, verdict: Verdict) {
         let Some(m) = self.open.get_mut(&id) else { return };
-        m.verdict = Some(verdict);
+        if m.verdict.replace(verdict).is_none() {
+            self.held -= 1;
+        }
         self.append_or_log(&judged(id, verdict));
     }
 
     pub fn end(&mut self, id: MessageId) {
         let Some(m) = self.open.remove(&id) else { return };
         self.weight -= m.weight();
+        self.held -= usize::from(m.verdict.is_none());
         self.append_or_log(&ended(id));
     }
 
--- a/src/bin/notchpoint/main.rs
+++ b/src/bin/notchpoint/main.rs
@@ -90,6 +90,9 @@
     };
     let mut node = Node::new(&config, parts)?;
     let inbound = Rc::new(Inbound {
+        places: inbound::places(&config),
+        most_reading: inbound::most_reading(&config),
+        reading: Cell::new(0),
         set: config.settings,
         names: config.names,
         journal,
@@ -101,8 +104,7 @@
     // What was left open is taken up: only now is the sender ready.
     let listener = TcpListener::bind(config.listen).await?;
     println!("listening on {}", listener.local_addr()?);
-    // Half of the descriptors for clients leaves enough for calls, idle connections and the rest.
-    tokio::task::spawn_local(inbound::serve(inbound.clone(), listener, (config.sockets / 2).max(1)));
+    tokio::task::spawn_local(inbound::serve(inbound.clone(), listener));
     tokio::select! {
         () = node.run() => {}
         _ = terminate.recv() => {}
--- a/tests/sockets/world.rs
+++ b/tests/sockets/world.rs
@@ -362,6 +362,19 @@
         self.ask(&format!("POST /{class}"), &headers, body)
     }
 
+    pub fn raw(&mut self, bytes: &[u8]) {
+        self.0.get_mut().write_all(bytes).expect("written");
+    }
+
+    /// What the other side says until it ends the connection.
+    pub fn until_end(&mut self) -> String {
+        let mut said = Vec::new();
+        if let Err(e) = self.0.read_to_end(&mut said) {
+            assert_ne!(e.kind(), std::io::ErrorKind::WouldBlock, "it never ended");
+        }
+        String::from_utf8_lossy(&said).into_owned()
+    }
+
     /// The other side has ended the connection.
     pub fn ended(&mut self) -> bool {
         self.0.read(&mut [0; 1]).is_ok_and(|n| n == 0)
