Answers: the first line settles a single call, any other answer counts only whole, nothing behind one is believed

Seen by reading and confirmed by tests that failed before: a 200 with a stalled or unreadable rest ended as a time-out or reset (calls.rs, exchange), a 503 with a broken body as never run, so that an unsafe message could run twice; bytes behind an answer were left to hyper's later look. A spoilt answer is an outcome of its own now, which cuts no window and opens no breaker. Connections are asked for unread bytes before each use; a reused one that closes before the request is written is replaced within the attempt. Unreadable members or lines no longer end the watch.

--- a/src/bin/notchpoint/calls.rs
+++ b/src/bin/notchpoint/calls.rs
@@ -1,21 +1,23 @@
 //! Connections and calls to endpoints: what a call came to, and whether it can have run.
 
 use crate::config::Config;
-use crate::io::{Observed, Observer};
+use crate::io::{Observed, Observer, is_quiet};
 use crate::journal::Journal;
 use crate::node::Input;
 use bytes::Bytes;
 use damsonspool::*;
 use http_body_util::{BodyExt, Full as Body, Limited};
+use hyper::body::{Body as _, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{CONNECTION, CONTENT_LENGTH, HOST, HeaderMap, RETRY_AFTER};
-use hyper::{Request, Response, StatusCode, body::Incoming};
+use hyper::{Request, Response, StatusCode};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep_until, timeout};
@@ -28,6 +30,13 @@
 /// A destination whose last endpoint left the list is known for so long: a replacement may be under way.
 const LATELY: Duration = Duration::from_secs(60);
 const SWEEP: Duration = Duration::from_millis(500);
+/// An answer comes in one piece. What is not there so long after its first byte, a lost packet's second try
+/// included, does not come.
+const WHOLE: Duration = Duration::from_millis(500);
+/// Where its first line has settled the call, the rest is only waited for to keep the connection.
+const REST: Duration = Duration::from_millis(50);
+/// hyper reads a head into this at most; one of an answer is a few hundred bytes.
+const BUFFER: usize = 16 << 10;
 /// How long a connection may take to be ready for the next call before it is let go.
 const SETTLE: Duration = Duration::from_millis(20);
 
@@ -82,27 +91,104 @@
     Each(HashMap<MessageId, End>),
 }
 
-/// How much of the present request has been written.
+/// What passes for the present request: how much of it has been written, and what came back.
 #[derive(Default)]
 struct Progress {
     /// How much of the blank line that ends the head was seen; 4 once it was.
     head: Cell<usize>,
     body_left: Cell<usize>,
+    came: RefCell<Came>,
+    /// Something came.
+    news: Notify,
+}
+
+/// What came back, read beside hyper: the first line counts also where hyper can make nothing of the rest.
+#[derive(Debug, Default)]
+struct Came {
+    /// When its first byte came.
+    since: Option<Instant>,
+    /// It came before the request's last byte was written, so it belongs to something else.
+    early: bool,
+    bytes: usize,
+    line: Vec<u8>,
+    status: Option<u16>,
+    /// Bytes in the line of the head that is being read, its end not counted.
+    column: usize,
+    /// Where its body begins.
+    head: Option<usize>,
+}
+
+/// `HTTP/1.1 200`, and a byte that ends the number.
+const LINE: usize = 13;
+
+impl Came {
+    fn take(&mut self, byte: u8) {
+        let end = byte == b'\n';
+        self.bytes += 1;
+        if self.head.is_some() || (self.line.is_empty() && matches!(byte, b'\r' | b'\n')) {
+            return;
+        }
+        if self.line.len() < LINE {
+            // A line that ends early stays short, and says nothing.
+            self.line.push(byte);
+            if self.line.len() == LINE || end {
+                self.status = read_line(&self.line);
+                self.line.resize(LINE, 0);
+            }
+        }
+        match (end, self.column) {
+            (true, 0) if self.status.is_some_and(|s| (100..200).contains(&s)) => *self = Self::default(),
+            (true, 0) => self.head = Some(self.bytes),
+            (true, _) => self.column = 0,
+            (false, _) => self.column += usize::from(byte != b'\r'),
+        }
+    }
+}
+
+/// The status, where a first line gives one.
+fn read_line(line: &[u8]) -> Option<u16> {
+    let (version, rest) = line.split_at_checked(9)?;
+    let (digits, end) = rest.split_at_checked(3)?;
+    let fits = version.starts_with(b"HTTP/1.") && version[7].is_ascii_digit() && version[8] == b' ';
+    let fits = fits && digits.iter().all(u8::is_ascii_digit) && !end.first()?.is_ascii_digit();
+    std::str::from_utf8(digits).ok()?.parse().ok().filter(|_| fits)
 }
 
 impl Progress {
     fn expect(&self, body: usize) {
         self.head.set(0);
         self.body_left.set(body);
+        self.came.take();
     }
 
     fn complete(&self) -> bool {
         self.head.get() == 4 && self.body_left.get() == 0
     }
+
+    fn says_ok(&self) -> bool {
+        let came = self.came.borrow();
+        came.status == Some(200) && !came.early && self.complete()
+    }
+
+    /// More came than an answer with a body of this length has.
+    fn has_more(&self, body: u64) -> bool {
+        let came = self.came.borrow();
+        came.head.is_none_or(|head| (came.bytes - head) as u64 > body)
+    }
 }
 
 impl Observer for Rc<Progress> {
-    fn read(&self, _: &[u8]) {}
+    fn read(&self, bytes: &[u8]) {
+        let complete = self.complete();
+        let mut came = self.came.borrow_mut();
+        for &byte in bytes {
+            if came.since.is_none() {
+                (came.since, came.early) = (Some(Instant::now()), !complete);
+            }
+            came.take(byte);
+        }
+        self.news.notify_one();
+    }
 
     fn wrote(&self, mut bytes: &[u8]) {
         while self.head.get() < 4 {
@@ -123,9 +209,16 @@
     sender: SendRequest<Body<Bytes>>,
     driver: Driver,
     progress: Rc<Progress>,
+    stream: Rc<TcpStream>,
+    address: SocketAddr,
 }
 
 impl Connection {
+    /// It may carry a call: it stands, and nothing has come on it that no call waits for.
+    fn is_fit(&self) -> bool {
+        self.sender.is_ready() && is_quiet(&self.stream)
+    }
+
     /// Ends the connection, and returns once it has ended: until then its call holds a slot over there.
     async fn close(mut self) {
         self.driver.0.abort();
@@ -287,6 +380,10 @@
         // Nothing of an earlier request counts: the progress is this one's once the connection is there.
         let progress: RefCell<Option<Rc<Progress>>> = RefCell::new(None);
         let written = || progress.borrow().as_ref().is_some_and(|p| p.complete());
+        let answered = || progress.borrow().as_ref().is_some_and(|p| p.came.borrow().since.is_some());
+        // A single message is delivered once the first line says so, whatever becomes of the rest.
+        let batch = waiting.borrow().len() > 1;
+        let settled = || !batch && progress.borrow().as_ref().is_some_and(|p| p.says_ok());
         let mut last = Vec::new();
         let answer = {
             let exchange = self.exchange(endpoint, started, &waiting, &connection, &progress);
@@ -298,12 +395,20 @@
                     biased;
                     answer = &mut exchange => break Some(answer),
                     Some(one) = cancelled.recv() => {
-                        let outcome = if written() { Outcome::Cancelled } else { Outcome::Moot };
+                        let outcome = match (settled(), written()) {
+                            (true, _) => Outcome::Served,
+                            (_, true) => Outcome::Cancelled,
+                            _ => Outcome::Moot,
+                        };
                         last = take(&waiting, |i| (i.id, i.attempt) == one);
                         outcome
                     }
                     () = sleep_until(next) => {
-                        let outcome = if written() { Outcome::TimedOut } else { Outcome::ConnectFailed };
+                        let outcome = match (settled(), written()) {
+                            (true, _) => Outcome::Served,
+                            (_, true) => Outcome::TimedOut,
+                            _ => Outcome::ConnectFailed,
+                        };
                         last = take(&waiting, |i| started + i.timeout <= next);
                         outcome
                     }
@@ -325,7 +430,9 @@
         for item in last {
             let end = match &answer {
                 Some(Ok(Answer::Alike(end))) => *end,
-                Some(Ok(Answer::Each(ends))) => ends.get(&item.id).copied().unwrap_or(Outcome::Failed.into()),
+                Some(Ok(Answer::Each(ends))) => ends.get(&item.id).copied().unwrap_or(Outcome::Spoilt.into()),
+                _ if settled() => Outcome::Served.into(),
+                _ if written() && answered() => Outcome::Spoilt.into(),
                 _ if written() => Outcome::Reset.into(),
                 _ => Outcome::ConnectFailed.into(),
             };
@@ -364,45 +471,79 @@
     ) -> Result<Answer, ()> {
         let moot = Ok(Answer::Alike(Outcome::Moot.into()));
         let Some(target) = self.target(endpoint) else { return moot };
-        let mut conn = match self.pooled(endpoint) {
-            Some(c) => c,
-            None => self.connect(target.address).await?,
-        };
-        // Connecting takes time: the list or a wait may have closed the door meanwhile, or messages be over.
-        if self.target(endpoint).is_none_or(|t| t.address != target.address) {
-            conn.close().await;
-            return moot;
+        let mut used = self.pooled(endpoint);
+        let mut recorded = false;
+        loop {
+            let reused = used.is_some();
+            let mut conn = match used.take() {
+                Some(c) => c,
+                None => self.connect(target.address).await?,
+            };
+            // Connecting takes time: the list or a wait may have closed the door meanwhile, or messages be over.
+            if self.target(endpoint).is_none_or(|t| t.address != target.address) {
+                conn.close().await;
+                return moot;
+            }
+            let gone = take(waiting, |i| {
+                let mut journal = self.journal.borrow_mut();
+                let open = journal.get(i.id).is_some_and(|m| m.verdict.is_none());
+                !open || (!recorded && journal.attempt(i.id, i.attempt, endpoint).is_err())
+            });
+            recorded = true;
+            gone.iter().for_each(|i| self.report(endpoint, i, Outcome::Moot.into()));
+            let sent = waiting.borrow().clone();
+            let Some(request) = request(target.address, &sent, started.elapsed(), &conn.progress) else {
+                self.release(endpoint, conn).await;
+                return moot;
+            };
+            let passed = conn.progress.clone();
+            *progress.borrow_mut() = Some(passed.clone());
+            let response = conn.sender.send_request(request);
+            *connection.borrow_mut() = Some(conn);
+            let answer = tokio::select! {
+                biased;
+                answer = read_answer(response, sent.len() > 1, &passed) => answer,
+                () = self.overdue(&sent, &passed) => Err(()),
+            };
+            match answer {
+                Ok((answer, keep)) => {
+                    let conn = connection.borrow_mut().take();
+                    if let Some(conn) = conn.filter(|_| keep) {
+                        self.release(endpoint, conn).await;
+                    }
+                    return Ok(answer);
+                }
+                // Closed in the very moment of its use: it says nothing of how a new connection would fare.
+                Err(()) if reused && !passed.complete() => {
+                    let old = connection.borrow_mut().take();
+                    if let Some(old) = old {
+                        old.close().await;
+                    }
+                }
+                Err(()) => return Err(()),
+            }
         }
-        let gone = take(waiting, |i| {
-            let mut journal = self.journal.borrow_mut();
-            let open = journal.get(i.id).is_some_and(|m| m.verdict.is_none());
-            !open || journal.attempt(i.id, i.attempt, endpoint).is_err()
-        });
-        gone.iter().for_each(|i| self.report(endpoint, i, Outcome::Moot.into()));
-        let sent = waiting.borrow().clone();
-        let Some(request) = request(target.address, &sent, started.elapsed(), &conn.progress) else {
-            self.release(endpoint, conn).await;
-            return moot;
-        };
-        *progress.borrow_mut() = Some(conn.progress.clone());
-        let answer = conn.sender.send_request(request);
-        *connection.borrow_mut() = Some(conn);
-        let response = answer.await.map_err(drop)?;
-        let keep = !closes(&response);
-        let batch = sent.len() > 1 && response.status() == StatusCode::OK;
-        let (end, wait) = (read_status(&response), read_wait(response.headers()));
-        let body = Limited::new(response.into_body(), ANSWER).collect().await;
-        let keep = keep && body.is_ok();
-        let answer = match (batch, body) {
-            (false, _) => Answer::Alike(end),
-            (true, Ok(body)) => Answer::Each(read_batch(&body.to_bytes(), wait, end.allowance)),
-            (true, Err(_)) => return Err(()),
-        };
-        let conn = connection.borrow_mut().take();
-        if let Some(conn) = conn.filter(|_| keep) {
-            self.release(endpoint, conn).await;
+    }
+
+    /// Ends once no more of an answer that has begun is to be waited for. A message that its first line
+    /// settles is over from then on, also for the next process.
+    async fn overdue(&self, sent: &[Item], passed: &Progress) {
+        loop {
+            let since = passed.came.borrow().since;
+            let Some(since) = since else {
+                passed.news.notified().await;
+                continue;
+            };
+            let settled = passed.says_ok() && sent.len() == 1;
+            if settled {
+                sent.iter().for_each(|i| self.journal.borrow_mut().end(i.id));
+            }
+            let until = since + if settled { REST } else { WHOLE };
+            tokio::select! {
+                () = sleep_until(until) => return,
+                () = passed.news.notified() => {}
+            }
         }
-        Ok(answer)
     }
 
     /// The endpoint, where a call may begin now.
@@ -416,7 +557,7 @@
     fn pooled(&self, id: EndpointId) -> Option<Connection> {
         let mut pool = self.pool.borrow_mut();
         let idle = pool.get_mut(&id)?;
-        idle.retain(|i| self.fresh(i) && i.connection.sender.is_ready());
+        idle.retain(|i| self.fresh(i) && i.connection.is_fit());
         idle.pop().map(|i| i.connection)
     }
 
@@ -424,7 +565,9 @@
         let ready = timeout(SETTLE, connection.sender.ready()).await;
         let idle: usize = self.pool.borrow().values().map(Vec::len).sum();
         let room = idle < self.most_idle;
-        if !room || !matches!(ready, Ok(Ok(()))) || self.targets.borrow().get(&id).is_none_or(|t| !t.live) {
+        let wanted =
+            self.targets.borrow().get(&id).is_some_and(|t| t.live && t.address == connection.address);
+        if !room || !wanted || !matches!(ready, Ok(Ok(()))) || !connection.is_fit() {
             return connection.close().await;
         }
         self.pool.borrow_mut().entry(id).or_default().push(Idle { connection, since: Instant::now() });
@@ -435,11 +578,12 @@
         let stream = Rc::new(stream.map_err(drop)?.map_err(drop)?);
         stream.set_nodelay(true).map_err(drop)?;
         let progress = Rc::new(Progress::default());
-        let (sender, driver) =
-            http1::handshake(Observed::new(stream, progress.clone())).await.map_err(drop)?;
+        let observed = Observed::new(stream.clone(), progress.clone());
+        let made = http1::Builder::new().max_buf_size(BUFFER).handshake(observed).await;
+        let (sender, driver) = made.map_err(drop)?;
         // Its end shows at the sender.
         let driver = Driver(tokio::task::spawn_local(async move { drop(driver.await) }));
-        Ok(Connection { sender, driver, progress })
+        Ok(Connection { sender, driver, progress, stream, address })
     }
 }
 
@@ -473,6 +617,28 @@
     builder.header(CONTENT_LENGTH, body.len()).body(Body::new(body)).ok()
 }
 
+/// The answer, once it has come whole, and whether its connection may carry another call. An error is one that
+/// does not come, or cannot be read.
+async fn read_answer(
+    response: impl Future<Output = hyper::Result<Response<Incoming>>>,
+    batch: bool,
+    passed: &Progress,
+) -> Result<(Answer, bool), ()> {
+    let response = response.await.map_err(drop)?;
+    if passed.came.borrow().early {
+        // Nothing waited for it: it is left over from an earlier call, and what is said is not meant for this.
+        return Err(());
+    }
+    let keep = !closes(&response);
+    let each = batch && response.status() == StatusCode::OK;
+    let (end, wait) = (read_status(&response), read_wait(response.headers()));
+    let length = response.body().size_hint().exact();
+    let body = Limited::new(response.into_body(), ANSWER).collect().await.map_err(drop)?.to_bytes();
+    let keep = keep && !length.is_some_and(|n| passed.has_more(n));
+    let answer = if each { Answer::Each(read_batch(&body, wait, end.allowance)) } else { Answer::Alike(end) };
+    Ok((answer, keep))
+}
+
 fn closes(response: &Response<Incoming>) -> bool {
     let said = response.headers().get_all(CONNECTION).iter().filter_map(|v| v.to_str().ok());
     said.flat_map(|v| v.split(',')).any(|v| v.trim().eq_ignore_ascii_case("close"))
--- a/src/bin/notchpoint/discovery.rs
+++ b/src/bin/notchpoint/discovery.rs
@@ -25,14 +25,33 @@
 
 /// The list, or what changed in it.
 #[derive(Clone, Debug, Default, Deserialize)]
+#[serde(from = "Told")]
 pub struct Listing {
     pub revision: u64,
-    #[serde(default)]
     pub complete: bool,
-    #[serde(default)]
     pub members: Vec<Member>,
 }
 
+#[derive(Deserialize)]
+struct Told {
+    revision: u64,
+    #[serde(default)]
+    complete: bool,
+    #[serde(default)]
+    members: Vec<serde_json::Value>,
+}
+
+impl From<Told> for Listing {
+    /// Members that cannot be read are passed over. A list with some of them counts as incomplete: that a
+    /// member could not be read does not mean that it has gone.
+    fn from(told: Told) -> Self {
+        let all = told.members.len();
+        let read = |m| serde_json::from_value(m).inspect_err(|e| eprintln!("discovery: a member: {e}")).ok();
+        let members: Vec<Member> = told.members.into_iter().filter_map(read).collect();
+        Self { revision: told.revision, complete: told.complete && members.len() == all, members }
+    }
+}
+
 /// An endpoint's line.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Member {
@@ -119,9 +138,14 @@
             let line = line.trim_ascii();
             // Also an empty line answers the watch: nothing has changed.
             let empty = Listing { revision: revision.get(), ..Listing::default() };
-            let news: Listing = if line.is_empty() { empty } else { serde_json::from_slice(line)? };
-            revision.set(news.revision);
-            let _ = inputs.send(Input::Listed(news));
+            match if line.is_empty() { Ok(empty) } else { serde_json::from_slice::<Listing>(line) } {
+                Ok(news) => {
+                    revision.set(news.revision);
+                    let _ = inputs.send(Input::Listed(news));
+                }
+                // The lines after it may well be sound.
+                Err(why) => eprintln!("discovery: a line: {why}"),
+            }
         }
         if pending.len() > LONGEST {
             return Err("a line is too long".into());
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -3,7 +3,9 @@
 //! The ordinary path is one fractional AIMD window for each destination or route apart, after "Stop
 //! Hard-Coding Your Agent Concurrency: Let It Tune Itself From What It Observes". All else guards it.
 
-use crate::interface::Outcome::{Cancelled, ConnectFailed, Failed, Full, Moot, Reset, Served, TimedOut};
+use crate::interface::Outcome::{
+    Cancelled, ConnectFailed, Failed, Full, Moot, Reset, Served, Spoilt, TimedOut,
+};
 use crate::interface::*;
 use crate::note::{self, Word};
 use crate::state::*;
@@ -452,7 +454,7 @@
         let cut = congestion && !h.congested && !call.cut;
         h.congested |= congestion;
         call.cut |= cut;
-        if matches!(outcome, Failed | TimedOut | Reset | Cancelled) {
+        if matches!(outcome, Failed | Spoilt | TimedOut | Reset | Cancelled) {
             let ran = (call.sent, call.endpoint);
             h.ran = Some(h.ran.map_or(ran, |r| if r.0 <= ran.0 { r } else { ran }));
         }
@@ -566,7 +568,7 @@
                 let weak = r.fails >= FAILS_OPEN || !matches!(r.health, Health::Closed);
                 open = (bad && weak).then_some("calls fail");
             }
-            Cancelled | Moot => {}
+            Spoilt | Cancelled | Moot => {}
         }
         match (&mut r.health, open) {
             (Health::Open { failed, .. }, Some(_)) if !was_trial => *failed = true,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -208,6 +208,9 @@
     ConnectFailed,
     /// The connection broke; it may have run.
     Reset,
+    /// An answer that cannot be read, or does not come whole; it may have run. Unlike an error it tells nothing
+    /// of the destination's load or health.
+    Spoilt,
     /// Called off; it may have run.
     Cancelled,
     /// Never sent: no slot was free, its time was up, or it had no attempt left.
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -433,3 +433,100 @@
     assert_eq!(endpoint.call(0).header("x-request-id"), format!("{:016x}", 3));
     assert_eq!(endpoint.calls(), 1);
 }
+
+/// Hands a message in until its id is free: what had it before has ended.
+fn ends(node: &Node, class: &str, id: u64) {
+    until("its end", || node.hand_in(class, id, 9, LONG, b"").status() == 202);
+}
+
+#[test]
+fn a_first_line_with_200_delivers_whatever_follows_it() {
+    // The call has run and its end is known: taken for a time-out or a reset, an unsafe message was given up
+    // as failed, and a safe one sent twice.
+    for rest in [
+        "Content-Length: 50\r\n\r\nshort",
+        "Content-Length: -1\r\n\r\n",
+        "no colon\r\n\r\n",
+        "X-Endless: ",
+        "Content-Length: 3000000000\r\n\r\n",
+    ] {
+        for before in ["", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"] {
+            let text = format!("{before}HTTP/1.1 200 OK\r\n{rest}");
+            let (node, endpoint) = one("shop", move |_| Reply::Say(text.clone()));
+            for id in 0..3 {
+                assert_eq!(node.hand_in("payment", id, 3, LONG, b"").status(), 202);
+                // A connection with a spoilt answer on it carries no further call.
+                assert_eq!(endpoint.call(id as usize).connection, id as usize);
+                ends(&node, "payment", id);
+            }
+            assert!((0..3).all(|id| !node.platform.has_notice(id)), "{rest}");
+        }
+    }
+}
+
+#[test]
+fn any_other_answer_counts_only_if_it_comes_whole() {
+    // Guards against running an unsafe message twice: a refusal that is itself spoilt proves nothing.
+    for spoilt in [
+        "HTTP/1.1 503 Busy\r\nContent-Length: 50\r\n\r\nshort",
+        "HTTP/1.1 429 Wait\r\nno colon\r\n\r\n",
+        "HTTP/1.1 504 Late\r\nContent-Length: x\r\n\r\n",
+        "HTTP/1.1 410 Gone\r\nX-Endless: ",
+        "HTTP/1.1 2",
+        "\u{1}\u{2} noise\r\n\r\n",
+    ] {
+        let mut first = true;
+        let (node, endpoint) = one("shop", move |r| {
+            let again = r.body == b"again" && !std::mem::take(&mut first);
+            if again { ok() } else { Reply::Say(spoilt.to_owned()) }
+        });
+        assert_eq!(node.hand_in("payment", 1, 3, LONG, b"").status(), 202);
+        assert!(node.platform.notice(1).contains("\"dead\""), "{spoilt}");
+        assert_eq!(endpoint.calls(), 1, "{spoilt}");
+        // What may be repeated goes again.
+        assert_eq!(node.hand_in("update", 2, 3, LONG, b"again").status(), 202);
+        assert_eq!(endpoint.call(2).header("x-request-id"), format!("{:016x}", 2));
+        ends(&node, "update", 2);
+    }
+}
+
+#[test]
+fn what_comes_behind_an_answer_is_nobodys_answer() {
+    // A second copy, at once or once the connection lies idle, would be taken for the next call's answer.
+    let fine = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    let chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n";
+    let copy = "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n";
+    for text in [fine, chunked] {
+        for late in [false, true] {
+            let (node, endpoint) = one("shop", move |r| match (r.body.is_empty(), late) {
+                (true, true) => Reply::Twice(text.to_owned(), copy.to_owned()),
+                (true, false) => Reply::Say(format!("{text}{copy}")),
+                (false, _) => ok(),
+            });
+            assert_eq!(node.hand_in("payment", 1, 3, LONG, b"").status(), 202);
+            endpoint.call(0);
+            until("the copy", || !late || *endpoint.late.lock().expect("sound") > 0);
+            ends(&node, "payment", 1);
+            assert_eq!(node.hand_in("payment", 2, 3, LONG, b"next").status(), 202);
+            assert_eq!(endpoint.call(1).connection, 1);
+            ends(&node, "payment", 2);
+            assert_eq!(endpoint.calls(), 2);
+        }
+    }
+}
+
+#[test]
+fn one_unreadable_line_or_member_does_not_end_the_watch() {
+    let (node, endpoint) = one("shop", |_| ok());
+    until("a watch", || !node.platform.watches.lock().expect("sound").is_empty());
+    let good = member("s-2", endpoint.address, "shop", 4, "up");
+    // Nothing of a complete list that cannot be read in full is taken to have gone.
+    let line = format!("{{\"revision\":43,\"complete\":true,\"members\":[{{\"id\":7}},{good}]}}");
+    for text in ["{\"revision\":", &line] {
+        node.platform.watches.lock().expect("sound").retain(|w| w.send(text.to_owned()).is_ok());
+    }
+    until("the news", || node.hand_in("update", 1, 4, LONG, b"").status() == 202);
+    assert_eq!(node.hand_in("update", 2, 3, LONG, b"").status(), 202);
+    endpoint.call(1);
+    assert_eq!(node.platform.watches.lock().expect("sound").len(), 1, "one watch, the first");
+}
--- a/tests/sockets/world.rs
+++ b/tests/sockets/world.rs
@@ -74,6 +74,8 @@
     Say(String),
     /// Says it and ends the connection.
     Last(String),
+    /// Says one thing, and another a little later.
+    Twice(String, String),
     /// Keeps silent, with the connection open.
     Hang,
     Cut,
@@ -86,6 +88,8 @@
     pub address: SocketAddr,
     pub heard: Log,
     pub closed: Arc<Mutex<usize>>,
+    /// How often something was said later.
+    pub late: Arc<Mutex<usize>>,
 }
 
 impl Endpoint {
@@ -95,11 +99,13 @@
 
     pub fn on(listener: TcpListener, does: impl FnMut(&Heard) -> Reply + Send + 'static) -> Self {
         let address = listener.local_addr().expect("an address");
-        let (heard, closed) = (Log::default(), Arc::<Mutex<usize>>::default());
+        let (heard, closed, late) = (Log::default(), Arc::<Mutex<usize>>::default(), Arc::default());
         let (log, ends, does) = (heard.clone(), closed.clone(), Arc::new(Mutex::new(does)));
+        let told_late: Arc<Mutex<usize>> = Arc::clone(&late);
         thread::spawn(move || {
             for (number, stream) in listener.incoming().enumerate() {
                 let (log, ends, does) = (log.clone(), ends.clone(), does.clone());
+                let late = told_late.clone();
                 thread::spawn(move || {
                     let Ok(stream) = stream else { return };
                     let mut reader = BufReader::new(&stream);
@@ -108,6 +114,13 @@
                         let reply = (does.lock().expect("sound"))(&request);
                         let said = match &reply {
                             Reply::Say(text) | Reply::Last(text) => (&stream).write_all(text.as_bytes()),
+                            Reply::Twice(first, later) => {
+                                let said = (&stream).write_all(first.as_bytes());
+                                thread::sleep(Duration::from_millis(50));
+                                let said = said.and_then(|()| (&stream).write_all(later.as_bytes()));
+                                *late.lock().expect("sound") += 1;
+                                said
+                            }
                             Reply::Hang => continue,
                             Reply::Cut => break,
                         };
@@ -120,7 +133,7 @@
                 });
             }
         });
-        Self { address, heard, closed }
+        Self { address, heard, closed, late }
     }
 
     pub fn calls(&self) -> usize {
--- a/tests/window.rs
+++ b/tests/window.rs
@@ -78,6 +78,18 @@
     assert_eq!(rig.out.len(), 4);
 }
 
+#[test]
+fn spoilt_answers_leave_it_and_open_no_breaker() {
+    // Guards against taking answers that cannot be read for a sign of load or of an outage: the calls ran.
+    let mut rig = rig_with_backlog(16);
+    rig.serve(6);
+    for _ in 0..8 {
+        let id = rig.out[0].id;
+        rig.end(id, Outcome::Spoilt);
+        assert_eq!(rig.out.len(), 4);
+    }
+}
+
 #[test]
 fn little_allowance_left_holds_growth_unless_there_is_no_limit() {
     for (limit, calls) in [(5.0, 1), (0.0, 3)] {
