--- a/src/choice.rs
+++ b/src/choice.rs
@@ -451,7 +451,8 @@
         let Some(call) = self.calls.get_mut(&call_id) else { return };
         h.out -= 1;
         let congestion = matches!(outcome, Full { .. } | TimedOut | Reset | ConnectFailed);
-        let cut = congestion && !h.congested && !call.cut;
+        // Overload would have held back also what was sent later.
+        let cut = congestion && !h.congested && !call.cut && !call.lost;
         h.congested |= congestion;
         call.cut |= cut;
         if matches!(outcome, Failed | Spoilt | TimedOut | Reset | Cancelled) {
@@ -471,9 +472,14 @@
         call.open -= 1;
         if call.open == 0 {
             self.calls.remove(&call_id);
-            self.routes.entry(ended.route).and_modify(|r| r.out -= 1);
+            self.routes.entry(ended.route).and_modify(|r| {
+                (r.out, r.lost) = (r.out - 1, r.lost - u32::from(ended.lost));
+            });
             if let Some(e) = self.endpoints.get_mut(&ended.endpoint) {
                 e.out -= 1;
+                if matches!(outcome, Served | Failed | Full { .. } | Spoilt) {
+                    e.answered = now;
+                }
                 // Turned away at the door at once: maybe a full table; served soon after: surely, no outage.
                 room = outcome == Served && e.no_room > 0 && now < e.no_room + OUTAGE_LEAST;
                 if outcome == ConnectFailed && now - ended.sent < self.set.connect_timeout / 4 {
@@ -657,6 +663,19 @@
         let mut silent = Vec::new();
         for (&id, c) in &mut self.calls {
             let Some(r) = self.routes.get_mut(&c.route) else { continue };
+            if self.now >= c.overdue && r.last_ok > c.sent && !c.lost {
+                // What was sent later was served: it is the connection that fell silent, or a slow message.
+                // It is waited for, but holds no place in the window, which one such call could fill for as
+                // long as its message lives. Its endpoint is passed over unless that has answered since.
+                (c.lost, r.lost) = (true, r.lost + 1);
+                let alone = self.dests.get(&c.route.0).is_none_or(|d| d.apart || d.endpoints.len() < 2);
+                if let Some(e) =
+                    self.endpoints.get_mut(&c.endpoint).filter(|e| e.answered <= c.sent && !alone)
+                {
+                    e.fail(None, self.now, 1);
+                }
+                continue;
+            }
             if self.now >= c.overdue && (IDLE_DOUBT..FAR).contains(&c.idle) {
                 // Idle connections may be dropped unseen: the connection is blamed first, and those idle as
                 // long are closed. A hung destination shows by the next call, on a fresh connection.
@@ -749,7 +768,7 @@
             return (trial.is_none() && ready && self.now >= *until).then_some(true);
         }
         let limit = if r.fails > 0 { 1 } else { r.window as u32 };
-        (ready && r.out < limit).then_some(false)
+        (ready && r.out - r.lost < limit).then_some(false)
     }
 
     fn candidate(
--- a/src/state.rs
+++ b/src/state.rs
@@ -42,6 +42,8 @@
     pub judged: bool,
     pub cut: bool,
     pub called_off: bool,
+    /// Overdue, and overtaken by calls sent later: its connection is to blame.
+    pub lost: bool,
 }
 
 #[derive(Default)]
@@ -83,6 +85,8 @@
     pub heard: Option<(u32, Micros)>,
     pub told: Micros,
     pub out: u32,
+    /// Calls among them whose answers are lost.
+    pub lost: u32,
 }
 
 #[derive(Default)]
@@ -96,6 +100,8 @@
     /// When it was last sent to, how long after the time before, and when it refused a connect at once.
     pub used: Micros,
     pub gap: Micros,
+    /// When it last answered, whatever it said.
+    pub answered: Micros,
     pub no_room: Micros,
     /// Failures with nothing served since, and a rest: for one class (plain errors), or for all.
     pub rests: BTreeMap<Option<usize>, (u32, Micros)>,
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -277,3 +277,39 @@
     again.feed(&[Event::Ended { id, attempt, outcome, over: false, allowance: None }]);
     assert_eq!(again.out.len(), 1);
 }
+
+#[test]
+fn a_call_that_later_ones_overtook_holds_no_place_in_the_window() {
+    // One connection that fell silent under an unsafe message, which is waited for as long as it lives, would
+    // fill a small window and hold a healthy destination back until then. It is no overload either.
+    let mut rig = Rig::new(settings(), 0, 1);
+    rig.many(2);
+    rig.serve(2);
+    let lost = rig.take(UNSAFE);
+    rig.many(60);
+    for _ in 0..10 {
+        rig.pass(100 * MS);
+        let id = rig.out.iter().find(|o| o.id != lost).expect("another is out").id;
+        rig.end(id, Outcome::Served);
+    }
+    assert_eq!(rig.out.len(), 1 + 7, "a window of seven, and the one that is lost");
+    rig.end(lost, Outcome::TimedOut);
+    assert_eq!(rig.out.len(), 7);
+}
+
+#[test]
+fn an_endpoint_that_lost_a_call_is_passed_over_until_it_answers() {
+    // Guards against feeding a hung endpoint, call by call, while its neighbour's answers keep the route open.
+    let mut rig = Rig::new(settings(), 0, 2);
+    rig.many(60);
+    let hung = rig.out[0].endpoint;
+    for _ in 0..100 {
+        rig.pass(50 * MS);
+        for o in rig.out.clone().iter().filter(|o| o.endpoint != hung) {
+            rig.end(o.id, Outcome::Served);
+        }
+        rig.many(12);
+    }
+    let there = rig.out.iter().filter(|o| o.endpoint == hung).count();
+    assert!(there <= 4, "{there} of {} calls hang", rig.out.len());
+}
--- a/tests/window.rs
+++ b/tests/window.rs
@@ -46,8 +46,12 @@
     assert_eq!(rig.out.len(), 7, "cuts stop no running call");
     rig.serve(10);
     assert_eq!(rig.out.len(), 4, "no growth within the cooldown");
-    rig.pass(8 * SEC);
-    rig.serve(2);
+    for _ in 0..17 {
+        rig.many(4);
+        rig.serve(4);
+        assert_eq!(rig.out.len(), 4, "no growth within the cooldown");
+    }
+    rig.serve(3);
     assert_eq!(rig.out.len(), 5);
 }
 
