--- a/src/bin/notchpoint/calls.rs
+++ b/src/bin/notchpoint/calls.rs
@@ -479,7 +479,8 @@
                 Some(c) => c,
                 None => self.connect(target.address).await?,
             };
-            // Connecting takes time: the list or a wait may have closed the door meanwhile, or messages be over.
+            // Connecting takes time: the list or a wait may have closed the door meanwhile, or messages be
+            // over.
             if self.target(endpoint).is_none_or(|t| t.address != target.address) {
                 conn.close().await;
                 return moot;
@@ -617,8 +618,8 @@
     builder.header(CONTENT_LENGTH, body.len()).body(Body::new(body)).ok()
 }
 
-/// The answer, once it has come whole, and whether its connection may carry another call. An error is one that
-/// does not come, or cannot be read.
+/// The answer, once it has come whole, and whether its connection may carry another call. An error is one
+/// that does not come, or cannot be read.
 async fn read_answer(
     response: impl Future<Output = hyper::Result<Response<Incoming>>>,
     batch: bool,
@@ -626,7 +627,8 @@
 ) -> Result<(Answer, bool), ()> {
     let response = response.await.map_err(drop)?;
     if passed.came.borrow().early {
-        // Nothing waited for it: it is left over from an earlier call, and what is said is not meant for this.
+        // Nothing waited for it: it is left over from an earlier call, and what is said is not meant for
+        // this.
         return Err(());
     }
     let keep = !closes(&response);
--- a/src/bin/notchpoint/inbound.rs
+++ b/src/bin/notchpoint/inbound.rs
@@ -35,7 +35,8 @@
 const FIRST: Duration = Duration::from_millis(2_500);
 /// Clients keep connections, so that the next message needs no new one; forgotten ones end after this.
 const IDLE: Duration = Duration::from_secs(10);
-/// Where all places are taken, a connection idle for so long gives up its own: nobody waits on it for an answer.
+/// Where all places are taken, a connection idle for so long gives up its own: nobody waits on it for an
+/// answer.
 const UNUSED: Duration = Duration::from_millis(500);
 /// How often it is looked for a place while there is none.
 const LOOK: Duration = Duration::from_millis(20);
--- a/src/bin/notchpoint/io.rs
+++ b/src/bin/notchpoint/io.rs
@@ -1,5 +1,5 @@
-//! A socket that tells what passes on it: what a peer can have heard, and what it has said, decide what may be
-//! done next.
+//! A socket that tells what passes on it: what a peer can have heard, and what it has said, decide what may
+//! be done next.
 
 use hyper::rt::{Read, ReadBufCursor, Write};
 use socket2::SockRef;
--- a/src/bin/notchpoint/main.rs
+++ b/src/bin/notchpoint/main.rs
@@ -125,8 +125,8 @@
     Ok(())
 }
 
-/// On SIGHUP the configuration is read anew and what may change while the process runs is taken from it: where
-/// discovery is. One that cannot be read changes nothing.
+/// On SIGHUP the configuration is read anew and what may change while the process runs is taken from it:
+/// where discovery is. One that cannot be read changes nothing.
 async fn reload(mut hangup: Signal, path: PathBuf, discovery: Rc<Discovery>, reports: Rc<Reports>) {
     while hangup.recv().await.is_some() {
         match read(&path) {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -208,8 +208,8 @@
     ConnectFailed,
     /// The connection broke; it may have run.
     Reset,
-    /// An answer that cannot be read, or does not come whole; it may have run. Unlike an error it tells nothing
-    /// of the destination's load or health.
+    /// An answer that cannot be read, or does not come whole; it may have run. Unlike an error it tells
+    /// nothing of the destination's load or health.
     Spoilt,
     /// Called off; it may have run.
     Cancelled,
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -299,7 +299,8 @@
 
 #[test]
 fn an_endpoint_that_lost_a_call_is_passed_over_until_it_answers() {
-    // Guards against feeding a hung endpoint, call by call, while its neighbour's answers keep the route open.
+    // Guards against feeding a hung endpoint, call by call, while its neighbour's answers keep the route
+    // open.
     let mut rig = Rig::new(settings(), 0, 2);
     rig.many(60);
     let hung = rig.out[0].endpoint;
@@ -316,8 +317,8 @@
 
 #[test]
 fn a_connection_found_dropped_teaches_how_long_they_live_and_nothing_else() {
-    // An endpoint that drops idle connections unseen resets the next call on one at once. Taken for trouble of
-    // the destination, two of them held it back; and call after call went on connections as old.
+    // An endpoint that drops idle connections unseen resets the next call on one at once. Taken for trouble
+    // of the destination, two of them held it back; and call after call went on connections as old.
     let mut rig = Rig::new(settings(), 0, 1);
     rig.many(3);
     rig.serve(3);
