--- a/src/choice.rs
+++ b/src/choice.rs
@@ -290,10 +290,19 @@
             let fresh = || Route { window: FLOOR, pace: 1.0, credit, ..Route::default() };
             self.routes.entry(route).or_insert_with(fresh);
         }
-        let known = &self.endpoints;
+        let (known, now) = (&self.endpoints, self.now);
+        // Destinations come and go: what is kept of one ends with its last endpoint and message.
+        let queued = &self.queued;
+        self.dests.retain(|id, d| {
+            !d.endpoints.is_empty() || !d.queue.is_empty() || queued.contains(id) || d.rate_at + FORGET > now
+        });
+        let dests = &self.dests;
         // A wait, and what is known of an outage, outlive a short absence from the list.
-        let recent = |r: &Route| r.last_ok.max(r.rest_until) + FORGET > self.now;
-        self.routes.retain(|(_, e), r| r.out > 0 || recent(r) || e.is_none_or(|e| known.contains_key(&e)));
+        let recent = |r: &Route| r.last_ok.max(r.rest_until) + FORGET > now;
+        self.routes.retain(|(d, e), r| {
+            let named = e.map_or_else(|| dests.contains_key(d), |e| known.contains_key(&e));
+            r.out > 0 || recent(r) || named
+        });
         if !matches!(news, ListNews::Restored(_)) {
             self.watch_at = Micros::MAX;
         }
@@ -518,10 +527,12 @@
         }
         let h = &self.held[&id];
         let again = self.may(h).0 && now < self.answer_by(h);
-        self.queued.insert(h.dest);
         match (over || outcome == Served || h.done, h.out, again) {
             (true, ..) => self.finish(id),
-            (_, 0, true) => self.dests.entry(h.dest).or_default().queue.push(id),
+            (_, 0, true) => {
+                self.queued.insert(h.dest);
+                self.dests.entry(h.dest).or_default().queue.push(id);
+            }
             (_, 0, false) => self.give_up(id),
             _ => {}
         }
@@ -943,3 +954,71 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn destinations_that_come_and_go_leave_nothing_behind() {
+        // Guards against memory that grows for as long as the process runs.
+        let kinds = vec![Kind { apart: false, bundle: 1 }, Kind { apart: true, bundle: 2 }];
+        let class = Class {
+            effect: Effect::Safe,
+            group: Group::All,
+            memory: 0,
+            wanted: SEC,
+            deadline: 6 * SEC,
+            worth: 1.0,
+            late_share: 0.0,
+            in_order: false,
+        };
+        let set = Settings {
+            slots: 4,
+            max_held: 9,
+            max_attempts: 8,
+            senders: 1,
+            zone: 0,
+            second_copies: false,
+            may_cancel: true,
+            may_probe: false,
+            may_note: false,
+            list: ListMode::Push,
+            classes: vec![class],
+            tenants: vec![],
+            over_share_worth: 1.0,
+            kinds,
+            fade: Fade::Even,
+            clients_mark: true,
+            start_share: 0.2,
+            cold: SEC,
+            fall_multiple: 2.0,
+            fall_after: SEC,
+            key_rest: 0,
+            connect_timeout: SEC,
+            conn_idle: SEC,
+            multiplex: 1,
+            tick: 5 * MS,
+            max_advice: SEC,
+        };
+        let mut sender = Sender::new(set, 1).expect("sound");
+        let (mut now, mut out) = (0, Vec::new());
+        for n in 0..200u64 {
+            now += SEC;
+            let (endpoint, dest) = (EndpointId(n), DestinationId(n));
+            let entry = Entry { endpoint, dest, zone: 0, kind: (n % 2) as u32, phase: Phase::Live };
+            let id = MessageId(n);
+            let message =
+                Message { id, class: 0, tenant: None, key: None, dest, again: false, expires_in: SEC };
+            let gone = Entry { phase: Phase::Gone, ..entry.clone() };
+            let list = |e| Event::List(ListNews::Changes(vec![e]));
+            sender.handle(now, &[list(entry), Event::Taken(message)], &mut out);
+            let ended = Event::Ended { id, attempt: 0, outcome: Served, over: true, allowance: None };
+            sender.handle(now + MS, &[ended, list(gone)], &mut out);
+        }
+        assert_eq!(out.iter().filter(|a| matches!(a, Action::Send { .. })).count(), 200);
+        let most = (FORGET / SEC) as usize + 2;
+        let kept = [sender.dests.len(), sender.routes.len(), sender.endpoints.len(), sender.held.len()];
+        assert!(kept.iter().all(|&n| n <= most), "{kept:?}");
+    }
+}
