Idle connections that give way end at once, after a last look for unread bytes

Found by reading: between the decision and the end a request could come in and be lost with its connection (inbound.rs, Seats::free). Unit test on the choice of who gives way.

--- a/src/bin/notchpoint/inbound.rs
+++ b/src/bin/notchpoint/inbound.rs
@@ -13,9 +13,11 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
+use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::convert::Infallible;
+use std::net::Shutdown;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -99,15 +101,13 @@
     stage: Cell<Stage>,
     /// Since when nothing was open on it, or a request is.
     since: Cell<Instant>,
-    /// Another needs the place.
-    evicted: Notify,
 }
 
 impl Seat {
     fn new(stream: Rc<TcpStream>) -> Self {
-        let (opened, evicted) = (Instant::now(), Notify::new());
+        let opened = Instant::now();
         let (asked, stage, since) = (Cell::new(false), Cell::new(Stage::Idle), Cell::new(opened));
-        Self { stream, opened, asked, stage, since, evicted }
+        Self { stream, opened, asked, stage, since }
     }
 
     fn enter(&self, stage: Stage) {
@@ -152,8 +152,9 @@
     /// with a request that is being read or answered never does.
     async fn free(&self, most: usize) {
         while self.taken.borrow().len() >= most {
-            if let Some((&number, seat)) = self.unused().as_ref().map(|(n, s)| (n, s)) {
-                seat.evicted.notify_one();
+            if let Some((number, seat)) = self.unused() {
+                // Ended here and now: between the look and the end nothing can come in.
+                let _ = SockRef::from(&*seat.stream).shutdown(Shutdown::Both);
                 self.taken.borrow_mut().remove(&number);
                 return;
             }
@@ -290,7 +291,6 @@
                 closing = true;
                 served.as_mut().graceful_shutdown();
             }
-            () = seat.evicted.notified() => return,
             // Dropping it ends the connection. What happened meanwhile may have moved the end.
             () = sleep_until(seat.ends_at()) => {
                 let due = seat.ends_at() <= Instant::now();
@@ -527,6 +527,37 @@
     use super::*;
     use tokio::sync::mpsc::unbounded_channel;
 
+    #[test]
+    fn a_place_is_taken_from_who_is_idle_longest_and_never_across_a_request() {
+        // Guards against ending a connection on which a request has come that was not read yet.
+        let local = tokio::task::LocalSet::new();
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        local.block_on(&runtime, async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+            let address = listener.local_addr().expect("an address");
+            let seats = Seats::default();
+            let mut clients = Vec::new();
+            let long_ago = Instant::now() - 3 * UNUSED;
+            for age in [0, 1, 2, 3] {
+                clients.push(TcpStream::connect(address).await.expect("a connection"));
+                let (stream, _) = listener.accept().await.expect("a connection");
+                let seat = Rc::new(Seat::new(Rc::new(stream)));
+                seat.since.set(long_ago + Duration::from_millis(age));
+                seats.take(&seat);
+            }
+            // The oldest has a request that was not read, the next one whose answer is under way.
+            clients[0].writable().await.expect("open");
+            clients[0].try_write(b"P").expect("written");
+            let first = seats.taken.borrow()[&0].clone();
+            first.stream.readable().await.expect("it comes");
+            seats.taken.borrow()[&1].stage.set(Stage::Answering);
+            seats.free(4).await;
+            assert_eq!(seats.taken.borrow().keys().copied().collect::<Vec<_>>(), [0, 1, 3]);
+            clients[2].readable().await.expect("its end");
+            assert_eq!(clients[2].try_read(&mut [0; 1]).expect("its end"), 0);
+        });
+    }
+
     #[test]
     fn a_message_counts_only_once_its_client_can_have_heard() {
         // Guards against sending what its client, gone before the answer, has handed in elsewhere by now.
