Workspace: packages by concern under crates/, the import circle through Input broken

Change: crates/policy (the decision module, package notchpoint-policy), crates/simhost (the simulator's adapter), crates/daemon (the program notchpoint). Nothing else changed.

--- a/src/bin/notchpoint/calls.rs
+++ b/crates/daemon/src/calls.rs
@@ -1,16 +1,16 @@
 //! Connections and calls to endpoints: what a call came to, and whether it can have run.
 
 use crate::config::Config;
+use crate::input::Input;
 use crate::io::{Observed, Observer, is_quiet};
 use crate::journal::Journal;
-use crate::node::Input;
 use bytes::Bytes;
-use damsonspool::*;
 use http_body_util::{BodyExt, Full as Body, Limited};
 use hyper::body::{Body as _, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{CONNECTION, CONTENT_LENGTH, HOST, HeaderMap, RETRY_AFTER};
 use hyper::{Request, Response, StatusCode};
+use notchpoint_policy::*;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
--- a/src/bin/notchpoint/config.rs
+++ b/crates/daemon/src/config.rs
@@ -1,8 +1,8 @@
 //! Reads `config.json` into what the program and the module need. Unknown keys are passed over, since
 //! settings may gain some; waits are rounded up, deadlines down.
 
-use crate::discovery::Listing;
-use damsonspool::*;
+use crate::listing::Listing;
+use notchpoint_policy::*;
 use serde::Deserialize;
 use std::fmt;
 use std::net::SocketAddr;
--- a/src/bin/notchpoint/inbound.rs
+++ b/crates/daemon/src/inbound.rs
@@ -2,17 +2,17 @@
 
 use crate::calls::Calls;
 use crate::config::{Config, Names};
+use crate::input::Input;
 use crate::io::{Observed, Observer, is_quiet};
 use crate::journal::{Journal, Open, unix_now};
-use crate::node::Input;
 use bytes::Bytes;
-use damsonspool::*;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
 use hyper::header::{ALLOW, CONNECTION, HeaderMap, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
+use notchpoint_policy::*;
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
--- /dev/null
+++ b/crates/daemon/src/input.rs
@@ -0,0 +1,16 @@
+//! What the parts of the program tell the node. It stands apart, so that no part imports the node.
+
+use crate::listing::Listing;
+use notchpoint_policy::{Event, Message};
+use tokio::time::Instant;
+
+/// One piece of news for the node.
+#[derive(Debug)]
+pub enum Input {
+    Event(Event),
+    /// A message was taken on, and its client can have heard it; the time left counts from then.
+    Taken(Message, Instant),
+    Listed(Listing),
+    /// The watch failed or ended.
+    Unlisted,
+}
--- a/src/bin/notchpoint/journal.rs
+++ b/crates/daemon/src/journal.rs
@@ -4,7 +4,7 @@
 //! A file is replaced by writing a new one and renaming it, so that both together stay under the disk limit.
 
 use bytes::Bytes;
-use damsonspool::{EndpointId, MessageId};
+use notchpoint_policy::{EndpointId, MessageId};
 use std::collections::BTreeMap;
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, Read, Write};
--- /dev/null
+++ b/crates/daemon/src/listing.rs
@@ -0,0 +1,54 @@
+//! The list of endpoints in discovery's form.
+
+use serde::Deserialize;
+use std::net::SocketAddr;
+
+/// The list, or what changed in it.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(from = "Told")]
+pub struct Listing {
+    pub revision: u64,
+    pub complete: bool,
+    pub members: Vec<Member>,
+}
+
+#[derive(Deserialize)]
+struct Told {
+    revision: u64,
+    #[serde(default)]
+    complete: bool,
+    #[serde(default)]
+    members: Vec<serde_json::Value>,
+}
+
+impl From<Told> for Listing {
+    /// Members that cannot be read are passed over. A list with some of them counts as incomplete: that a
+    /// member could not be read does not mean that it has gone.
+    fn from(told: Told) -> Self {
+        let all = told.members.len();
+        let read = |m| serde_json::from_value(m).inspect_err(|e| eprintln!("discovery: a member: {e}")).ok();
+        let members: Vec<Member> = told.members.into_iter().filter_map(read).collect();
+        Self { revision: told.revision, complete: told.complete && members.len() == all, members }
+    }
+}
+
+/// An endpoint's line.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Member {
+    pub id: String,
+    pub host_port: SocketAddr,
+    #[serde(default)]
+    pub locality: String,
+    #[serde(default)]
+    pub flavor: String,
+    pub cell: u64,
+    pub phase: State,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "lowercase")]
+pub enum State {
+    Up,
+    Draining,
+    Removed,
+}
--- a/src/bin/notchpoint/node.rs
+++ b/crates/daemon/src/node.rs
@@ -2,11 +2,13 @@
 
 use crate::calls::{Calls, Item, Target};
 use crate::config::{Config, Names};
-use crate::discovery::{Discovery, Listing, Member, State};
+use crate::discovery::Discovery;
+use crate::input::Input;
 use crate::journal::{Journal, Open, Verdict, unix_now};
+use crate::listing::{Listing, Member, State};
 use crate::peers::Peers;
 use crate::reports::Reports;
-use damsonspool::*;
+use notchpoint_policy::*;
 use std::cell::RefCell;
 use std::collections::{HashMap, HashSet};
 use std::future::pending;
@@ -18,17 +20,6 @@
 /// The module's clock starts here, so that no span looks back beyond its zero.
 const CLOCK_START: Micros = 100_000_000;
 
-/// What the parts of the program tell the node.
-#[derive(Debug)]
-pub enum Input {
-    Event(Event),
-    /// A message was taken on, and its client can have heard it; the time left counts from then.
-    Taken(Message, Instant),
-    Listed(Listing),
-    /// The watch failed or ended.
-    Unlisted,
-}
-
 pub struct Node {
     sender: Sender,
     names: Names,
--- a/src/bin/notchpoint/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -1,8 +1,8 @@
 //! Notes between senders, by UDP.
 
 use crate::config::Config;
-use crate::node::Input;
-use damsonspool::Event;
+use crate::input::Input;
+use notchpoint_policy::Event;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/src/bin/notchpoint/reports.rs
+++ b/crates/daemon/src/reports.rs
@@ -2,12 +2,12 @@
 
 use crate::journal::{Journal, Verdict};
 use bytes::Bytes;
-use damsonspool::MessageId;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::Request;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{CONTENT_TYPE, HOST};
 use hyper_util::rt::TokioIo;
+use notchpoint_policy::MessageId;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! What the tests share: settings, and a caller that feeds one sender and keeps what it did.
 #![allow(dead_code)]
 
-use damsonspool::*;
+use notchpoint_policy::*;
 
 pub const MS: Micros = 1_000;
 pub const SEC: Micros = 1_000_000;
--- a/tests/failures.rs
+++ b/crates/policy/tests/failures.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use damsonspool::*;
+use notchpoint_policy::*;
 
 /// A destination that has served some calls fast.
 fn warm(kind: u32, endpoints: u32) -> Rig {
--- a/tests/fleet.rs
+++ b/crates/policy/tests/fleet.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use damsonspool::*;
+use notchpoint_policy::*;
 
 fn thin(senders: u32) -> Settings {
     Settings { slots: 3, senders, fall_multiple: 2.0, cold: 10 * SEC, start_share: 0.2, ..settings() }
--- a/tests/property.rs
+++ b/crates/policy/tests/property.rs
@@ -3,7 +3,7 @@
 
 mod common;
 use common::{MS, SEC, entry, settings};
-use damsonspool::*;
+use notchpoint_policy::*;
 use proptest::prelude::*;
 use std::collections::{BTreeMap, BTreeSet};
 
--- a/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use damsonspool::*;
+use notchpoint_policy::*;
 
 #[test]
 fn every_message_is_answered_before_its_time_is_up() {
--- a/tests/window.rs
+++ b/crates/policy/tests/window.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use damsonspool::*;
+use notchpoint_policy::*;
 
 /// Window after so many served calls, with more waiting than it lets out.
 fn rig_with_backlog(slots: u32) -> Rig {
--- a/src/bin/damsonspool-simhost/host.rs
+++ b/crates/simhost/src/host.rs
@@ -1,7 +1,7 @@
 //! Hosts one sender for each instance and turns batches into turns. It decides nothing.
 
 use crate::wire::*;
-use damsonspool::*;
+use notchpoint_policy::*;
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
 
--- a/src/bin/damsonspool-simhost/main.rs
+++ b/crates/simhost/src/main.rs
@@ -1,4 +1,4 @@
-//! Runs damsonspool's senders on the simulator's wire: batches on standard input, replies on standard output.
+//! Runs senders on the simulator's wire: batches on standard input, replies on standard output.
 
 mod host;
 mod wire;
--- a/src/bin/damsonspool-simhost/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -1,6 +1,6 @@
 //! The simulator's wire: reading its lines, and writing replies. Waits are rounded up, deadlines down.
 
-use damsonspool::*;
+use notchpoint_policy::*;
 use std::collections::BTreeMap;
 
 /// Why a line could not be read.
