--- a/crates/daemon/src/calls.rs
+++ b/crates/daemon/src/calls.rs
@@ -324,6 +324,10 @@
         self.targets.borrow().keys().copied().collect()
     }
 
+    pub fn is_listed(&self, id: EndpointId) -> bool {
+        self.targets.borrow().contains_key(&id)
+    }
+
     pub fn close_idle(&self, id: EndpointId) {
         self.pool.borrow_mut().remove(&id);
     }
--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -30,6 +30,8 @@
 /// What the platform tells a sender.
 #[derive(Debug)]
 pub struct Config {
+    /// The sender's name.
+    pub name: String,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
     pub peer_listen: Option<SocketAddr>,
@@ -58,6 +60,8 @@
 
 #[derive(Deserialize)]
 struct File {
+    #[serde(default)]
+    name: String,
     listen: SocketAddr,
     discovery: SocketAddr,
     peer_listen: Option<SocketAddr>,
@@ -295,6 +299,7 @@
         zones: told.zones,
     };
     Ok(Config {
+        name: file.name,
         listen: file.listen,
         discovery: file.discovery,
         peer_listen: file.peer_listen,
--- /dev/null
+++ b/crates/daemon/src/flight.rs
@@ -0,0 +1,140 @@
+//! The flight recorder of this process: off, or beside the decisions.
+
+use crate::config::Config;
+use crate::journal::unix_now;
+use crate::operator::{self, Store};
+use notchpoint_policy::{Action, EndpointId, Event, Micros, Sender};
+use notchpoint_recorder::store::{Folder, Memory};
+use notchpoint_recorder::{Options, Recorder, recorder};
+use std::cell::{Cell, RefCell};
+use std::fs::{self, File};
+use std::io::{self, BufWriter, Write};
+use std::path::PathBuf;
+use std::rc::Rc;
+
+/// Dumps that are kept; the oldest gives way.
+const DUMPS: usize = 4;
+
+pub struct Flight {
+    recorder: RefCell<Option<Recorder>>,
+    folder: PathBuf,
+    dumps: Cell<u32>,
+}
+
+thread_local! {
+    /// What a panic of this thread leaves behind.
+    static AT_PANIC: RefCell<Option<Rc<Flight>>> = const { RefCell::new(None) };
+}
+
+impl Flight {
+    /// Begins to record if the operator wants it.
+    pub fn open(set: &operator::Recorder, config: &Config) -> Result<Rc<Self>, String> {
+        let folder = set.folder.clone().unwrap_or_default();
+        let flight = |recorder| {
+            Rc::new(Self { recorder: RefCell::new(recorder), folder: folder.clone(), dumps: Cell::new(0) })
+        };
+        let fail = |e: &dyn std::fmt::Display| format!("recorder: {}: {e}", folder.display());
+        let (store, there): (Box<dyn notchpoint_recorder::store::Store>, _) = match set.store {
+            Store::Off => return Ok(flight(None)),
+            Store::Memory => {
+                fs::create_dir_all(&folder).map_err(|e| fail(&e))?;
+                (Box::new(Memory::default()), Vec::new())
+            }
+            Store::Folder => {
+                let (store, there) = Folder::open(&folder).map_err(|e| fail(&e))?;
+                (Box::new(store), there)
+            }
+        };
+        let options = Options {
+            limit: set.limit(),
+            sender: config.name.clone(),
+            classes: config.names.classes.clone(),
+            settings: config.settings.clone(),
+            seed: config.seed,
+        };
+        let begun = Recorder::begin(options, store, &there, crate::node::CLOCK_START, unix_now());
+        let flight = flight(Some(begun.map_err(|e| fail(&e))?));
+        println!("{set}");
+        Ok(flight)
+    }
+
+    /// Records a turn. Where it is off this is one look at a flag.
+    pub fn turn(&self, at: Micros, events: &[Event], actions: &[Action], after: &Sender) {
+        let mut recorder = self.recorder.borrow_mut();
+        if let Some(r) = recorder.as_mut()
+            && let Err(why) = r.turn(at, unix_now(), events, actions, after)
+        {
+            self.stop(&mut recorder, &why);
+        }
+    }
+
+    /// What an endpoint is called.
+    pub fn name(&self, endpoint: EndpointId, name: &str) {
+        let mut recorder = self.recorder.borrow_mut();
+        if let Some(r) = recorder.as_mut()
+            && let Err(why) = r.name(endpoint, name)
+        {
+            self.stop(&mut recorder, &why);
+        }
+    }
+
+    /// The list has changed.
+    pub fn keep_names(&self, listed: impl Fn(EndpointId) -> bool) {
+        if let Some(r) = self.recorder.borrow_mut().as_mut() {
+            r.keep_names(listed);
+        }
+    }
+
+    /// The sender matters more than its recording: one that cannot be written ends, and is said to.
+    fn stop(&self, recorder: &mut Option<Recorder>, why: &recorder::Error) {
+        eprintln!("recorder: {}: {why}; recording ends", self.folder.display());
+        *recorder = None;
+    }
+
+    /// Writes all that is recorded to a file of its own; none where it is off.
+    pub fn dump(&self) -> io::Result<Option<PathBuf>> {
+        // A panic while a turn is recorded finds it in use; the whole records before it are in the store.
+        let Ok(recorder) = self.recorder.try_borrow() else { return Ok(None) };
+        let Some(recorder) = recorder.as_ref() else { return Ok(None) };
+        let mut old: Vec<PathBuf> = fs::read_dir(&self.folder)?.flatten().map(|e| e.path()).collect();
+        let dump = |p: &PathBuf| {
+            let name = p.file_name().and_then(|n| n.to_str()).unwrap_or_default();
+            name.starts_with("dump-") && name.ends_with(".nptrec")
+        };
+        old.retain(dump);
+        old.sort();
+        for path in old.iter().take((old.len() + 1).saturating_sub(DUMPS)) {
+            fs::remove_file(path)?;
+        }
+        self.dumps.set(self.dumps.get() + 1);
+        let path =
+            self.folder.join(format!("dump-{:016}-{:03}.nptrec", unix_now(), self.dumps.get() % 1_000));
+        let half = path.with_extension("half");
+        let written = File::create(&half).and_then(|file| {
+            let mut file = BufWriter::new(file);
+            recorder.dump(&mut file)?;
+            file.flush()?;
+            fs::rename(&half, &path)
+        });
+        written.inspect_err(|_| drop(fs::remove_file(&half)))?;
+        Ok(Some(path))
+    }
+
+    /// From now on a panic leaves a dump.
+    pub fn watch_panics(self: &Rc<Self>) {
+        if self.recorder.borrow().is_none() {
+            return;
+        }
+        AT_PANIC.with_borrow_mut(|f| *f = Some(self.clone()));
+        let before = std::panic::take_hook();
+        std::panic::set_hook(Box::new(move |panic| {
+            before(panic);
+            let flight = AT_PANIC.try_with(|f| f.try_borrow().ok().and_then(|f| f.clone())).ok().flatten();
+            match flight.map(|f| f.dump()) {
+                Some(Ok(Some(path))) => eprintln!("recording written to {}", path.display()),
+                Some(Err(why)) => eprintln!("the recording could not be written: {why}"),
+                _ => {}
+            }
+        }));
+    }
+}
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -3,6 +3,7 @@
 use crate::calls::{Calls, Item, Target};
 use crate::config::{Config, Names};
 use crate::discovery::Discovery;
+use crate::flight::Flight;
 use crate::input::Input;
 use crate::journal::{Journal, Open, Verdict, unix_now};
 use crate::listing::{Listing, Member, State};
@@ -18,7 +19,7 @@
 use tokio::time::{Instant, sleep_until};
 
 /// The module's clock starts here, so that no span looks back beyond its zero.
-const CLOCK_START: Micros = 100_000_000;
+pub const CLOCK_START: Micros = 100_000_000;
 
 pub struct Node {
     sender: Sender,
@@ -31,6 +32,7 @@
     reports: Rc<Reports>,
     discovery: Rc<Discovery>,
     peers: Option<Peers>,
+    flight: Rc<Flight>,
     inputs: UnboundedReceiver<Input>,
     /// The attempts made for each message that is open or has one out.
     attempts: HashMap<MessageId, Attempts>,
@@ -52,13 +54,14 @@
     pub reports: Rc<Reports>,
     pub discovery: Rc<Discovery>,
     pub peers: Option<Peers>,
+    pub flight: Rc<Flight>,
     pub inputs: UnboundedReceiver<Input>,
 }
 
 impl Node {
     /// A node that has the list known before, and all messages that an earlier process left open.
     pub fn new(config: &Config, parts: Parts) -> Result<Self, SettingsError> {
-        let Parts { journal, calls, reports, discovery, peers, inputs } = parts;
+        let Parts { journal, calls, reports, discovery, peers, flight, inputs } = parts;
         let mut node = Self {
             sender: Sender::new(config.settings.clone(), config.seed)?,
             names: config.names.clone(),
@@ -70,6 +73,7 @@
             reports,
             discovery,
             peers,
+            flight,
             inputs,
             attempts: HashMap::new(),
             wake: None,
@@ -196,7 +200,9 @@
             let (live, bundle) = (e.phase == Phase::Live, bundle as usize);
             let target = Target { address: m.host_port, dest: e.dest, live, apart, bundle };
             self.calls.list(e.endpoint, (e.phase != Phase::Gone).then_some(target));
+            self.flight.name(e.endpoint, &m.id);
         }
+        self.flight.keep_names(|id| self.calls.is_listed(id));
         entries
     }
 
@@ -219,7 +225,9 @@
         let mut actions = Vec::new();
         let events = std::mem::take(&mut self.events);
         self.last_turn = Some(Instant::now());
-        self.sender.handle(self.now(), &events, &mut actions);
+        let now = self.now();
+        self.sender.handle(now, &events, &mut actions);
+        self.flight.turn(now, &events, &actions, &self.sender);
         let mut loads: Vec<(EndpointId, Vec<Item>)> = Vec::new();
         for action in actions {
             match action {
--- a/crates/daemon/src/reports.rs
+++ b/crates/daemon/src/reports.rs
@@ -1,6 +1,7 @@
-//! Notices to the platform: sent at once, all that wait in one request, again until they are taken.
+//! Notices to the platform. When they are told is decided in `notices.rs`; here they are posted.
 
 use crate::journal::{Journal, Verdict};
+use crate::notices::{Notices, Start};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::Request;
@@ -9,43 +10,46 @@
 use hyper_util::rt::TokioIo;
 use notchpoint_policy::MessageId;
 use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::future::pending;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
-use tokio::time::{sleep, timeout};
+use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
+use tokio::task::AbortHandle;
+use tokio::time::{Instant, sleep_until, timeout};
 
-/// Notices are answered at once: a longer silence is a lost connection. It is believed for longer each time,
-/// so that a slow platform is not asked over and over.
-const ANSWER_FIRST: Duration = Duration::from_millis(200);
-const ANSWER_MOST: Duration = Duration::from_secs(2);
-const AGAIN_FIRST: Duration = Duration::from_millis(10);
-const AGAIN_MOST: Duration = Duration::from_millis(200);
-/// Notices in one request: it stays well under 64 KiB.
-const MOST: usize = 500;
+/// After so long a post has failed; what it tells was told again elsewhere long before.
+const PATIENCE: Duration = Duration::from_secs(2);
+/// A notice owed for longer than this is worth a line in the log: 300 ms are allowed.
+const LONG: Duration = Duration::from_millis(150);
 
 type Failure = Box<dyn std::error::Error>;
+type Connection = SendRequest<Full<Bytes>>;
 
 pub struct Reports {
     address: Cell<SocketAddr>,
     relocated: Notify,
-    waiting: RefCell<Vec<(MessageId, Verdict)>>,
+    notices: RefCell<Notices>,
     news: Notify,
     journal: Rc<RefCell<Journal>>,
+    started: Instant,
 }
 
 impl Reports {
     pub fn new(address: SocketAddr, journal: Rc<RefCell<Journal>>) -> Rc<Self> {
         let (address, relocated, news) = (Cell::new(address), Notify::new(), Notify::new());
-        let reports = Rc::new(Self { address, relocated, waiting: RefCell::default(), news, journal });
+        let (notices, started) = (RefCell::default(), Instant::now());
+        let reports = Rc::new(Self { address, relocated, notices, news, journal, started });
         let task = reports.clone();
         tokio::task::spawn_local(async move { task.run().await });
         reports
     }
 
     pub fn push(&self, id: MessageId, verdict: Verdict) {
-        self.waiting.borrow_mut().push((id, verdict));
+        self.notices.borrow_mut().push(id, verdict, self.started.elapsed());
         self.news.notify_one();
     }
 
@@ -58,68 +62,93 @@
 
     /// Nothing is left to be told.
     pub fn is_empty(&self) -> bool {
-        self.waiting.borrow().is_empty()
+        self.notices.borrow().is_empty()
     }
 
-    async fn run(&self) {
-        let mut connection = None;
-        let (mut again, mut patience) = (AGAIN_FIRST, ANSWER_FIRST);
+    async fn run(self: Rc<Self>) {
+        let (ended, mut ends) = unbounded_channel::<(u64, Result<Connection, String>)>();
+        let mut kept: Option<Connection> = None;
+        let mut posts: HashMap<u64, AbortHandle> = HashMap::new();
         loop {
-            let batch: Vec<_> = self.waiting.borrow().iter().take(MOST).copied().collect();
-            if batch.is_empty() {
-                tokio::select! {
-                    () = self.news.notified() => {}
-                    () = self.relocated.notified() => connection = None,
+            let start = self.notices.borrow_mut().start(self.started.elapsed());
+            if let Some(start) = start {
+                if let Some(old) = start.drop.and_then(|p| posts.remove(&p)) {
+                    old.abort();
                 }
+                let connection = if start.fresh { None } else { kept.take() };
+                let post = start.post;
+                let task = tokio::task::spawn_local(self.clone().tell(start, connection, ended.clone()));
+                posts.insert(post, task.abort_handle());
                 continue;
             }
-            let posted = tokio::select! {
-                posted = timeout(patience, self.post(&mut connection, &batch)) => posted,
-                () = self.relocated.notified() => {
-                    connection = None;
-                    (again, patience) = (AGAIN_FIRST, ANSWER_FIRST);
-                    continue;
+            let wake = self.notices.borrow().wake().map(|w| self.started + w);
+            let alarm = async {
+                match wake {
+                    Some(at) => sleep_until(at).await,
+                    None => pending().await,
                 }
             };
-            match posted {
-                Ok(Ok(())) => {
-                    (again, patience) = (AGAIN_FIRST, ANSWER_FIRST);
-                    self.waiting.borrow_mut().drain(..batch.len());
-                    let mut journal = self.journal.borrow_mut();
-                    batch.iter().for_each(|(id, _)| journal.end(*id));
+            tokio::select! {
+                () = self.news.notified() => {}
+                () = alarm => {}
+                () = self.relocated.notified() => {
+                    kept = None;
+                    for post in self.notices.borrow_mut().relocated(self.started.elapsed()) {
+                        posts.remove(&post).inspect(AbortHandle::abort);
+                    }
                 }
-                failed => {
-                    if let Ok(Err(why)) = failed {
-                        eprintln!("reports: {why}");
+                Some((post, result)) = ends.recv() => {
+                    if posts.remove(&post).is_none() {
+                        continue;
                     }
-                    connection = None;
-                    tokio::select! {
-                        () = sleep(again.mul_f64(0.5 + fastrand::f64())) => {}
-                        // The new place has not failed yet.
-                        () = self.relocated.notified() => {
-                            (again, patience) = (AGAIN_FIRST, ANSWER_FIRST);
-                            continue;
+                    let now = self.started.elapsed();
+                    let age = self.notices.borrow().age(now);
+                    match result {
+                        Ok(connection) => {
+                            kept = Some(connection);
+                            let told = self.notices.borrow_mut().answered(post, now);
+                            let mut journal = self.journal.borrow_mut();
+                            told.into_iter().for_each(|id| journal.end(id));
+                            if age > LONG {
+                                eprintln!("reports: a notice was told after {} ms", age.as_millis());
+                            }
+                        }
+                        Err(why) => {
+                            eprintln!("reports: {why}; the oldest notice waits for {} ms", age.as_millis());
+                            self.notices.borrow_mut().failed(post, now);
                         }
                     }
-                    (again, patience) = ((2 * again).min(AGAIN_MOST), (2 * patience).min(ANSWER_MOST));
                 }
             }
         }
     }
 
+    async fn tell(
+        self: Rc<Self>,
+        start: Start,
+        connection: Option<Connection>,
+        ended: UnboundedSender<(u64, Result<Connection, String>)>,
+    ) {
+        let posted = match timeout(PATIENCE, self.post(connection, &start.notices)).await {
+            Ok(posted) => posted.map_err(|e| e.to_string()),
+            Err(_) => Err(format!("no answer in {} ms", PATIENCE.as_millis())),
+        };
+        let _ = ended.send((start.post, posted));
+    }
+
     async fn post(
         &self,
-        connection: &mut Option<SendRequest<Full<Bytes>>>,
+        connection: Option<Connection>,
         batch: &[(MessageId, Verdict)],
-    ) -> Result<(), Failure> {
-        let sender = match connection.take() {
-            Some(c) if !c.is_closed() => connection.insert(c),
+    ) -> Result<Connection, Failure> {
+        let mut sender = match connection {
+            Some(c) if !c.is_closed() => c,
             _ => {
                 let stream = TcpStream::connect(self.address.get()).await?;
                 stream.set_nodelay(true)?;
                 let (sender, driver) = http1::handshake(TokioIo::new(stream)).await?;
                 tokio::task::spawn_local(driver);
-                connection.insert(sender)
+                sender
             }
         };
         sender.ready().await?;
@@ -131,7 +160,7 @@
         let response = sender.send_request(request).await?;
         let status = response.status();
         let _ = Limited::new(response.into_body(), 1 << 16).collect().await;
-        if status == 204 { Ok(()) } else { Err(format!("notices were answered {status}").into()) }
+        if status == 204 { Ok(sender) } else { Err(format!("notices were answered {status}").into()) }
     }
 }
 
--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -11,6 +11,10 @@
 use crate::state::*;
 use std::collections::{BTreeMap, BTreeSet};
 
+mod guard;
+mod slots;
+mod view;
+
 const MS: Micros = 1_000;
 const SEC: Micros = 1_000_000;
 /// Window: where it starts and its floor, what a served call adds, what congestion leaves of it.
@@ -52,6 +56,8 @@
 /// A call is overdue after so many times the estimate of the slowest usual answer, and this at least.
 const OVERDUE_TIMES: f64 = 2.0;
 const OVERDUE_LEAST: Micros = 500 * MS;
+/// It is late, and may be called off where its slot is worth more, after the estimate and this at least.
+const LATE_LEAST: Micros = 250 * MS;
 /// Time-outs in the same measure, for what may be repeated: after overdue, so that the breaker acts first.
 const TIMEOUT_TIMES: f64 = 3.0;
 /// An endpoint that failed is passed over for so long, doubling; by class after so many errors.
@@ -151,6 +157,22 @@
         METER * set.fall_multiple * (set.start_share + (1.0 - set.start_share) * warm.min(1.0))
     }
 
+    /// What a call takes.
+    fn took(&self) -> f64 {
+        if self.srtt > 0.0 { self.srtt } else { CALL_GUESS as f64 }
+    }
+
+    /// Credit that time brings, in calls a second.
+    fn refill(&self, set: &Settings, now: Micros, rate: f64) -> f64 {
+        (self.share(set, now) * rate).max(TRIALS_LEAST / f64::from(set.senders))
+    }
+
+    /// Calls that the window lets go. One whose answer is lost holds no place in it.
+    fn room(&self) -> usize {
+        let limit = if self.fails > 0 { 1 } else { self.window as u32 };
+        limit.saturating_sub(self.out - self.lost) as usize
+    }
+
     fn metered(&self) -> bool {
         self.pace < 1.0 || !matches!(self.health, Health::Closed)
     }
@@ -167,9 +189,9 @@
         if !self.metered() {
             return;
         }
-        let (dt, share) = (now.saturating_sub(self.credit_at) as f64 / SEC as f64, self.share(set, now));
-        let flow = (share * rate).max(TRIALS_LEAST / f64::from(set.senders));
-        (self.credit, self.credit_at) = ((self.credit + share * more + flow * dt).min(1.0), now);
+        let dt = now.saturating_sub(self.credit_at) as f64 / SEC as f64;
+        let more = self.share(set, now) * more + self.refill(set, now, rate) * dt;
+        (self.credit, self.credit_at) = ((self.credit + more).min(1.0), now);
         if matches!(self.health, Health::Ramp { since } if now >= since + set.cold) {
             self.health = Health::Closed;
         }
@@ -196,30 +218,6 @@
     }
 }
 
-/// One sender's decisions. It has no clock and does no I/O: see [`Sender::handle`].
-pub struct Sender {
-    set: Settings,
-    rng: fastrand::Rng,
-    now: Micros,
-    held: BTreeMap<MessageId, Held>,
-    live: usize,
-    calls: BTreeMap<u64, Call>,
-    next_call: u64,
-    routes: BTreeMap<RouteId, Route>,
-    endpoints: BTreeMap<EndpointId, Endpoint>,
-    dests: BTreeMap<DestinationId, Dest>,
-    queued: BTreeSet<DestinationId>,
-    keys: BTreeMap<Box<str>, Key>,
-    /// Connections idle for longer are not trusted, until then.
-    idle_safe: (Micros, Micros),
-    /// For each kind: until when connections are taken to be scarce there.
-    scarce: Vec<Micros>,
-    tenants: Vec<(f64, Micros)>,
-    out: Vec<Action>,
-    watch_at: Micros,
-    wake: Option<Micros>,
-}
-
 impl Sender {
     /// A sender with nothing held. Randomness comes from the seed alone.
     pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
@@ -242,6 +240,8 @@
             out: Vec::new(),
             watch_at: if settings.list == ListMode::Ask { 0 } else { Micros::MAX },
             wake: None,
+            late: Late::default(),
+            passed: BTreeSet::new(),
             set: settings,
         })
     }
@@ -250,6 +250,7 @@
     pub fn handle(&mut self, now: Micros, events: &[Event], out: &mut Vec<Action>) {
         self.now = now.clamp(self.now, FAR);
         self.wake = self.wake.filter(|&w| w > self.now);
+        self.passed.clear();
         for e in events {
             match e {
                 Event::Taken(m) => self.taken(m, 0, None),
@@ -269,6 +270,7 @@
         }
         self.expire();
         self.find_silent();
+        self.age();
         self.free_slots();
         self.dispatch();
         self.plan_wake();
@@ -493,7 +495,9 @@
         call.open -= 1;
         if call.open == 0 {
             self.calls.remove(&call_id);
+            self.late.end(&ended, outcome);
             self.routes.entry(ended.route).and_modify(|r| {
+                r.late.end(&ended, outcome);
                 (r.out, r.lost) = (r.out - 1, r.lost - u32::from(ended.lost));
             });
             if let Some(e) = self.endpoints.get_mut(&ended.endpoint) {
@@ -553,12 +557,13 @@
         let was_trial = matches!(r.health, Health::Open { trial: Some(t), .. } if t == id);
         let was_open = matches!(r.health, Health::Open { .. });
         if call.cut {
-            (r.window, r.last_cut) = ((r.window * CUT).max(FLOOR), Some(now));
+            (r.window, r.last_cut, r.cut_by) = ((r.window * CUT).max(FLOOR), Some(now), Some(outcome));
         }
         let resting = now < r.rest_until;
         // Every message of a bundle may bring a wait, also behind one that timed out earlier.
         if let Full { wait: Some(w) } = outcome {
             r.rest_until = r.rest_until.max(now + w.min(FAR) + rest / 4);
+            r.told_until = r.rest_until;
         }
         if call.judged {
             return;
@@ -691,6 +696,7 @@
                 // It is waited for, but holds no place in the window, which one such call could fill for as
                 // long as its message lives. Its endpoint is passed over unless that has answered since.
                 (c.lost, r.lost) = (true, r.lost + 1);
+                [&mut self.late, &mut r.late].into_iter().for_each(|l| l.lose(c.stage));
                 let alone = self.dests.get(&c.route.0).is_none_or(|d| d.apart || d.endpoints.len() < 2);
                 if let Some(e) =
                     self.endpoints.get_mut(&c.endpoint).filter(|e| e.answered <= c.sent && !alone)
@@ -722,36 +728,6 @@
         silent.into_iter().for_each(|route| self.tell(route, Word::Down));
     }
 
-    /// Short of slots with messages waiting: calls off what has been overdue longest. It guards
-    /// against hangs and lost answers that fill all slots with calls whose effect no early time-out may risk;
-    /// it costs the unsafe ones among them, so only slots that are needed are freed.
-    fn free_slots(&mut self) {
-        let waiting = self.waiting().next().is_some();
-        let gone = self.calls.values().filter(|c| c.called_off).count();
-        let free = (self.set.slots as usize + gone).saturating_sub(self.calls.len());
-        let need = (self.set.slots as usize / 4).max(1);
-        if !waiting || !self.set.may_cancel || free >= need {
-            return;
-        }
-        let mut late: Vec<(Effect, u64, MessageId, u32)> = Vec::new();
-        for (&id, h) in &self.held {
-            for (call, n) in h.attempts.iter().zip(0..) {
-                let Some(c) = self.calls.get(call).filter(|c| self.now >= c.overdue && !c.called_off) else {
-                    continue;
-                };
-                if !matches!(self.routes[&c.route].health, Health::Open { trial: Some(t), .. } if t == *call)
-                {
-                    late.push((self.set.classes[h.class].effect, *call, id, n));
-                }
-            }
-        }
-        late.sort_unstable();
-        for (_, call, id, attempt) in late.into_iter().take(need - free) {
-            self.out.push(Action::Cancel { id, attempt });
-            self.calls.entry(call).and_modify(|c| c.called_off = true);
-        }
-    }
-
     fn waiting(&self) -> impl Iterator<Item = (DestinationId, &Dest)> {
         self.queued.iter().map(|id| (*id, &self.dests[id])).filter(|(_, d)| !d.queue.is_empty())
     }
@@ -784,34 +760,25 @@
         }
     }
 
-    /// Whether the route may start a call now; `Some(true)` if it would be a breaker's trial.
-    fn route_ready(&self, r: &Route) -> Option<bool> {
-        let ready = self.now >= r.rest_until && (r.credit >= 1.0 || !r.metered());
-        if let Health::Open { until, trial, .. } = &r.health {
-            return (trial.is_none() && ready && self.now >= *until).then_some(true);
-        }
-        let limit = if r.fails > 0 { 1 } else { r.window as u32 };
-        (ready && r.out - r.lost < limit).then_some(false)
-    }
-
     fn candidate(
         &self,
         dest: DestinationId,
         d: &Dest,
         barred: &[EndpointId],
     ) -> Option<(f64, EndpointId, MessageId)> {
-        let total: u32 = self.routes.range(routes_of(dest)).map(|(_, r)| r.out).sum();
-        if total as f64 >= self.ceiling(dest) {
+        // Best is what gains most for the time that it holds a slot: a call of many messages, a quick route.
+        if self.share_hold(dest).is_some() {
             return None;
         }
+        let flow = d.flow(self.now);
         let mut ends: Vec<(bool, u32, bool, bool, EndpointId)> = Vec::new();
         for &id in &d.endpoints {
             let e = &self.endpoints[&id];
-            if !e.live || barred.contains(&id) || e.rests(None, self.now) {
+            if barred.contains(&id) || self.endpoint_hold(id).is_some() {
                 continue;
             }
             let Some(r) = self.routes.get(&(dest, d.apart.then_some(id))) else { continue };
-            let Some(trial) = self.route_ready(r) else { continue };
+            let Ok(trial) = self.route_ready(r, flow) else { continue };
             let lives = self.set.conn_idle.min(d.trusted(self.now));
             let cold = !e.idle.iter().any(|&t| t + lives > self.now);
             ends.push((trial, e.out, cold, e.zone != self.set.zone, id));
@@ -820,10 +787,19 @@
         let wait = self.expected_wait(dest, d);
         for &(trial, _, _, _, endpoint) in &ends {
             let risk = |id| if trial { self.set.classes[self.held[id].class].effect } else { Effect::Safe };
-            let able = d.queue.iter().filter(|id| self.sendable(id, endpoint));
+            let able = d.queue.iter().filter(|id| self.sendable(**id, endpoint));
             let found = able.min_by(|a, b| risk(a).cmp(&risk(b)).then(self.order(a, b, wait)));
-            if let Some(id) = found {
-                return Some((self.index(&self.held[id], wait), endpoint, *id));
+            if let Some(&id) = found {
+                let bundle = if trial { 1 } else { d.bundle };
+                let mut load = vec![self.index(&self.held[&id], wait)];
+                if bundle > 1 {
+                    let able = d.queue.iter().filter(|q| **q != id && self.sendable(**q, endpoint));
+                    load.extend(able.map(|q| self.index(&self.held[q], wait)));
+                    load[1..].sort_unstable_by(|a, b| b.total_cmp(a));
+                    load.truncate(bundle);
+                }
+                let took = self.routes[&(dest, d.apart.then_some(endpoint))].took();
+                return Some((load.iter().sum::<f64>() / took, endpoint, id));
             }
         }
         None
@@ -840,16 +816,6 @@
         self.index(y, wait).total_cmp(&self.index(x, wait)).then(x.aim.cmp(&y.aim)).then(a.cmp(b))
     }
 
-    fn sendable(&self, id: &MessageId, endpoint: EndpointId) -> bool {
-        let h = &self.held[id];
-        let rests = self.endpoints[&endpoint].rests(Some(h.class), self.now);
-        if rests || self.now < h.not_before || !self.may(h).0 || !self.may_go_to(h, endpoint) {
-            return false;
-        }
-        let Some(k) = h.key.as_ref().and_then(|k| self.keys.get(k)) else { return true };
-        k.0.front() == Some(id) && self.now >= k.1
-    }
-
     fn send_call(&mut self, endpoint: EndpointId, id: MessageId, barred: &mut Vec<EndpointId>) {
         let dest = self.endpoints[&endpoint].dest;
         let d = &self.dests[&dest];
@@ -861,7 +827,7 @@
             let wait = self.expected_wait(dest, d);
             let wary =
                 |q: &MessageId| self.endpoints[&endpoint].rests.contains_key(&Some(self.held[q].class));
-            let able = |q: &&MessageId| **q != id && !trial && !wary(q) && self.sendable(q, endpoint);
+            let able = |q: &&MessageId| **q != id && !trial && !wary(q) && self.sendable(**q, endpoint);
             let mut rest: Vec<MessageId> = d.queue.iter().filter(able).copied().collect();
             rest.sort_by(|a, b| self.order(a, b, wait));
             load.extend(rest.into_iter().take(d.bundle - 1));
@@ -871,7 +837,9 @@
         let r = &self.routes[&route_id];
         let class = self.held[&id].class;
         let unknown = self.set.classes[class].wanted;
-        let overdue = self.now + ((OVERDUE_TIMES * r.rto(unknown)) as Micros).max(OVERDUE_LEAST);
+        let usual = r.rto(unknown);
+        let overdue = self.now + ((OVERDUE_TIMES * usual) as Micros).max(OVERDUE_LEAST);
+        let late = (usual as Micros).max(LATE_LEAST);
         let now = self.now;
         let open = load.len() as u32;
         let trusted = d.trusted(now);
@@ -885,16 +853,19 @@
             }
             idle = e.idle.pop().map_or(0, |t| now - t);
         }
-        let fresh = Call { route: route_id, endpoint, sent: now, overdue, idle, open, ..Call::default() };
-        self.calls.insert(call, fresh);
+        let (route, sent) = (route_id, now);
+        let mut fresh = Call { route, endpoint, sent, overdue, late, idle, open, ..Call::default() };
+        self.passed.insert(dest);
         for &id in &load {
             let timeout = self.timeout(&self.held[&id], &self.routes[&route_id]);
+            fresh.until = fresh.until.max(now.saturating_add(timeout));
             self.out.push(Action::Send { id, endpoint, timeout });
             if let Some(h) = self.held.get_mut(&id) {
                 h.attempts.push(call);
                 h.out += 1;
             }
         }
+        self.calls.insert(call, fresh);
         self.dests.entry(dest).and_modify(|d| d.queue.retain(|q| !load.contains(q)));
         if let Some(e) = self.endpoints.get_mut(&endpoint) {
             e.out += 1;
@@ -956,5 +927,4 @@
 }
 
 #[cfg(test)]
-#[path = "choice_tests.rs"]
 mod tests;
--- /dev/null
+++ b/crates/policy/src/choice/view.rs
@@ -0,0 +1,40 @@
+//! What those may see who look on. Nothing is decided here.
+
+use super::*;
+
+impl Sender {
+    /// What is believed of the routes of a destination, or of all.
+    pub fn views(&self, dest: Option<DestinationId>) -> Vec<RouteView> {
+        let range = match dest {
+            Some(d) => self.routes.range(routes_of(d)),
+            None => self.routes.range(..),
+        };
+        let view = |(&(dest, endpoint), r): (&RouteId, &Route)| RouteView {
+            dest,
+            endpoint,
+            window: r.window,
+            out: r.out,
+            lost: r.lost,
+            cut: r.last_cut.zip(r.cut_by),
+            rest_until: r.rest_until,
+            hold: self.route_ready(r, self.dests.get(&dest).map_or(0.0, |d| d.flow(self.now))).err(),
+        };
+        range.map(view).collect()
+    }
+
+    /// All messages that are not answered yet, with class and destination, and whether a call of them is out.
+    pub fn open(&self) -> Vec<(MessageId, u32, DestinationId, bool)> {
+        let open = self.held.iter().filter(|(_, h)| !h.done);
+        open.map(|(&id, h)| (id, h.class as u32, h.dest, h.out > 0)).collect()
+    }
+
+    /// How many messages are held and have no call out.
+    pub fn waiting_count(&self) -> usize {
+        self.waiting().map(|(_, d)| d.queue.len()).sum()
+    }
+
+    /// Calls that hold a slot.
+    pub fn calls_out(&self) -> usize {
+        self.calls.len()
+    }
+}
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -1,25 +1,26 @@
 //! What a caller hands to a [`Sender`](crate::Sender) and what it gets back. No decision is made here.
 
+use serde::{Deserialize, Serialize};
 use std::fmt;
 
 /// A moment or a span, in whole microseconds. The zero of the clock is the caller's.
 pub type Micros = u64;
 
 /// A message, named by the caller. An id is not used twice in a sender's life.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct MessageId(pub u64);
 
 /// A destination: another firm's system, with one or more endpoints.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct DestinationId(pub u64);
 
 /// An endpoint, numbered by the caller; the number keeps its meaning for the sender's life. Where senders
 /// write to each other, it is the same at all of them, as a destination's number is.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct EndpointId(pub u64);
 
 /// How often a message may take effect.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Effect {
     /// May be repeated freely.
     Safe,
@@ -30,7 +31,7 @@
 }
 
 /// The endpoints of a destination that drop each other's repeats.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Group {
     /// All endpoints of the destination.
     All,
@@ -41,7 +42,7 @@
 }
 
 /// How worth falls once the wanted time has passed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Fade {
     /// Evenly, down to the late share at the deadline.
     Even,
@@ -50,7 +51,7 @@
 }
 
 /// A class of message.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Class {
     /// Whether it may be repeated.
     pub effect: Effect,
@@ -71,7 +72,7 @@
 }
 
 /// A kind of destination.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Kind {
     /// Each endpoint is a route of its own, with its own limit and outages.
     pub apart: bool,
@@ -80,7 +81,7 @@
 }
 
 /// How news of the endpoint list arrives.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ListMode {
     /// Changes come unasked.
     Push,
@@ -89,7 +90,7 @@
 }
 
 /// What a sender is told at its start. See [`Settings::check`].
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Settings {
     /// Calls out at once.
     pub slots: u32,
@@ -191,7 +192,7 @@
 }
 
 /// How an attempt ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Outcome {
     /// Delivered.
     Served,
@@ -218,7 +219,7 @@
 }
 
 /// What a destination told of its limit.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Allowance {
     /// Share of the limit that is left.
     pub left: f64,
@@ -227,7 +228,7 @@
 }
 
 /// State of an endpoint on the list. It tells nothing of health.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Phase {
     /// May be sent to.
     Live,
@@ -238,7 +239,7 @@
 }
 
 /// A line of the endpoint list.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Entry {
     /// The endpoint.
     pub endpoint: EndpointId,
@@ -253,7 +254,7 @@
 }
 
 /// News of the endpoint list.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum ListNews {
     /// Only what changed.
     Changes(Vec<Entry>),
@@ -266,7 +267,7 @@
 }
 
 /// A message taken from a client.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Message {
     /// Its name.
     pub id: MessageId,
@@ -285,7 +286,7 @@
 }
 
 /// Something that happened.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Event {
     /// A client handed in a message.
     Taken(Message),
@@ -334,7 +335,7 @@
 }
 
 /// What the caller is to do, in this order.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Action {
     /// Start an attempt. Sends of one turn to one endpoint may travel as one call where the kind allows.
     Send {
@@ -390,3 +391,99 @@
     /// A line for the operator.
     Log(String),
 }
+
+/// What keeps a held message from being sent. The decision module names it where it turns a candidate down,
+/// and nowhere else.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Guard {
+    /// There was room in this turn, and it went to messages worth more.
+    Order,
+    /// All of the sender's slots are taken.
+    Slots,
+    /// Its destination holds its whole share of the slots.
+    Share,
+    /// Destinations in trouble together hold their share of the slots.
+    Trouble,
+    /// Calls in flight fill the destination's window.
+    Window,
+    /// The destination told how long to wait.
+    Wait,
+    /// The destination refused without telling how long to wait.
+    Rest,
+    /// Refusals show a limit: only a share of what comes in is sent.
+    Pace,
+    /// The destination comes back from an outage, cold.
+    Cold,
+    /// The breaker is open: the next trial is not due, or its turn is another message's.
+    Breaker,
+    /// The destination has no endpoint that may be sent to.
+    Drained,
+    /// Every endpoint is passed over after failures.
+    Endpoint,
+    /// Every endpoint is passed over for this class after errors.
+    ClassRest,
+    /// The message pauses after an attempt that failed.
+    Again,
+    /// An earlier message with its key is open, or the key rests.
+    Key,
+    /// Only an endpoint that drops repeats may have it.
+    Repeat,
+    /// It may not be sent again: its effect, or no attempt left.
+    Spent,
+}
+
+impl Guard {
+    /// It stands for room that other messages of the destination take as well.
+    pub fn is_room(self) -> bool {
+        matches!(self, Self::Window | Self::Share | Self::Trouble | Self::Pace | Self::Cold)
+    }
+}
+
+/// A guard that holds a message, and until when if no event has to come first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Hold {
+    /// Which.
+    pub guard: Guard,
+    /// When it lets go by the clock alone.
+    pub until: Option<Micros>,
+}
+
+impl Hold {
+    /// A guard that lets go at a known moment.
+    pub fn until(guard: Guard, until: Micros) -> Self {
+        Self { guard, until: Some(until) }
+    }
+
+    /// A guard that lets go when something happens.
+    pub fn open(guard: Guard) -> Self {
+        Self { guard, until: None }
+    }
+
+    /// Of two guards that hold at once the one that lets go last; one that waits for an event is taken to be
+    /// later than any clock.
+    pub fn later(self, other: Self) -> Self {
+        let key = |h: &Self| (h.until.is_none(), h.until);
+        if key(&other) > key(&self) { other } else { self }
+    }
+}
+
+/// What the module believes of a route, for those who look on.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RouteView {
+    /// Its destination.
+    pub dest: DestinationId,
+    /// Its endpoint, where the endpoints are routes apart.
+    pub endpoint: Option<EndpointId>,
+    /// The fractional window.
+    pub window: f64,
+    /// Calls out, and those of them whose answers are taken to be lost.
+    pub out: u32,
+    /// See `out`.
+    pub lost: u32,
+    /// When the window was last cut, and by what.
+    pub cut: Option<(Micros, Outcome)>,
+    /// Nothing is sent before this moment: a wait told, or a rest after a refusal.
+    pub rest_until: Micros,
+    /// What holds the whole route now.
+    pub hold: Option<Hold>,
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -10,5 +10,30 @@
 mod note;
 mod state;
 
-pub use choice::Sender;
 pub use interface::*;
+pub use state::Sender;
+
+/// Which text of the decisions this is: two builds with the same number decide alike. It is made from the
+/// sources (FNV-1a), so that nobody has to remember to raise it.
+pub const FINGERPRINT: u64 = {
+    let mut h = STATE_FORM;
+    h = fold(h, include_bytes!("choice.rs"));
+    h = fold(h, include_bytes!("choice/guard.rs"));
+    h = fold(h, include_bytes!("choice/slots.rs"));
+    fold(h, include_bytes!("note.rs"))
+};
+
+/// The form in which a [`Sender`]'s state is written: another build can read it if its number is the same.
+pub const STATE_FORM: u64 = {
+    let h = fold(0xcbf2_9ce4_8422_2325, include_bytes!("interface.rs"));
+    fold(h, include_bytes!("state.rs"))
+};
+
+const fn fold(mut h: u64, text: &[u8]) -> u64 {
+    let mut n = 0;
+    while n < text.len() {
+        h = (h ^ text[n] as u64).wrapping_mul(0x0100_0000_01b3);
+        n += 1;
+    }
+    h
+}
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -1,6 +1,8 @@
-//! What a sender remembers: plain data, without decisions. They stand in `choice.rs`.
+//! What a sender remembers: plain data, without decisions. They stand in `choice.rs`. The whole of it can be
+//! written and read again, so that decisions can be played again from any moment.
 
 use crate::interface::*;
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// A destination, or one endpoint of it where its endpoints are routes apart.
@@ -12,7 +14,7 @@
 }
 
 /// A message from being taken until it is answered and no attempt of it is out.
-#[derive(Default)]
+#[derive(Clone, Default, Serialize, Deserialize)]
 pub struct Held {
     pub class: usize,
     pub dest: DestinationId,
@@ -30,12 +32,17 @@
 }
 
 /// A call that is out; of a bundle it is one.
-#[derive(Clone, Copy, Default)]
+#[derive(Clone, Copy, Default, Serialize, Deserialize)]
 pub struct Call {
     pub route: RouteId,
     pub endpoint: EndpointId,
     pub sent: Micros,
     pub overdue: Micros,
+    /// When the last of its messages stops being waited for.
+    pub until: Micros,
+    /// It is late from this age on, and how often that has doubled by now, counted from 1; 0 before.
+    pub late: Micros,
+    pub stage: usize,
     /// How long the connection had been idle, as far as is known; 0 for a fresh one.
     pub idle: Micros,
     pub open: u32,
@@ -46,7 +53,7 @@
     pub lost: bool,
 }
 
-#[derive(Default)]
+#[derive(Clone, Default, Serialize, Deserialize)]
 pub enum Health {
     #[default]
     Closed,
@@ -61,14 +68,18 @@
     },
 }
 
-#[derive(Default)]
+#[derive(Clone, Default, Serialize, Deserialize)]
 pub struct Route {
     pub window: f64,
     pub last_cut: Option<Micros>,
+    /// What the last cut was for.
+    pub cut_by: Option<Outcome>,
     /// The share of what comes in that is sent while refusals show a limit; 1 where none do.
     pub pace: f64,
     pub full_told: Micros,
     pub rest_until: Micros,
+    /// Until when the destination told to wait; `rest_until` is this or later.
+    pub told_until: Micros,
     pub srtt: f64,
     pub rttvar: f64,
     pub best: f64,
@@ -87,9 +98,18 @@
     pub out: u32,
     /// Calls among them whose answers are lost.
     pub lost: u32,
+    pub late: Late,
 }
 
-#[derive(Default)]
+/// Ages of a late call, each twice the one before; the last has no end.
+pub const STAGES: usize = 5;
+
+/// What became of late calls, by whether later ones overtook them and by age: how many came to that age, and
+/// how many of those were answered in it (the hazard of an answer, as in a life table).
+#[derive(Clone, Copy, Default, Serialize, Deserialize)]
+pub struct Late(pub [[(f64, f64); STAGES]; 2]);
+
+#[derive(Clone, Default, Serialize, Deserialize)]
 pub struct Endpoint {
     pub dest: DestinationId,
     pub zone: u32,
@@ -107,7 +127,7 @@
     pub rests: BTreeMap<Option<usize>, (u32, Micros)>,
 }
 
-#[derive(Default)]
+#[derive(Clone, Default, Serialize, Deserialize)]
 pub struct Dest {
     pub apart: bool,
     pub bundle: usize,
@@ -124,6 +144,74 @@
 /// Messages of one key in the order taken, and until when the key rests.
 pub type Key = (VecDeque<MessageId>, Micros);
 
+/// One sender's decisions. It has no clock and does no I/O: see [`Sender::handle`].
+#[derive(Clone, Serialize, Deserialize)]
+pub struct Sender {
+    pub(crate) set: Settings,
+    #[serde(with = "seed")]
+    pub(crate) rng: fastrand::Rng,
+    pub(crate) now: Micros,
+    pub(crate) held: BTreeMap<MessageId, Held>,
+    pub(crate) live: usize,
+    pub(crate) calls: BTreeMap<u64, Call>,
+    pub(crate) next_call: u64,
+    pub(crate) routes: BTreeMap<RouteId, Route>,
+    pub(crate) endpoints: BTreeMap<EndpointId, Endpoint>,
+    pub(crate) dests: BTreeMap<DestinationId, Dest>,
+    pub(crate) queued: BTreeSet<DestinationId>,
+    pub(crate) keys: BTreeMap<Box<str>, Key>,
+    /// Connections idle for longer are not trusted, until then.
+    pub(crate) idle_safe: (Micros, Micros),
+    /// For each kind: until when connections are taken to be scarce there.
+    pub(crate) scarce: Vec<Micros>,
+    pub(crate) tenants: Vec<(f64, Micros)>,
+    pub(crate) out: Vec<Action>,
+    pub(crate) watch_at: Micros,
+    pub(crate) wake: Option<Micros>,
+    /// How late calls fared, over all routes.
+    pub(crate) late: Late,
+    /// Destinations that were sent to in this turn.
+    pub(crate) passed: BTreeSet<DestinationId>,
+}
+
+/// Older calls than so many count half, so that a change of the network shows.
+const MEMORY: f64 = 32.0;
+
+impl Late {
+    pub fn enter(&mut self, lost: bool, stage: usize, by: f64) {
+        let cell = &mut self.0[usize::from(lost)][stage];
+        cell.0 = (cell.0 + by).max(0.0);
+        if cell.0 > MEMORY {
+            *cell = (cell.0 / 2.0, cell.1 / 2.0);
+        }
+    }
+
+    fn answered(&mut self, lost: bool, stage: usize) {
+        let cell = &mut self.0[usize::from(lost)][stage];
+        cell.1 = (cell.1 + 1.0).min(cell.0);
+    }
+
+    /// A call turned out to be lost at its present age.
+    pub fn lose(&mut self, stage: usize) {
+        if stage > 0 {
+            self.enter(false, stage - 1, -1.0);
+            self.enter(true, stage - 1, 1.0);
+        }
+    }
+
+    /// How a call ended; what was called off tells nothing of its last age.
+    pub fn end(&mut self, c: &Call, outcome: Outcome) {
+        match (c.stage, outcome) {
+            (0, _) => {}
+            (n, Outcome::Served | Outcome::Failed | Outcome::Full { .. } | Outcome::Spoilt) => {
+                self.answered(c.lost, n - 1)
+            }
+            (n, Outcome::Cancelled | Outcome::Moot) => self.enter(c.lost, n - 1, -1.0),
+            _ => {}
+        }
+    }
+}
+
 impl Held {
     /// What the settings say that the message earns if served at `t`.
     pub fn worth(&self, set: &Settings, t: Micros) -> f64 {
@@ -142,13 +230,6 @@
     }
 }
 
-impl Endpoint {
-    /// Whether it rests, for one class or for all.
-    pub fn rests(&self, class: Option<usize>, now: Micros) -> bool {
-        self.rests.get(&class).is_some_and(|r| now < r.1)
-    }
-}
-
 impl Dest {
     /// How long a connection may have been idle to be used again.
     pub fn trusted(&self, now: Micros) -> Micros {
@@ -197,3 +278,16 @@
     dests.values_mut().for_each(|d| d.endpoints.retain(|e| endpoints.contains_key(e)));
     routes
 }
+
+/// A random generator is kept by its state, which is its seed.
+pub mod seed {
+    use serde::{Deserialize, Deserializer, Serializer};
+
+    pub fn serialize<S: Serializer>(rng: &fastrand::Rng, to: S) -> Result<S::Ok, S::Error> {
+        to.serialize_u64(rng.get_seed())
+    }
+
+    pub fn deserialize<'a, D: Deserializer<'a>>(from: D) -> Result<fastrand::Rng, D::Error> {
+        u64::deserialize(from).map(fastrand::Rng::with_seed)
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/common/world.rs
@@ -0,0 +1,346 @@
+//! Arbitrary legal sequences of events, and an independent checker of the rules. Outcomes are scripted by the
+//! sequence; there is no model of a server.
+#![allow(dead_code)]
+
+use super::common::{MS, SEC, entry};
+use notchpoint_policy::*;
+use proptest::prelude::*;
+use std::collections::{BTreeMap, BTreeSet};
+
+#[derive(Clone, Debug)]
+pub enum Step {
+    Take {
+        class: u32,
+        dest: u64,
+        key: u8,
+        expires: u64,
+    },
+    End {
+        pick: usize,
+        outcome: u8,
+        wait: u64,
+    },
+    Withdraw {
+        pick: usize,
+    },
+    List {
+        endpoint: u32,
+        phase: u8,
+    },
+    /// A note from another sender, maybe cut short, repeated or of no known form.
+    Note {
+        from: u32,
+        word: u8,
+        dest: u64,
+        endpoint: u64,
+        length: usize,
+        times: usize,
+    },
+    Pass {
+        ms: u64,
+    },
+}
+
+pub fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        4 => (0..4u32, 1..5u64, 0..3u8, 50..20_000u64)
+            .prop_map(|(class, dest, key, expires)| Step::Take { class, dest, key, expires }),
+        4 => (any::<usize>(), 0..8u8, 0..3_000u64)
+            .prop_map(|(pick, outcome, wait)| Step::End { pick, outcome, wait }),
+        1 => any::<usize>().prop_map(|pick| Step::Withdraw { pick }),
+        1 => (0..8u32, 0..3u8).prop_map(|(endpoint, phase)| Step::List { endpoint, phase }),
+        1 => (0..9u32, 0..6u8, 0..6u64, 0..9u64, 0..24usize, 1..4usize).prop_map(
+            |(from, word, dest, endpoint, length, times)| {
+                Step::Note { from, word, dest, endpoint, length, times }
+            }),
+        3 => (1..1_500u64).prop_map(|ms| Step::Pass { ms }),
+    ]
+}
+
+#[derive(Clone, Debug)]
+pub struct Try {
+    endpoint: u32,
+    at: Micros,
+    timeout: Micros,
+    outcome: Option<Outcome>,
+}
+
+#[derive(Debug)]
+pub struct Told {
+    class: u32,
+    dest: u64,
+    key: Option<u8>,
+    expires: Micros,
+    order: usize,
+    tries: Vec<Try>,
+    pub over: bool,
+}
+
+/// Knows the rules and what happened, and nothing of how the sender decides.
+pub struct Checker {
+    set: Settings,
+    sender: Sender,
+    now: Micros,
+    pub told: BTreeMap<u64, Told>,
+    live: BTreeSet<u32>,
+    waits: BTreeMap<(u64, u32), Micros>,
+    key_rest: BTreeMap<u8, Micros>,
+    wakes: BTreeSet<Micros>,
+    pub trace: Vec<String>,
+    /// Who looks on: the clock, the events and actions of a turn, and the sender behind it.
+    pub watch: Option<Watch>,
+}
+
+pub type Watch = Box<dyn FnMut(Micros, &[Event], &[Action], &Sender)>;
+
+/// Destination d has endpoints 2d-2 and 2d-1; its kind is d modulo the kinds.
+pub fn owner(endpoint: u32) -> u64 {
+    u64::from(endpoint / 2) + 1
+}
+
+pub fn kind(dest: u64, set: &Settings) -> u32 {
+    (dest % set.kinds.len() as u64) as u32
+}
+
+pub fn may_have_run(outcome: Outcome) -> bool {
+    !matches!(outcome, Outcome::Full { .. } | Outcome::ConnectFailed | Outcome::Moot)
+}
+
+impl Checker {
+    pub fn new(set: Settings, seed: u64) -> Self {
+        Self::watched(set, seed, None)
+    }
+
+    pub fn watched(set: Settings, seed: u64, watch: Option<Watch>) -> Self {
+        let sender = Sender::new(set.clone(), seed).expect("sound settings");
+        let all = (0..8).map(|e| entry(e, owner(e), kind(owner(e), &set), Phase::Live)).collect();
+        let (told, waits, key_rest, wakes, trace) = Default::default();
+        let (now, live) = (50 * SEC, (0..8).collect());
+        let mut c = Self { set, sender, now, told, live, waits, key_rest, wakes, trace, watch };
+        c.feed(&[Event::List(ListNews::Restored(all))]);
+        c
+    }
+
+    fn route(&self, endpoint: u32) -> (u64, u32) {
+        let dest = owner(endpoint);
+        let apart = self.set.kinds[kind(dest, &self.set) as usize].apart;
+        (dest, if apart { endpoint } else { u32::MAX })
+    }
+
+    pub fn feed(&mut self, events: &[Event]) {
+        let mut actions = Vec::new();
+        self.sender.handle(self.now, events, &mut actions);
+        if let Some(watch) = &mut self.watch {
+            watch(self.now, events, &actions, &self.sender);
+        }
+        let mut calls: BTreeSet<(Micros, u32, usize)> = BTreeSet::new();
+        for a in &actions {
+            self.trace.push(format!("{} {a:?}", self.now));
+            match a {
+                Action::Send { id, endpoint, timeout } => self.send(id.0, endpoint.0 as u32, *timeout),
+                Action::Refuse { id, .. } => self.answer(id.0, true),
+                Action::Fail { id } => self.answer(id.0, false),
+                Action::WakeAt(at) => {
+                    assert!(*at > self.now, "a wake in the past");
+                    self.wakes.insert(*at);
+                }
+                Action::Cancel { id, attempt } => {
+                    assert!(self.set.may_cancel && (*attempt as usize) < self.told[&id.0].tries.len());
+                }
+                Action::Probe { .. } => assert!(self.set.may_probe),
+                Action::Note { .. } => assert!(self.set.may_note),
+                _ => {}
+            }
+        }
+        // Slots: messages of one turn to one endpoint of a bundling kind share a call.
+        let (mut singles, mut per_dest) = (0, BTreeMap::<u64, usize>::new());
+        for (id, t) in &self.told {
+            for y in t.tries.iter().filter(|y| y.outcome.is_none()) {
+                let bundles = self.set.kinds[kind(t.dest, &self.set) as usize].bundle > 1;
+                let tag = if bundles { usize::MAX } else { *id as usize };
+                if calls.insert((y.at, y.endpoint, tag)) {
+                    singles += 1;
+                    *per_dest.entry(t.dest).or_default() += 1;
+                }
+            }
+        }
+        assert!(singles <= self.set.slots as usize, "more calls than slots");
+        let ceiling = (self.set.slots as f64 * 0.75).floor().max(1.0) as usize;
+        assert!(per_dest.values().all(|&n| n <= ceiling), "a destination over its share of the slots");
+        for (id, t) in &self.told {
+            assert!(t.over || self.now <= t.expires + 20 * MS, "message {id} was not answered in time");
+        }
+    }
+
+    fn send(&mut self, id: u64, endpoint: u32, timeout: Micros) {
+        let t = &self.told[&id];
+        assert!(!t.over, "sent after its end");
+        assert!(timeout > 0 && self.now < t.expires, "sent when its time was up");
+        assert_eq!(owner(endpoint), t.dest, "sent to another destination");
+        assert!(self.live.contains(&endpoint), "sent to an endpoint that drains or is gone");
+        assert!(t.tries.len() < self.set.max_attempts as usize, "too many attempts");
+        assert!(t.tries.iter().all(|y| y.outcome.is_some()), "two attempts out");
+        let class = &self.set.classes[t.class as usize];
+        let ran: Vec<&Try> = t.tries.iter().filter(|y| y.outcome.is_some_and(may_have_run)).collect();
+        match class.effect {
+            Effect::Safe => {}
+            Effect::Unsafe => assert!(ran.is_empty(), "an unsafe message that may have run is sent again"),
+            Effect::Keyed => {
+                if let Some(first) = ran.iter().map(|y| y.at).min() {
+                    assert!(self.now < first + class.memory, "sent beyond the memory span");
+                }
+                let zone = |e: u32| e % 2;
+                if class.group == Group::Zone {
+                    assert!(ran.iter().all(|y| zone(y.endpoint) == zone(endpoint)), "sent outside its group");
+                }
+            }
+        }
+        if let Some(k) = t.key {
+            let before = |o: &&Told| o.key == Some(k) && o.order < t.order;
+            for o in self.told.values().filter(before) {
+                assert!(o.over && o.tries.iter().all(|y| y.outcome.is_some()), "out of order");
+            }
+            let own_rest = t.tries.iter().any(|y| y.outcome.is_some());
+            let rest = self.key_rest.get(&k).copied().unwrap_or(0);
+            assert!(own_rest || self.now >= rest, "the key rests");
+        }
+        let wait = self.waits.get(&self.route(endpoint)).copied().unwrap_or(0);
+        assert!(self.now >= wait, "sent before the wait was over");
+        let t = Try { endpoint, at: self.now, timeout, outcome: None };
+        self.told.get_mut(&id).expect("known").tries.push(t);
+    }
+
+    fn answer(&mut self, id: u64, refusal: bool) {
+        let t = self.told.get_mut(&id).expect("known");
+        assert!(!t.over, "answered twice");
+        t.over = true;
+        if !refusal {
+            return;
+        }
+        let class = &self.set.classes[t.class as usize];
+        let clean = t.tries.iter().all(|y| y.outcome.is_some_and(|o| !may_have_run(o)));
+        let allowed = match class.effect {
+            Effect::Safe => true,
+            Effect::Unsafe => clean,
+            Effect::Keyed => clean || class.group == Group::All,
+        };
+        assert!(allowed, "refused what may have run");
+    }
+
+    /// Ends an attempt and tells the sender.
+    pub fn end(&mut self, id: u64, n: usize, outcome: Outcome) {
+        let now = self.now;
+        let t = self.told.get_mut(&id).expect("known");
+        t.tries[n].outcome = Some(outcome);
+        t.over |= outcome == Outcome::Served;
+        let (over, endpoint, key) = (t.over, t.tries[n].endpoint, t.key);
+        if matches!(outcome, Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled)
+            && let Some(k) = key
+        {
+            let rest = self.key_rest.entry(k).or_default();
+            *rest = (*rest).max(now + self.set.key_rest);
+        }
+        if let Outcome::Full { wait: Some(w) } = outcome {
+            let route = self.route(endpoint);
+            let until = self.waits.entry(route).or_default();
+            *until = (*until).max(now + w);
+        }
+        let (id, attempt) = (MessageId(id), n as u32);
+        self.feed(&[Event::Ended { id, attempt, outcome, over, allowance: None }]);
+    }
+
+    pub fn outstanding(&self) -> Vec<(u64, usize)> {
+        let open = |t: &Told| t.tries.iter().position(|y| y.outcome.is_none());
+        self.told.iter().filter_map(|(&id, t)| open(t).map(|n| (id, n))).collect()
+    }
+
+    /// Lets time pass: time-outs and wakes come when they are due.
+    pub fn pass(&mut self, span: Micros) {
+        let end = self.now + span;
+        loop {
+            let out = self.outstanding();
+            let due = |&(id, n): &(u64, usize)| {
+                let (t, y) = (&self.told[&id], &self.told[&id].tries[n]);
+                ((y.at + y.timeout).min(t.expires), id, n)
+            };
+            let time_out = out.iter().map(due).min().filter(|d| d.0 <= end);
+            let wake = self.wakes.first().copied().filter(|&w| w <= end);
+            match (time_out, wake) {
+                (Some((at, id, n)), w) if w.is_none_or(|w| at <= w) => {
+                    self.now = self.now.max(at);
+                    self.end(id, n, Outcome::TimedOut);
+                }
+                (_, Some(w)) => {
+                    self.wakes.remove(&w);
+                    self.now = self.now.max(w);
+                    self.feed(&[Event::Wake]);
+                }
+                _ => break,
+            }
+        }
+        self.now = end;
+    }
+
+    pub fn step(&mut self, step: &Step) {
+        match *step {
+            Step::Take { class, dest, key, expires } => {
+                let (order, id) = (self.told.len(), self.told.len() as u64 + 1);
+                let in_order = self.set.classes[class as usize].in_order;
+                let (key, expires_in) = (in_order.then_some(key), expires * MS);
+                let expires = self.now + expires_in;
+                self.told.insert(id, Told { class, dest, key, expires, order, tries: vec![], over: false });
+                let key = key.map(|k| k.to_string().into_boxed_str());
+                let (id, dest, tenant) = (MessageId(id), DestinationId(dest), None);
+                let again = false;
+                self.feed(&[Event::Taken(Message { id, class, tenant, key, dest, again, expires_in })]);
+            }
+            Step::End { pick, outcome, wait } => {
+                let out = self.outstanding();
+                if out.is_empty() {
+                    return;
+                }
+                let (id, n) = out[pick % out.len()];
+                let outcome = match outcome {
+                    0 | 1 => Outcome::Served,
+                    2 => Outcome::Failed,
+                    3 => Outcome::Full { wait: (wait > 0).then_some(wait * MS) },
+                    4 => Outcome::Full { wait: None },
+                    5 => Outcome::ConnectFailed,
+                    6 => Outcome::Reset,
+                    _ => Outcome::Moot,
+                };
+                self.end(id, n, outcome);
+            }
+            Step::Withdraw { pick } => {
+                let open: Vec<u64> = self.told.iter().filter(|(_, t)| !t.over).map(|(&id, _)| id).collect();
+                if open.is_empty() {
+                    return;
+                }
+                let id = open[pick % open.len()];
+                self.told.get_mut(&id).expect("known").over = true;
+                self.feed(&[Event::Withdrawn(MessageId(id))]);
+            }
+            Step::List { endpoint, phase } => {
+                let phase = [Phase::Live, Phase::Draining, Phase::Gone][phase as usize];
+                if phase == Phase::Live {
+                    self.live.insert(endpoint);
+                } else {
+                    self.live.remove(&endpoint);
+                }
+                let e = entry(endpoint, owner(endpoint), kind(owner(endpoint), &self.set), phase);
+                self.feed(&[Event::List(ListNews::Changes(vec![e]))]);
+            }
+            Step::Note { from, word, dest, endpoint, length, times } => {
+                let mut body = vec![0xd1, word];
+                body.extend(dest.to_le_bytes());
+                // Of the length of a whole note for a route apart, for a destination, or neither.
+                body.extend(endpoint.to_le_bytes());
+                body.truncate(if length > 18 { 10 } else { length });
+                for from in (from..).take(times) {
+                    self.feed(&[Event::Note { from, body: body.clone() }]);
+                }
+            }
+            Step::Pass { ms } => self.pass(ms * MS),
+        }
+    }
+}
--- /dev/null
+++ b/crates/recorder/tests/recording.rs
@@ -0,0 +1,458 @@
+//! Random worlds recorded, played again and explained; recordings that are cut, spoilt or of another build.
+
+#[path = "../../policy/tests/common/mod.rs"]
+mod common;
+#[path = "../../policy/tests/common/world.rs"]
+mod world;
+
+use common::{MS, SEC, settings};
+use notchpoint_policy::*;
+use notchpoint_recorder::explain::{At, Course, Explainer, Explanation, Question};
+use notchpoint_recorder::form::{self, MAGIC, Record, Start};
+use notchpoint_recorder::replay::{Nobody, Skipped, Watcher};
+use notchpoint_recorder::store::{Folder, Memory, Store, load};
+use notchpoint_recorder::{Damage, Options, Recorder, Recording, picture, replay, text};
+use proptest::prelude::*;
+use std::cell::RefCell;
+use std::rc::Rc;
+use world::{Checker, Step, step};
+
+const SEED: u64 = 3;
+const UNIX: u64 = 1_700_000_000_000_000;
+
+fn options(limit: u64, settings: Settings) -> Options {
+    let classes = vec!["safe".into(), "keyed".into(), "unsafe".into(), "ordered".into()];
+    Options { limit, sender: "n0".into(), classes, settings, seed: SEED }
+}
+
+fn begin(limit: u64, set: &Settings, store: Box<dyn Store>, there: &[(u64, u64)]) -> Recorder {
+    Recorder::begin(options(limit, set.clone()), store, there, 50 * SEC, UNIX).expect("begun")
+}
+
+/// Plays the steps and records them; gives the recording and what was recorded of the rest.
+fn record(steps: &[Step], set: &Settings, limit: u64) -> Vec<u8> {
+    let recorder = Rc::new(RefCell::new(begin(limit, set, Box::new(Memory::default()), &[])));
+    play(steps, set, recorder.clone());
+    let mut bytes = Vec::new();
+    recorder.borrow().dump(&mut bytes).expect("written");
+    assert!(bytes.len() as u64 <= limit, "{} of {limit}", bytes.len());
+    bytes
+}
+
+fn play(steps: &[Step], set: &Settings, recorder: Rc<RefCell<Recorder>>) -> Checker {
+    let watch = move |at: Micros, events: &[Event], actions: &[Action], sender: &Sender| {
+        recorder.borrow_mut().turn(at, UNIX + at - 50 * SEC, events, actions, sender).expect("recorded");
+    };
+    let mut world = Checker::watched(set.clone(), SEED, Some(Box::new(watch)));
+    steps.iter().for_each(|s| world.step(s));
+    world.pass(60 * SEC);
+    world
+}
+
+fn explain(bytes: &[u8], question: Question) -> Vec<Explanation> {
+    let mut explainer = Explainer::new(question);
+    let done = replay(&Recording::read(bytes), &mut explainer);
+    assert!(done.is_equal(), "{done:?}");
+    explainer.finish()
+}
+
+fn everything() -> Question {
+    Question { from: Some(1), ..Question::default() }
+}
+
+/// No span is empty, none overlaps another, and none is missing between two.
+fn is_without_holes(c: &Course) -> bool {
+    c.spans.iter().all(|s| s.from < s.to) && c.spans.windows(2).all(|w| w[0].to == w[1].from)
+}
+
+/// Steps enough for a few hundred turns, the same each time.
+fn long_steps() -> Vec<Step> {
+    let mut steps = Vec::new();
+    for n in 0..120u64 {
+        steps.push(Step::Take { class: (n % 4) as u32, dest: 1 + n % 4, key: (n % 3) as u8, expires: 9_000 });
+        steps.push(Step::End { pick: n as usize, outcome: (n % 8) as u8, wait: 300 * (n % 5) });
+        steps.push(Step::Pass { ms: 10 + 90 * (n % 4) });
+    }
+    steps
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 150, failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(17), ..ProptestConfig::default() })]
+
+    #[test]
+    fn what_was_recorded_is_decided_again_bit_for_bit(
+        steps in prop::collection::vec(step(), 1..100),
+        slots in 1..9u32,
+        may_note in any::<bool>(),
+        limit in 60_000..400_000u64,
+    ) {
+        let set = Settings { slots, may_note, senders: 9, ..settings() };
+        let bytes = record(&steps, &set, limit);
+        let done = replay(&Recording::read(&bytes), &mut Nobody);
+        prop_assert!(done.is_equal() && done.damage.is_empty() && done.others.is_empty(), "{done:?}");
+        prop_assert!(done.turns > 0);
+    }
+
+    #[test]
+    fn a_changed_decision_is_found_at_its_turn(
+        steps in prop::collection::vec(step(), 10..60),
+        pick in any::<prop::sample::Index>(),
+    ) {
+        let set = settings();
+        let bytes = record(&steps, &set, 1 << 20);
+        let recording = Recording::read(&bytes);
+        // The same recording with one action changed.
+        let mut records: Vec<Record> = recording.segments[0].records().collect();
+        let with: Vec<usize> = (0..records.len())
+            .filter(|n| matches!(&records[*n], Record::Turn(t) if !t.actions.is_empty()))
+            .collect();
+        prop_assume!(!with.is_empty());
+        let at = with[pick.index(with.len())];
+        let Record::Turn(turn) = &mut records[at] else { unreachable!() };
+        let (number, place) = (turn.number, turn.actions.len() - 1);
+        turn.actions[place] = Action::Log("never said".into());
+        let mut changed = MAGIC.to_vec();
+        let header = Record::Header(Box::new(recording.segments[0].header.clone()));
+        form::write(&header, &mut changed).expect("fits");
+        records.iter().for_each(|r| form::write(r, &mut changed).expect("fits"));
+        let found = replay(&Recording::read(&changed), &mut Nobody).difference.expect("found");
+        prop_assert_eq!((found.turn, found.place), (number, place));
+        prop_assert_eq!(found.recorded, Some(Action::Log("never said".into())));
+    }
+
+    #[test]
+    fn explain_accounts_for_all_held_time(
+        steps in prop::collection::vec(step(), 1..100),
+        slots in 1..5u32,
+    ) {
+        let set = Settings { slots, ..settings() };
+        let all = explain(&record(&steps, &set, 4 << 20), everything());
+        for e in &all {
+            prop_assert_eq!(e.held_by_spans, e.held_by_count);
+            prop_assert!(e.courses.iter().all(is_without_holes));
+            let held: Micros = e.courses.iter().map(Course::held).sum();
+            prop_assert_eq!(held, e.held_by_spans);
+            prop_assert!(e.courses.iter().all(|c| c.end.is_some()), "all have ended");
+        }
+    }
+}
+
+#[test]
+fn a_recording_cut_at_any_byte_ends_clearly() {
+    let bytes = record(&long_steps()[..60], &settings(), 1 << 20);
+    let whole = replay(&Recording::read(&bytes), &mut Nobody);
+    assert!(whole.is_equal() && whole.damage.is_empty());
+    let mut last = 0;
+    for cut in 0..bytes.len() {
+        let done = replay(&Recording::read(&bytes[..cut]), &mut Nobody);
+        assert!(done.difference.is_none() && done.state_differs.is_none(), "cut at {cut}: {done:?}");
+        // Turns up to the last whole record, never fewer than with a shorter cut, never more than there are.
+        assert!(done.turns >= last && done.turns <= whole.turns, "cut at {cut}");
+        assert!(
+            done.turns < whole.turns && (cut == 0) == (done.segments == 0 && done.damage.is_empty())
+                || cut > 0
+        );
+        last = done.turns;
+    }
+    assert_eq!(last, whole.turns - 1, "all but the last whole record");
+}
+
+#[test]
+fn a_spoilt_byte_anywhere_is_said_and_the_segments_behind_it_are_played() {
+    let steps = long_steps();
+    let steps: Vec<Step> = steps.iter().cycle().take(steps.len() * 3).cloned().collect();
+    let bytes = record(&steps, &settings(), 120_000);
+    let whole = replay(&Recording::read(&bytes), &mut Nobody);
+    assert!(whole.is_equal() && whole.segments >= 3, "{} segments", whole.segments);
+    let mut spoilt = bytes.clone();
+    for at in (0..bytes.len()).step_by(211) {
+        spoilt[at] ^= 0x20;
+        let done = replay(&Recording::read(&spoilt), &mut Nobody);
+        assert!(!done.damage.is_empty(), "byte {at} passed unseen");
+        assert!(done.difference.is_none(), "byte {at}: {done:?}");
+        // At most the segment that it lies in is lost.
+        assert!(done.segments + 1 >= whole.segments, "byte {at}: {} segments", done.segments);
+        spoilt[at] ^= 0x20;
+    }
+}
+
+#[test]
+fn a_ring_keeps_the_newest_turns_and_each_segment_plays_by_itself() {
+    let (set, steps) = (settings(), long_steps());
+    let long: Vec<Step> = steps.iter().cycle().take(steps.len() * 6).cloned().collect();
+    let bytes = record(&long, &set, 60_000);
+    let recording = Recording::read(&bytes);
+    let first = &recording.segments[0].header;
+    assert!(first.segment > 0 && matches!(first.start, Start::State(_)), "the beginning gave way");
+    let done = replay(&recording, &mut Nobody);
+    assert!(done.is_equal(), "{done:?}");
+    assert_eq!((done.segments, done.states), (recording.segments.len(), recording.segments.len() - 1));
+    for (n, s) in recording.segments.iter().enumerate() {
+        let end = recording.segments.get(n + 1).map_or(bytes.len(), |s| s.offset);
+        let alone = replay(&Recording::read(&bytes[s.offset..end]), &mut Nobody);
+        assert!(alone.is_equal() && alone.segments == 1, "segment {n}: {alone:?}");
+    }
+    let all = explain(&bytes, everything());
+    assert!(all[0].courses.iter().any(|c| c.from_before), "something was held when it begins");
+    assert_eq!(all[0].held_by_spans, all[0].held_by_count);
+}
+
+#[test]
+fn a_killed_process_leaves_whole_records_in_the_folder_and_the_next_goes_on_behind_it() {
+    let (set, folder) = (settings(), tempfile::tempdir().expect("a folder"));
+    let steps = long_steps();
+    for run in 0..3 {
+        let (store, there) = Folder::open(folder.path()).expect("a folder");
+        assert_eq!(there.is_empty(), run == 0);
+        let mut recorder = begin(1 << 20, &set, Box::new(store), &there);
+        recorder.name(EndpointId(1), "s-1").expect("recorded");
+        let recorder = Rc::new(RefCell::new(recorder));
+        play(&steps[..90], &set, recorder.clone());
+        // Killed: nothing is said to the recorder; the last record is torn.
+        drop(recorder);
+        let last = std::fs::read_dir(folder.path()).expect("read").flatten().map(|e| e.path()).max();
+        let last = last.expect("a segment");
+        let bytes = std::fs::read(&last).expect("read");
+        std::fs::write(&last, &bytes[..bytes.len() - 3]).expect("written");
+    }
+    let bytes = load(folder.path()).expect("read");
+    let done = replay(&Recording::read(&bytes), &mut Nobody);
+    assert!(done.difference.is_none() && done.skipped.is_empty(), "{done:?}");
+    assert_eq!((done.segments, done.damage.len()), (3, 3));
+    assert!(done.damage.iter().all(|d| matches!(d, Damage::Cut { .. } | Damage::Spoilt { .. })));
+}
+
+#[test]
+fn other_builds_are_named_and_their_states_are_not_guessed_at() {
+    let bytes = record(&long_steps(), &settings(), 120_000);
+    let recording = Recording::read(&bytes);
+    // The beginning is kept: any build can play it. A state of another form is turned down.
+    let mut other = Vec::new();
+    for s in &recording.segments {
+        let mut header = s.header.clone();
+        (header.decisions, header.state_form) = (1, 2);
+        other.extend(MAGIC);
+        form::write(&Record::Header(Box::new(header)), &mut other).expect("fits");
+        s.records().for_each(|r| form::write(&r, &mut other).expect("fits"));
+    }
+    let done = replay(&Recording::read(&other), &mut Nobody);
+    assert_eq!(done.others, [1]);
+    let begins_fresh = matches!(recording.segments[0].header.start, Start::Fresh { .. });
+    if begins_fresh {
+        assert!(done.is_equal(), "played on from the beginning: {done:?}");
+    }
+    let second = Recording::read(&other).segments[1].offset;
+    let done = replay(&Recording::read(&other[second..]), &mut Nobody);
+    assert!(done.skipped.iter().all(|s| s.2 == Skipped::StateForm));
+    assert_eq!((done.skipped.len(), done.turns), (recording.segments.len() - 1, 0));
+    let mut versions = bytes.clone();
+    versions[7] = 9;
+    let found = Recording::read(&versions).damage;
+    assert_eq!(found[0], Damage::Version { offset: 0, version: 9 });
+}
+
+#[test]
+fn garbage_is_no_recording_and_never_a_panic() {
+    let mut rng = 1u64;
+    for length in 0..400 {
+        let mut bytes = if length % 3 == 0 { MAGIC.to_vec() } else { Vec::new() };
+        for _ in 0..length {
+            rng = rng.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+            bytes.push((rng >> 56) as u8);
+        }
+        let done = replay(&Recording::read(&bytes), &mut Nobody);
+        assert_eq!(done.turns, 0);
+        assert!(bytes.is_empty() || !done.damage.is_empty());
+    }
+}
+
+#[test]
+fn a_state_that_does_not_fit_the_limit_is_said() {
+    let began = Recorder::begin(options(100, settings()), Box::new(Memory::default()), &[], 0, UNIX);
+    let why = began.err().expect("too small").to_string();
+    assert!(why.contains("needs a limit"), "{why}");
+}
+
+/// One destination with one endpoint; what is told is recorded.
+struct Bench {
+    sender: Sender,
+    recorder: Recorder,
+    now: Micros,
+    unix: u64,
+    next: u64,
+}
+
+impl Bench {
+    fn new(set: Settings) -> Self {
+        let recorder = begin(8 << 20, &set, Box::new(Memory::default()), &[]);
+        let sender = Sender::new(set, SEED).expect("sound");
+        let mut bench = Self { sender, recorder, now: 50 * SEC, unix: UNIX, next: 1 };
+        bench.tell(vec![Event::List(ListNews::Restored(vec![common::entry(0, 1, 0, Phase::Live)]))]);
+        bench
+    }
+
+    fn tell(&mut self, events: Vec<Event>) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.sender.handle(self.now, &events, &mut actions);
+        self.recorder.turn(self.now, self.unix, &events, &actions, &self.sender).expect("recorded");
+        actions
+    }
+
+    fn wait(&mut self, span: Micros) -> Vec<Action> {
+        (self.now, self.unix) = (self.now + span, self.unix + span);
+        self.tell(vec![Event::Wake])
+    }
+
+    fn take(&mut self, class: u32) -> u64 {
+        let id = self.next;
+        self.next += 1;
+        let (dest, expires_in) = (DestinationId(1), 20 * SEC);
+        let message =
+            Message { id: MessageId(id), class, tenant: None, key: None, dest, again: false, expires_in };
+        self.tell(vec![Event::Taken(message)]);
+        id
+    }
+
+    fn end(&mut self, id: u64, attempt: u32, outcome: Outcome) {
+        let (id, over) = (MessageId(id), outcome == Outcome::Served);
+        self.tell(vec![Event::Ended { id, attempt, outcome, over, allowance: None }]);
+    }
+
+    fn explain(&self, question: Question) -> Explanation {
+        let mut bytes = Vec::new();
+        self.recorder.dump(&mut bytes).expect("written");
+        explain(&bytes, question).remove(0)
+    }
+
+    fn spans(&self, id: u64) -> Vec<(At, Micros)> {
+        let e = self.explain(Question { message: Some(MessageId(id)), ..Question::default() });
+        e.courses[0].spans.iter().map(|s| (s.at, s.to - s.from)).collect()
+    }
+}
+
+#[test]
+fn a_window_that_is_full_and_a_wait_that_was_told_are_named_in_turn() {
+    let mut b = Bench::new(settings());
+    let (first, second) = (b.take(common::SAFE), b.take(common::SAFE));
+    b.wait(200 * MS);
+    b.end(first, 0, Outcome::Full { wait: Some(SEC) });
+    b.wait(300 * MS);
+    for _ in 0..20 {
+        b.wait(100 * MS);
+    }
+    let spans = b.spans(second);
+    assert_eq!(spans[0], (At::Held(Guard::Window), 200 * MS), "{spans:?}");
+    let all: Vec<At> = spans.iter().map(|s| s.0).collect();
+    assert!(all.contains(&At::Held(Guard::Wait)), "{spans:?}");
+    let waited: Micros = spans.iter().filter(|s| s.0 == At::Held(Guard::Wait)).map(|s| s.1).sum();
+    assert!((SEC..2 * SEC).contains(&waited), "{spans:?}");
+}
+
+#[test]
+fn of_two_guards_that_hold_at_once_the_one_that_lets_go_last_is_named() {
+    let (soon, late) = (Hold::until(Guard::Again, 5), Hold::until(Guard::Wait, 9));
+    assert_eq!(soon.later(late), late);
+    assert_eq!(late.later(soon), late);
+    // What waits for an event may never let go.
+    assert_eq!(late.later(Hold::open(Guard::Window)).guard, Guard::Window);
+    let mut b = Bench::new(settings());
+    let id = b.take(common::SAFE);
+    // The message pauses for 300 ms after a failed connection; the destination told to wait for two seconds.
+    let other = b.take(common::SAFE);
+    b.end(id, 0, Outcome::ConnectFailed);
+    b.wait(SEC);
+    let out = b.sender.open().into_iter().find(|o| o.3).map(|o| o.0.0);
+    if let Some(out) = out {
+        let attempt = u32::from(out == id);
+        b.end(out, attempt, Outcome::Full { wait: Some(2 * SEC) });
+        b.wait(10 * MS);
+        let held: Vec<Guard> = b.sender.holds().iter().map(|h| h.2.guard).collect();
+        assert!(held.iter().all(|g| *g == Guard::Wait), "{held:?} for {id} and {other}");
+    }
+}
+
+#[test]
+fn a_message_that_is_never_sent_has_its_whole_time_explained() {
+    let mut b = Bench::new(settings());
+    // The list names its destination no more while it waits.
+    b.tell(vec![Event::List(ListNews::Changes(vec![common::entry(0, 1, 0, Phase::Gone)]))]);
+    let id = b.take(common::UNSAFE);
+    for _ in 0..250 {
+        b.wait(100 * MS);
+    }
+    let e = b.explain(Question { message: Some(MessageId(id)), ..Question::default() });
+    let course = &e.courses[0];
+    assert_eq!(course.end.as_deref(), Some("refused"));
+    assert!(course.spans.iter().all(|s| s.at == At::Held(Guard::Drained)), "{course:?}");
+    assert!(course.held() >= 19 * SEC);
+    assert_eq!((e.totals.len(), e.totals[0].guard), (1, Guard::Drained));
+}
+
+#[test]
+fn a_clock_that_steps_is_told_and_changes_no_span() {
+    let mut b = Bench::new(settings());
+    let id = b.take(common::SAFE);
+    b.wait(SEC);
+    b.unix -= 3_600 * SEC;
+    b.wait(SEC);
+    b.end(id, 0, Outcome::Served);
+    let e = b.explain(Question { message: Some(MessageId(id)), ..Question::default() });
+    assert_eq!(e.clock_steps.len(), 1);
+    assert_eq!(e.clock_steps[0].1, -3_600_000_000);
+    assert_eq!(e.courses[0].spans.iter().map(|s| s.to - s.from).sum::<Micros>(), 2 * SEC);
+    assert!(text::write(&e).contains("stepped by -3600.000 s"));
+}
+
+#[test]
+fn a_destinations_cuts_have_their_causes_and_it_can_be_drawn() {
+    let mut b = Bench::new(settings());
+    for _ in 0..6 {
+        let id = b.take(common::SAFE);
+        b.wait(100 * MS);
+        b.end(id, 0, Outcome::Served);
+    }
+    let id = b.take(common::SAFE);
+    b.wait(100 * MS);
+    b.end(id, 0, Outcome::Full { wait: None });
+    b.wait(SEC);
+    let e = b.explain(Question { dest: Some(DestinationId(1)), ..Question::default() });
+    assert_eq!(e.cuts.len(), 1, "{:?}", e.cuts);
+    assert!(e.cuts[0].cause.contains("no wait told") && e.cuts[0].to < e.cuts[0].from);
+    let svg = picture::draw(&e, 1);
+    assert!(svg.starts_with("<svg") && svg.ends_with("</svg>\n") && svg.contains("no wait told"));
+    assert!(serde_json::to_string(&e).expect("json").contains("\"cuts\""));
+}
+
+#[test]
+fn ten_thousand_destinations_are_recorded_and_explained() {
+    struct Count(u64);
+    impl Watcher for Count {
+        fn segment(&mut self, _: &form::Header, _: &Sender, _: bool) {}
+        fn turn(&mut self, _: &form::Turn, sender: &Sender) {
+            self.0 += sender.waiting_count() as u64;
+        }
+    }
+    let set = Settings { slots: 64, max_held: 20_000, ..settings() };
+    let mut b = Bench::new(set);
+    let entries = (0..10_000).map(|n| common::entry(n, u64::from(n) + 1, 0, Phase::Live)).collect();
+    b.tell(vec![Event::List(ListNews::Whole(entries))]);
+    let taken = (0..2_000u64).map(|n| {
+        let (dest, expires_in) = (DestinationId(1 + n * 5), 20 * SEC);
+        let id = MessageId(1_000 + n);
+        Event::Taken(Message { id, class: 0, tenant: None, key: None, dest, again: false, expires_in })
+    });
+    b.tell(taken.collect());
+    for _ in 0..5 {
+        b.wait(100 * MS);
+    }
+    let mut bytes = Vec::new();
+    b.recorder.dump(&mut bytes).expect("written");
+    assert!(bytes.len() <= 8 << 20);
+    let mut count = Count(0);
+    assert!(replay(&Recording::read(&bytes), &mut count).is_equal());
+    assert!(count.0 > 5_000);
+    let e = b.explain(everything());
+    assert_eq!(e.held_by_spans, e.held_by_count);
+    assert!(e.totals.iter().any(|t| t.guard == Guard::Slots && t.messages > 1_900), "{:?}", e.totals);
+}
