--- a/crates/daemon/src/calls.rs
+++ b/crates/daemon/src/calls.rs
@@ -248,6 +248,8 @@
     waits: RefCell<HashMap<Route, Instant>>,
     cancels: RefCell<HashMap<AttemptId, UnboundedSender<AttemptId>>>,
     out: Cell<usize>,
+    /// Calls that have not looked for a connection yet.
+    starting: Cell<usize>,
     journal: Rc<RefCell<Journal>>,
     inputs: UnboundedSender<Input>,
     connect_timeout: Duration,
@@ -267,6 +269,7 @@
             waits: RefCell::default(),
             cancels: RefCell::default(),
             out: Cell::new(0),
+            starting: Cell::new(0),
             journal,
             inputs,
             connect_timeout: Duration::from_micros(set.connect_timeout),
@@ -302,7 +305,8 @@
             None => self.targets.borrow_mut().remove(&id),
         };
         if old.map(|t| (t.address, t.live)) != target.map(|t| (t.address, t.live)) {
-            self.close_idle(id);
+            let closed = self.pool.borrow_mut().remove(&id).map_or(0, |idle| idle.len());
+            self.tell_closed(id, closed);
         }
         let left = old.filter(|o| self.targets.borrow().values().all(|t| t.dest != o.dest));
         let mut named = self.named.borrow_mut();
@@ -328,13 +332,33 @@
         self.targets.borrow().contains_key(&id)
     }
 
+    /// The module has these closed, and knows.
     pub fn close_idle(&self, id: EndpointId) {
         self.pool.borrow_mut().remove(&id);
     }
 
+    /// Tells that so many idle connections ended.
+    fn tell_closed(&self, id: EndpointId, count: usize) {
+        for _ in 0..count {
+            let _ = self.inputs.send(Input::Event(Event::Closed(id)));
+        }
+    }
+
+    /// Connections that stand idle, by endpoint.
+    pub fn idle(&self) -> HashMap<EndpointId, usize> {
+        self.pool.borrow().iter().map(|(&id, idle)| (id, idle.len())).collect()
+    }
+
+    /// Attempts that are out; none while a call that was started has not looked for a connection yet.
+    pub fn attempts_out(&self) -> Option<usize> {
+        (self.starting.get() == 0).then(|| self.cancels.borrow().len())
+    }
+
     fn sweep(&self) {
-        self.pool.borrow_mut().retain(|_, idle| {
+        self.pool.borrow_mut().retain(|id, idle| {
+            let before = idle.len();
             idle.retain(|i| self.fresh(i));
+            self.tell_closed(*id, before - idle.len());
             !idle.is_empty()
         });
         let now = Instant::now();
@@ -365,6 +389,7 @@
             self.cancels.borrow_mut().insert((i.id, i.attempt), cancel.clone());
         }
         self.out.set(self.out.get() + 1);
+        self.starting.set(self.starting.get() + 1);
         let calls = self.clone();
         tokio::task::spawn_local(async move {
             calls.call(endpoint, items, cancelled).await;
@@ -474,7 +499,14 @@
         progress: &RefCell<Option<Rc<Progress>>>,
     ) -> Result<Answer, ()> {
         let moot = Ok(Answer::Alike(Outcome::Moot.into()));
-        let Some(target) = self.target(endpoint) else { return moot };
+        self.starting.set(self.starting.get() - 1);
+        let Some(target) = self.target(endpoint) else {
+            // The module took an idle connection as used.
+            if self.pool.borrow().contains_key(&endpoint) {
+                let _ = self.inputs.send(Input::Event(Event::Unused(endpoint)));
+            }
+            return moot;
+        };
         let mut used = self.pooled(endpoint);
         let mut recorded = false;
         loop {
@@ -562,8 +594,16 @@
     fn pooled(&self, id: EndpointId) -> Option<Connection> {
         let mut pool = self.pool.borrow_mut();
         let idle = pool.get_mut(&id)?;
+        let before = idle.len();
         idle.retain(|i| self.fresh(i) && i.connection.is_fit());
-        idle.pop().map(|i| i.connection)
+        let closed = before - idle.len();
+        let used = idle.pop().map(|i| i.connection);
+        if idle.is_empty() {
+            pool.remove(&id);
+        }
+        // The module counts one of them as used, whether it was fit or not.
+        self.tell_closed(id, if used.is_some() { closed } else { closed.saturating_sub(1) });
+        used
     }
 
     async fn release(&self, id: EndpointId, mut connection: Connection) {
@@ -576,6 +616,7 @@
             return connection.close().await;
         }
         self.pool.borrow_mut().entry(id).or_default().push(Idle { connection, since: Instant::now() });
+        let _ = self.inputs.send(Input::Event(Event::Unused(id)));
     }
 
     async fn connect(&self, address: SocketAddr) -> Result<Connection, ()> {
--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -284,6 +284,7 @@
         connect_timeout: up(b.connect_timeout_s)?,
         conn_idle: down(b.conn_idle_s)?,
         multiplex: b.multiplex,
+        conns_told: true,
         tick: up(told.tick_s)?,
         max_advice: if b.retry_after { down(b.max_retry_after_s)? } else { 0 },
     };
--- a/crates/daemon/src/flight.rs
+++ b/crates/daemon/src/flight.rs
@@ -138,3 +138,57 @@
         }));
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use notchpoint_recorder::{Recording, replay, replay::Nobody};
+
+    #[test]
+    fn a_panic_leaves_what_was_recorded() {
+        let folder = tempfile::tempdir().expect("a folder");
+        let set = operator::Recorder {
+            store: Store::Memory,
+            folder: Some(folder.path().to_owned()),
+            limit_mb: 1.0,
+        };
+        let config = crate::config::read(crate::config::tests::TEXT).expect("sound");
+        let flight = Flight::open(&set, &config).expect("begun");
+        flight.watch_panics();
+        let mut sender = Sender::new(config.settings.clone(), config.seed).expect("sound");
+        let mut actions = Vec::new();
+        for n in 0..10u64 {
+            let at = crate::node::CLOCK_START + n;
+            actions.clear();
+            sender.handle(at, &[Event::Wake], &mut actions);
+            flight.turn(at, &[Event::Wake], &actions, &sender);
+        }
+        assert!(std::panic::catch_unwind(|| panic!("a fault of ours")).is_err());
+        let dumps: Vec<PathBuf> =
+            fs::read_dir(folder.path()).expect("read").flatten().map(|e| e.path()).collect();
+        assert_eq!(dumps.len(), 1, "{dumps:?}");
+        let bytes = fs::read(&dumps[0]).expect("read");
+        let played = replay(&Recording::read(&bytes), &mut Nobody);
+        assert!(played.is_equal() && played.turns == 10, "{played:?}");
+    }
+
+    #[test]
+    fn a_recording_that_cannot_be_written_ends_and_the_turns_go_on() {
+        let folder = tempfile::tempdir().expect("a folder");
+        let path = folder.path().join("recording");
+        let set = operator::Recorder { store: Store::Folder, folder: Some(path.clone()), limit_mb: 0.25 };
+        let config = crate::config::read(crate::config::tests::TEXT).expect("sound");
+        let flight = Flight::open(&set, &config).expect("begun");
+        // The folder is taken away: the next segment cannot be begun.
+        fs::remove_dir_all(&path).expect("removed");
+        let mut sender = Sender::new(config.settings.clone(), config.seed).expect("sound");
+        let lines = vec![Action::Log("a line that takes room".repeat(100))];
+        for n in 0..200u64 {
+            let at = crate::node::CLOCK_START + n;
+            sender.handle(at, &[Event::Wake], &mut Vec::new());
+            flight.turn(at, &[Event::Wake], &lines, &sender);
+        }
+        assert!(flight.recorder.borrow().is_none(), "it goes on into nowhere");
+        assert!(flight.dump().is_ok_and(|d| d.is_none()));
+    }
+}
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -226,6 +226,9 @@
         let events = std::mem::take(&mut self.events);
         self.last_turn = Some(Instant::now());
         let now = self.now();
+        if cfg!(debug_assertions) {
+            self.compare_connections(&events);
+        }
         self.sender.handle(now, &events, &mut actions);
         self.flight.turn(now, &events, &actions, &self.sender);
         let mut loads: Vec<(EndpointId, Vec<Item>)> = Vec::new();
@@ -252,6 +255,34 @@
             }
         }
         loads.into_iter().for_each(|(endpoint, items)| self.calls.start(endpoint, items));
+        if cfg!(debug_assertions) {
+            self.compare_held();
+        }
+    }
+
+    /// What the module will believe of connections and attempts once it has heard these events is what there
+    /// is: a difference would be a decision on something untrue. In test builds only.
+    fn compare_connections(&self, events: &[Event]) {
+        let Some(out) = self.calls.attempts_out() else { return };
+        let ended = events.iter().filter(|e| matches!(e, Event::Ended { .. })).count();
+        let believed = self.sender.attempts_out();
+        assert_eq!(believed, out + ended, "attempts out: believed, and real with those that ended");
+        let real = self.calls.idle();
+        for (id, believed) in self.sender.idle_connections() {
+            let count = |e: &Event| events.iter().filter(|x| *x == e).count();
+            let (unused, closed) = (count(&Event::Unused(id)), count(&Event::Closed(id)));
+            let real = real.get(&id).copied().unwrap_or(0);
+            assert_eq!(believed + unused, real + closed, "idle connections to {id:?}");
+        }
+    }
+
+    /// What the module holds is what the journal says is owed, but for messages that it was not told of yet.
+    fn compare_held(&self) {
+        let journal = self.journal.borrow();
+        let owed = journal.iter().filter(|(id, m)| m.verdict.is_none() && self.attempts.contains_key(id));
+        let owed: Vec<MessageId> = owed.map(|(id, _)| id).collect();
+        let held: Vec<MessageId> = self.sender.open().into_iter().map(|o| o.0).collect();
+        assert_eq!(held, owed, "messages held, and owed by the journal");
     }
 
     /// Adds a message to the call that this turn makes to an endpoint, as far as its kind allows.
--- /dev/null
+++ b/crates/daemon/tests/sockets/flight.rs
@@ -0,0 +1,144 @@
+//! The flight recorder of a real process, and the commands that read what it leaves.
+
+use crate::world::*;
+use crate::{LONG, drained, ok, same};
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+
+const IN_FOLDER: &str = "[recorder]\nstore = \"folder\"\nfolder = \"FOLDER\"\nlimit_mb = 4.0\n";
+const IN_MEMORY: &str = "[recorder]\nstore = \"memory\"\nfolder = \"FOLDER\"\nlimit_mb = 4.0\n";
+
+fn command(args: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_notchpoint")).args(args).output().expect("the program")
+}
+
+fn said(output: &Output) -> String {
+    String::from_utf8_lossy(&[output.stdout.clone(), output.stderr.clone()].concat()).into_owned()
+}
+
+fn text(path: &Path) -> &str {
+    path.to_str().expect("text")
+}
+
+fn recorded(operator: &str) -> (Node, Endpoint, PathBuf) {
+    let endpoint = Endpoint::new(|_| ok());
+    let members = [member("s-1", endpoint.address, "shop", 3, "up"), drained(endpoint.address)];
+    let node = Node::with_operator(&members, same, Some(operator));
+    let recording = node.folder.path().join("recording");
+    (node, endpoint, recording)
+}
+
+#[test]
+fn a_killed_process_leaves_a_recording_that_plays_and_explains() {
+    let (mut node, endpoint, recording) = recorded(IN_FOLDER);
+    let secret = b"the body of an order";
+    for id in 1..=5 {
+        assert_eq!(node.hand_in("payment", id, 3, LONG, secret).status(), 202);
+        endpoint.call(id as usize - 1);
+    }
+    // Nothing may go there: it is held for as long as the process lives.
+    assert_eq!(node.hand_in("update", 0xabc, 9, LONG, secret).status(), 202);
+    let folder = text(&recording).to_owned();
+    until("its turn is recorded", || {
+        said(&command(&["explain", &folder, "--message", "0000000000000abc"])).contains("Drained")
+    });
+    node.restart();
+    assert_eq!(node.hand_in("payment", 6, 3, LONG, secret).status(), 202);
+    endpoint.call(5);
+    node.kill();
+    let played = command(&["replay", &folder]);
+    assert!(played.status.success(), "{}", said(&played));
+    assert!(said(&played).contains("of 2 processes"), "{}", said(&played));
+    let explained = said(&command(&["explain", &folder, "--message", "0000000000000abc"]));
+    assert!(explained.contains("Drained") && explained.contains("update"), "{explained}");
+    // The next process took it up: its course goes on there.
+    assert!(explained.contains("taken up after a restart"), "{explained}");
+    for file in std::fs::read_dir(&recording).expect("a folder").flatten() {
+        let bytes = std::fs::read(file.path()).expect("a file");
+        assert!(!bytes.windows(secret.len()).any(|w| w == secret), "a body is in the recording");
+    }
+}
+
+#[test]
+fn a_dump_is_written_when_asked_for_and_only_four_are_kept() {
+    let (node, endpoint, recording) = recorded(IN_MEMORY);
+    node.hand_in("update", 1, 3, LONG, b"");
+    endpoint.call(0);
+    let dumps = || {
+        let all = std::fs::read_dir(&recording).expect("a folder").flatten().map(|e| e.path());
+        let mut all: Vec<PathBuf> = all.filter(|p| text(p).ends_with(".nptrec")).collect();
+        all.sort();
+        all
+    };
+    let mut seen = std::collections::BTreeSet::new();
+    for _ in 0..6 {
+        let before = seen.len();
+        node.signal("-USR1");
+        until("a dump", || {
+            seen.extend(dumps());
+            seen.len() > before
+        });
+        assert!(dumps().len() <= 4);
+    }
+    let last = dumps().pop().expect("a dump");
+    let played = command(&["replay", text(&last)]);
+    assert!(played.status.success(), "{}", said(&played));
+    let svg = node.folder.path().join("picture.svg");
+    let explained = command(&["explain", text(&last), "--dest", "3", "--json", "--svg", text(&svg)]);
+    assert!(explained.status.success(), "{}", said(&explained));
+    assert!(std::fs::read_to_string(svg).expect("a picture").contains("destination 3"));
+    assert!(said(&explained).contains("\"end\":\"delivered\""), "{}", said(&explained));
+}
+
+#[test]
+fn without_the_operators_file_nothing_is_recorded_and_a_dump_is_refused_with_a_word() {
+    let endpoint = Endpoint::new(|_| ok());
+    let node = Node::new(&[member("s-1", endpoint.address, "shop", 3, "up")], same);
+    node.signal("-USR1");
+    // It goes on.
+    assert_eq!(node.hand_in("update", 1, 3, LONG, b"").status(), 202);
+    endpoint.call(0);
+    assert!(!node.folder.path().join("recording").exists());
+}
+
+#[test]
+fn the_commands_tell_what_they_do_and_what_is_wrong() {
+    for (args, has) in [
+        (vec!["--help"], "BALANCER_CONFIG"),
+        (vec!["replay", "--help"], "bit for bit"),
+        (vec!["explain", "--help"], "--svg"),
+        (vec!["check", "--help"], "operator"),
+    ] {
+        let output = command(&args);
+        assert!(output.status.success() && said(&output).contains(has), "{args:?}: {}", said(&output));
+    }
+    let folder = tempfile::tempdir().expect("a folder");
+    let (bad, none) = (folder.path().join("bad.toml"), folder.path().join("none"));
+    std::fs::write(&bad, "[recorder]\nstore = \"tape\"\n").expect("a file");
+    std::fs::write(&none, b"NPTREC").expect("a file");
+    for (args, has) in [
+        (vec!["check", text(&bad)], "line 2"),
+        (vec!["--operator", text(&bad)], "line 2"),
+        (vec!["replay", "/nowhere"], "/nowhere"),
+        (vec!["replay", text(&none)], "byte 0"),
+        (vec!["explain", text(&none), "--message", "12"], "16 hex digits"),
+        (vec!["explain", text(&none), "--svg", "x"], "--dest"),
+    ] {
+        let output = command(&args);
+        assert_eq!(output.status.code(), Some(2), "{args:?}: {}", said(&output));
+        assert!(said(&output).contains(has), "{args:?}: {}", said(&output));
+    }
+    let good = folder.path().join("good.toml");
+    std::fs::write(&good, "[recorder]\nstore = \"memory\"\nfolder = \"/x\"\n").expect("a file");
+    assert!(said(&command(&["check", text(&good)])).contains("recorder in memory, 16 MB"));
+}
+
+#[test]
+fn a_message_that_is_not_in_a_recording_is_said() {
+    let (node, endpoint, recording) = recorded(IN_FOLDER);
+    node.hand_in("update", 1, 3, LONG, b"");
+    endpoint.call(0);
+    let output = command(&["explain", text(&recording), "--message", "00000000000000ff"]);
+    assert_eq!(output.status.code(), Some(2));
+    assert!(said(&output).contains("00000000000000ff is not in the recording"), "{}", said(&output));
+}
--- a/crates/daemon/tests/sockets/world.rs
+++ b/crates/daemon/tests/sockets/world.rs
@@ -252,6 +252,15 @@
 impl Node {
     /// Knows these endpoints from the start; `change` alters its configuration.
     pub fn new(members: &[String], change: impl Fn(String) -> String) -> Self {
+        Self::with_operator(members, change, None)
+    }
+
+    /// With an operator's file; in it FOLDER stands for a folder beside the state.
+    pub fn with_operator(
+        members: &[String],
+        change: impl Fn(String) -> String,
+        operator: Option<&str>,
+    ) -> Self {
         let platform = Platform::new();
         let folder = tempfile::tempdir().expect("a folder");
         let text = include_str!("config.json")
@@ -259,6 +268,10 @@
             .replace("MEMBERS", &members.join(","));
         std::fs::create_dir(folder.path().join("state")).expect("a folder");
         std::fs::write(folder.path().join("config.json"), change(text)).expect("a file");
+        if let Some(text) = operator {
+            let text = text.replace("FOLDER", &folder.path().join("recording").display().to_string());
+            std::fs::write(folder.path().join("operator.toml"), text).expect("a file");
+        }
         let (child, address) = start(&folder);
         let node = Self { folder, platform, address, child };
         assert_eq!(node.ask("GET /up", &[], b"").status(), 200);
@@ -292,7 +305,7 @@
         self.signal("-HUP");
     }
 
-    fn signal(&self, name: &str) {
+    pub fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
         assert!(Command::new("kill").args([name, &pid]).status().expect("kill").success());
     }
@@ -328,7 +341,12 @@
 }
 
 fn start(folder: &tempfile::TempDir) -> (Child, SocketAddr) {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_notchpoint"))
+    let mut command = Command::new(env!("CARGO_BIN_EXE_notchpoint"));
+    let operator = folder.path().join("operator.toml");
+    if operator.exists() {
+        command.arg("--operator").arg(operator);
+    }
+    let mut child = command
         .env("BALANCER_CONFIG", folder.path().join("config.json"))
         .env("BALANCER_STATE", folder.path().join("state"))
         .stdout(Stdio::piped())
--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -261,6 +261,8 @@
                 Event::Withdrawn(id) => self.finish(*id),
                 Event::List(news) => self.list(news),
                 Event::Note { from, body } => self.note(*from, body),
+                Event::Unused(id) => self.idle(*id, true),
+                Event::Closed(id) => self.idle(*id, false),
                 Event::Wake | Event::Probed { .. } => {}
             }
         }
@@ -277,6 +279,16 @@
         out.append(&mut self.out);
     }
 
+    /// A connection stands idle, or an idle one ended: the oldest, as far as can be told.
+    fn idle(&mut self, id: EndpointId, more: bool) {
+        let Some(e) = self.endpoints.get_mut(&id).filter(|_| self.set.conns_told) else { return };
+        if more {
+            e.idle.push(self.now);
+        } else if !e.idle.is_empty() {
+            e.idle.remove(0);
+        }
+    }
+
     fn jitter(&mut self, span: Micros) -> Micros {
         (span as f64 * (0.75 + 0.5 * self.rng.f64())) as Micros
     }
@@ -515,7 +527,9 @@
                     self.scarce[e.kind] = self.scarce[e.kind].max(until);
                 }
                 if matches!(outcome, Served | Failed | Full { .. }) {
-                    e.idle.push(now);
+                    if !self.set.conns_told {
+                        e.idle.push(now);
+                    }
                     // A connection that would lie idle until it closes may be the one that another sender
                     // cannot get: hundreds of senders fill what an endpoint accepts. Costs handshakes.
                     if now < self.scarce[e.kind] && e.gap > self.set.conn_idle / 8 {
@@ -593,7 +607,7 @@
                 open = was_trial.then_some("refuses all");
             }
             TimedOut | Reset | ConnectFailed => {
-                e.idle.clear();
+                e.idle.retain(|_| self.set.conns_told);
                 e.fail(None, now, if alone { u32::MAX } else { 1 });
                 // Served since it was sent: slow or one endpoint's trouble, no outage of the route.
                 let bad = r.last_ok <= sent;
@@ -845,7 +859,7 @@
         let trusted = d.trusted(now);
         let mut idle = 0;
         if let Some(e) = self.endpoints.get_mut(&endpoint) {
-            e.idle.retain(|&t| t + self.set.conn_idle > now);
+            e.idle.retain(|&t| self.set.conns_told || t + self.set.conn_idle > now);
             let dropped = e.idle.last().is_some_and(|t| t.saturating_add(trusted) < now);
             if dropped || now < self.idle_safe.1 && e.idle.iter().any(|t| t + self.idle_safe.0 < now) {
                 e.idle.clear();
--- a/crates/policy/src/choice/tests.rs
+++ b/crates/policy/src/choice/tests.rs
@@ -41,6 +41,7 @@
         connect_timeout: SEC,
         conn_idle: SEC,
         multiplex: 1,
+        conns_told: false,
         tick: 5 * MS,
         max_advice: SEC,
     };
--- a/crates/policy/src/choice/view.rs
+++ b/crates/policy/src/choice/view.rs
@@ -33,6 +33,16 @@
         self.waiting().map(|(_, d)| d.queue.len()).sum()
     }
 
+    /// Attempts that are out.
+    pub fn attempts_out(&self) -> usize {
+        self.held.values().map(|h| h.out as usize).sum()
+    }
+
+    /// Connections that are believed to stand idle, by endpoint.
+    pub fn idle_connections(&self) -> Vec<(EndpointId, usize)> {
+        self.endpoints.iter().map(|(&id, e)| (id, e.idle.len())).collect()
+    }
+
     /// Calls that hold a slot.
     pub fn calls_out(&self) -> usize {
         self.calls.len()
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -140,6 +140,9 @@
     pub conn_idle: Micros,
     /// Calls that one connection carries at once.
     pub multiplex: u32,
+    /// The caller tells of each connection that stands idle, and of each idle one that ends. Else both are
+    /// guessed from outcomes.
+    pub conns_told: bool,
     /// The least time between two turns.
     pub tick: Micros,
     /// Longest advice on when to come back that clients heed; 0 where none is passed on.
@@ -325,6 +328,10 @@
         /// What.
         body: Vec<u8>,
     },
+    /// A connection to this endpoint stands idle from now on.
+    Unused(EndpointId),
+    /// An idle connection to this endpoint ended, other than by [`Action::CloseIdle`].
+    Closed(EndpointId),
     /// A probe ended.
     Probed {
         /// The endpoint.
@@ -402,8 +409,6 @@
     Slots,
     /// Its destination holds its whole share of the slots.
     Share,
-    /// Destinations in trouble together hold their share of the slots.
-    Trouble,
     /// Calls in flight fill the destination's window.
     Window,
     /// The destination told how long to wait.
@@ -435,7 +440,7 @@
 impl Guard {
     /// It stands for room that other messages of the destination take as well.
     pub fn is_room(self) -> bool {
-        matches!(self, Self::Window | Self::Share | Self::Trouble | Self::Pace | Self::Cold)
+        matches!(self, Self::Window | Self::Share | Self::Pace | Self::Cold)
     }
 }
 
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -50,6 +50,7 @@
         connect_timeout: SEC,
         conn_idle: 5 * SEC,
         multiplex: 1,
+        conns_told: false,
         tick: 5 * MS,
         max_advice: 2 * SEC,
     }
--- /dev/null
+++ b/crates/recorder/examples/cost.rs
@@ -0,0 +1,160 @@
+//! What recording costs: the same turns with the recorder off, in memory and in a folder, in turn, so that
+//! all three meet the same machine.
+//! `cargo run --release -p notchpoint-recorder --example cost -- [TURNS] [FOLDER]`
+
+use notchpoint_policy::*;
+use notchpoint_recorder::store::{Folder, Memory};
+use notchpoint_recorder::{Options, Recorder};
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+const LIMIT: u64 = 16_000_000;
+const TICK: Micros = 5_000;
+const DESTS: u64 = 20;
+/// Turns played in one go before the next way has its turn.
+const CHUNK: u64 = 2_000;
+
+fn settings() -> Settings {
+    let class = |effect, worth, deadline| Class {
+        effect,
+        group: Group::All,
+        memory: 0,
+        wanted: 1_000_000,
+        deadline,
+        worth,
+        late_share: 0.0,
+        in_order: false,
+    };
+    Settings {
+        slots: 16,
+        max_held: 400,
+        max_attempts: 8,
+        senders: 3,
+        zone: 0,
+        second_copies: true,
+        may_cancel: true,
+        may_probe: false,
+        may_note: false,
+        list: ListMode::Push,
+        classes: vec![class(Effect::Safe, 1.0, 6_000_000), class(Effect::Unsafe, 3.0, 24_000_000)],
+        tenants: vec![],
+        over_share_worth: 0.2,
+        kinds: vec![Kind { apart: false, bundle: 1 }],
+        fade: Fade::ByHalf,
+        clients_mark: true,
+        start_share: 0.2,
+        cold: 9_000_000,
+        fall_multiple: 2.0,
+        fall_after: 2_000_000,
+        key_rest: 0,
+        connect_timeout: 1_000_000,
+        conn_idle: 5_000_000,
+        multiplex: 1,
+        conns_told: false,
+        tick: TICK,
+        max_advice: 2_000_000,
+    }
+}
+
+/// A sender whose calls take 100 ms, and its recorder if it has one.
+struct Lane {
+    name: &'static str,
+    sender: Sender,
+    recorder: Option<Recorder>,
+    now: Micros,
+    out: Vec<(Micros, MessageId)>,
+    messages: u64,
+    took: Duration,
+}
+
+impl Lane {
+    fn new(name: &'static str, recorder: Option<Recorder>) -> Self {
+        let sender = Sender::new(settings(), 1).expect("sound");
+        let (now, out, took) = (100_000_000, Vec::new(), Duration::ZERO);
+        let mut lane = Self { name, sender, recorder, now, out, messages: 0, took };
+        let entries = (0..DESTS).map(|n| Entry {
+            endpoint: EndpointId(n),
+            dest: DestinationId(n),
+            zone: 0,
+            kind: 0,
+            phase: Phase::Live,
+        });
+        lane.turn(vec![Event::List(ListNews::Whole(entries.collect()))]);
+        lane
+    }
+
+    fn turn(&mut self, events: Vec<Event>) {
+        let mut actions = Vec::new();
+        self.sender.handle(self.now, &events, &mut actions);
+        if let Some(r) = &mut self.recorder {
+            r.turn(self.now, self.now, &events, &actions, &self.sender).expect("recorded");
+        }
+        for a in actions {
+            if let Action::Send { id, .. } = a {
+                self.out.push((self.now, id));
+            }
+        }
+    }
+
+    fn play(&mut self) {
+        let started = Instant::now();
+        for n in 0..CHUNK {
+            self.now += TICK;
+            let now = self.now;
+            let done = self.out.extract_if(.., |o| now >= o.0 + 100_000);
+            let ended = |(_, id)| Event::Ended {
+                id,
+                attempt: 0,
+                outcome: Outcome::Served,
+                over: true,
+                allowance: None,
+            };
+            let mut events: Vec<Event> = done.map(ended).collect();
+            // 100 messages a second.
+            if n % 2 == 0 {
+                self.messages += 1;
+                events.push(Event::Taken(Message {
+                    id: MessageId(self.messages.wrapping_mul(0x9e37_79b9_7f4a_7c15)),
+                    class: (self.messages % 2) as u32,
+                    tenant: None,
+                    key: None,
+                    dest: DestinationId(self.messages % DESTS),
+                    again: false,
+                    expires_in: 6_000_000,
+                }));
+            }
+            self.turn(events);
+        }
+        self.took += started.elapsed();
+    }
+}
+
+fn recorder(store: Box<dyn notchpoint_recorder::store::Store>) -> Option<Recorder> {
+    let (sender, classes) = ("n0".into(), vec!["status-update".into(), "order-payment".into()]);
+    let options = Options { limit: LIMIT, sender, classes, settings: settings(), seed: 1 };
+    Recorder::begin(options, store, &[], 100_000_000, 100_000_000).ok()
+}
+
+fn main() {
+    let mut args = std::env::args().skip(1);
+    let turns: u64 = args.next().and_then(|a| a.parse().ok()).unwrap_or(1_000_000);
+    let folder = args.next().unwrap_or_else(|| "recording-cost".into());
+    let (store, there) = Folder::open(Path::new(&folder)).expect("a folder");
+    assert!(there.is_empty(), "{folder} holds a recording already");
+    let mut lanes = [
+        Lane::new("off", None),
+        Lane::new("memory", recorder(Box::new(Memory::default()))),
+        Lane::new("folder", recorder(Box::new(store))),
+    ];
+    for _ in 0..turns / CHUNK {
+        lanes.iter_mut().for_each(Lane::play);
+    }
+    let off = lanes[0].took;
+    println!("recorder  us a message  more than off  bytes kept");
+    for l in &lanes {
+        let per = |d: Duration| d.as_secs_f64() * 1e6 / l.messages.max(1) as f64;
+        let kept = l.recorder.as_ref().map_or(0, Recorder::size);
+        println!("{:<8} {:>13.2} {:>14.2} {kept:>11}", l.name, per(l.took), per(l.took.saturating_sub(off)));
+    }
+    std::fs::remove_dir_all(&folder).expect("removed");
+}
--- a/crates/recorder/src/explain.rs
+++ b/crates/recorder/src/explain.rs
@@ -413,6 +413,8 @@
         Event::Wake => "by the clock".into(),
         Event::List(_) => "the list of endpoints changed".into(),
         Event::Note { from, .. } => format!("a note from sender {from}"),
+        Event::Unused(_) => "a connection stands idle".into(),
+        Event::Closed(_) => "an idle connection ended".into(),
         Event::Probed { .. } => "a probe ended".into(),
     }
 }
--- a/crates/recorder/src/form.rs
+++ b/crates/recorder/src/form.rs
@@ -88,6 +88,18 @@
     Name(EndpointId, String),
 }
 
+/// A [`Record::Turn`] to be written, without a copy of what is in it. Its encoding is the same.
+#[derive(Serialize)]
+struct TurnToWrite<'a> {
+    number: u64,
+    at: Micros,
+    events: &'a [Event],
+    actions: &'a [Action],
+}
+
+/// The place of [`Record::Turn`] among the records.
+const TURN: u8 = 1;
+
 /// Why a record could not be written.
 #[derive(Debug)]
 pub struct TooLong(pub usize);
@@ -102,17 +114,35 @@
 
 /// Appends a record as a frame.
 pub fn write(record: &Record, to: &mut Vec<u8>) -> Result<(), TooLong> {
+    frame(&[], record, to)
+}
+
+/// Appends a turn as a frame; as [`write`] of a [`Record::Turn`], but nothing is copied on the way.
+pub fn write_turn(
+    number: u64,
+    at: Micros,
+    events: &[Event],
+    actions: &[Action],
+    to: &mut Vec<u8>,
+) -> Result<(), TooLong> {
+    frame(&[TURN], &TurnToWrite { number, at, events, actions }, to)
+}
+
+fn frame(before: &[u8], payload: &impl Serialize, to: &mut Vec<u8>) -> Result<(), TooLong> {
     let start = to.len();
     to.extend([0; FRAME]);
-    // Writing into memory cannot fail; the error of the encoder is kept as the length it stopped at.
-    let body = postcard::to_allocvec(record).map_err(|_| TooLong(usize::MAX))?;
-    if body.len() > LONGEST {
+    to.extend(before);
+    // Writing into memory cannot fail for plain data.
+    *to = postcard::to_extend(payload, std::mem::take(to)).map_err(|_| TooLong(usize::MAX))?;
+    let body = start + FRAME;
+    let length = to.len() - body;
+    if length > LONGEST {
         to.truncate(start);
-        return Err(TooLong(body.len()));
+        return Err(TooLong(length));
     }
-    to.extend(&body);
-    to[start..start + 4].copy_from_slice(&(body.len() as u32).to_le_bytes());
-    to[start + 4..start + 8].copy_from_slice(&crc32fast::hash(&body).to_le_bytes());
+    let sum = crc32fast::hash(&to[body..]);
+    to[start..start + 4].copy_from_slice(&(length as u32).to_le_bytes());
+    to[start + 4..body].copy_from_slice(&sum.to_le_bytes());
     Ok(())
 }
 
@@ -124,7 +154,12 @@
         /// Where the torn record begins, counted from the start of the recording.
         offset: usize,
     },
-    /// A record does not fit its checksum, or cannot be read.
+    /// A record is whole by its checksum, but says nothing that this build knows: another version wrote it.
+    Foreign {
+        /// Where it begins.
+        offset: usize,
+    },
+    /// A record does not fit its checksum.
     Spoilt {
         /// Where it begins.
         offset: usize,
@@ -147,6 +182,10 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Cut { offset } => write!(f, "byte {offset}: the recording ends within a record"),
+            Self::Foreign { offset } => {
+                write!(f, "byte {offset}: a whole record in a form that this build does not know: it was ")?;
+                write!(f, "written by another version, and only a build with that form can play it")
+            }
             Self::Spoilt { offset } => write!(f, "byte {offset}: a record does not fit its checksum"),
             Self::NoSegment { offset } => write!(f, "byte {offset}: no segment of a recording begins here"),
             Self::Version { offset, version } => {
@@ -164,6 +203,7 @@
     Whole(Record, &'a [u8]),
     Cut,
     Spoilt,
+    Foreign,
 }
 
 /// The payload of the first frame, and what follows it; else whether the bytes end within it.
@@ -188,7 +228,7 @@
     };
     match postcard::take_from_bytes(body) {
         Ok((record, [])) => Frame::Whole(record, rest),
-        _ => Frame::Spoilt,
+        _ => Frame::Foreign,
     }
 }
 
@@ -247,6 +287,10 @@
                     found.damage.push(Damage::Cut { offset: at });
                     break;
                 }
+                Frame::Foreign => {
+                    found.damage.push(Damage::Foreign { offset: at });
+                    at = next(begin);
+                }
                 _ => {
                     found.damage.push(Damage::Spoilt { offset: at });
                     at = next(begin);
@@ -306,6 +350,10 @@
                 self.damage = Some(Damage::Spoilt { offset: self.at });
                 None
             }
+            Frame::Foreign => {
+                self.damage = Some(Damage::Foreign { offset: self.at });
+                None
+            }
             Frame::Cut => {
                 self.damage = Some(Damage::Cut { offset: self.at });
                 None
@@ -318,3 +366,27 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_whole_record_of_another_version_is_not_taken_for_damage() {
+        let mut bytes = MAGIC.to_vec();
+        frame(&[77], &"a record of a later version", &mut bytes).expect("fits");
+        assert_eq!(Recording::read(&bytes).damage, [Damage::Foreign { offset: 0 }]);
+        let last = bytes.len() - 1;
+        bytes[last] ^= 1;
+        assert_eq!(Recording::read(&bytes).damage, [Damage::Spoilt { offset: 0 }]);
+    }
+
+    #[test]
+    fn a_turn_written_without_a_copy_is_the_same_bytes() {
+        let (events, actions) = (vec![Event::Wake], vec![Action::Watch, Action::WakeAt(7)]);
+        let (mut a, mut b) = (Vec::new(), Vec::new());
+        write_turn(300, 5, &events, &actions, &mut a).expect("fits");
+        write(&Record::Turn(Turn { number: 300, at: 5, events, actions }), &mut b).expect("fits");
+        assert_eq!(a, b);
+    }
+}
--- a/crates/recorder/src/recorder.rs
+++ b/crates/recorder/src/recorder.rs
@@ -1,6 +1,6 @@
 //! What the sender calls once a turn.
 
-use crate::form::{self, Header, MAGIC, Record, Start, Turn};
+use crate::form::{self, Header, MAGIC, Record, Start};
 use crate::ring::{NoRoom, Ring};
 use crate::store::Store;
 use notchpoint_policy::{Action, EndpointId, Event, FINGERPRINT, Micros, STATE_FORM, Sender, Settings};
@@ -154,8 +154,7 @@
             self.offset = offset;
             form::write(&Record::Clock { at, unix }, &mut self.buffer)?;
         }
-        let (events, actions) = (events.to_vec(), actions.to_vec());
-        form::write(&Record::Turn(Turn { number: self.turns, at, events, actions }), &mut self.buffer)?;
+        form::write_turn(self.turns, at, events, actions, &mut self.buffer)?;
         self.turns += 1;
         self.flush()?;
         if self.ring.is_full(self.buffer.len() as u64) {
--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -299,6 +299,7 @@
         connect_timeout: c.span_or("bounds.connectTimeoutS", Round::Up)?,
         conn_idle: c.span_or("bounds.connIdleS", Round::Down)?,
         multiplex: c.or("bounds.multiplex", 1)?,
+        conns_told: false,
         tick: c.span_or("tickS", Round::Up)?,
         max_advice,
     };
