--- a/crates/daemon/src/flight.rs
+++ b/crates/daemon/src/flight.rs
@@ -52,7 +52,7 @@
             settings: config.settings.clone(),
             seed: config.seed,
         };
-        let begun = Recorder::begin(options, store, &there, crate::node::CLOCK_START, unix_now());
+        let begun = Recorder::begin(options, store, &there, crate::input::CLOCK_START, unix_now());
         let flight = flight(Some(begun.map_err(|e| fail(&e))?));
         println!("{set}");
         Ok(flight)
@@ -158,7 +158,7 @@
         let mut sender = Sender::new(config.settings.clone(), config.seed).expect("sound");
         let mut actions = Vec::new();
         for n in 0..10u64 {
-            let at = crate::node::CLOCK_START + n;
+            let at = crate::input::CLOCK_START + n;
             actions.clear();
             sender.handle(at, &[Event::Wake], &mut actions);
             flight.turn(at, &[Event::Wake], &actions, &sender);
@@ -184,7 +184,7 @@
         let mut sender = Sender::new(config.settings.clone(), config.seed).expect("sound");
         let lines = vec![Action::Log("a line that takes room".repeat(100))];
         for n in 0..200u64 {
-            let at = crate::node::CLOCK_START + n;
+            let at = crate::input::CLOCK_START + n;
             sender.handle(at, &[Event::Wake], &mut Vec::new());
             flight.turn(at, &[Event::Wake], &lines, &sender);
         }
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -4,7 +4,7 @@
 use crate::config::{Config, Names};
 use crate::discovery::Discovery;
 use crate::flight::Flight;
-use crate::input::Input;
+use crate::input::{CLOCK_START, Input};
 use crate::journal::{Journal, Open, Verdict, unix_now};
 use crate::listing::{Listing, Member, State};
 use crate::peers::Peers;
@@ -18,9 +18,6 @@
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::time::{Instant, sleep_until};
 
-/// The module's clock starts here, so that no span looks back beyond its zero.
-pub const CLOCK_START: Micros = 100_000_000;
-
 pub struct Node {
     sender: Sender,
     names: Names,
--- a/crates/daemon/tests/sockets/flight.rs
+++ b/crates/daemon/tests/sockets/flight.rs
@@ -90,6 +90,25 @@
     assert!(said(&explained).contains("\"end\":\"delivered\""), "{}", said(&explained));
 }
 
+#[test]
+fn a_recording_goes_on_across_a_reload() {
+    let (node, endpoint, recording) = recorded(IN_FOLDER);
+    assert_eq!(node.hand_in("update", 1, 3, LONG, b"").status(), 202);
+    endpoint.call(0);
+    let other = Platform::new();
+    node.reload(&node.config().replace(&node.platform.address.to_string(), &other.address.to_string()));
+    until("the watch has moved", || !other.watches.lock().expect("sound").is_empty());
+    assert_eq!(node.hand_in("update", 2, 3, LONG, b"").status(), 202);
+    endpoint.call(1);
+    let folder = text(&recording);
+    until("both are in the recording", || {
+        let explained = said(&command(&["explain", folder, "--from", "0.000001"]));
+        explained.contains("0000000000000001") && explained.contains("0000000000000002")
+    });
+    let played = command(&["replay", folder]);
+    assert!(played.status.success() && said(&played).contains("of 1 processes"), "{}", said(&played));
+}
+
 #[test]
 fn without_the_operators_file_nothing_is_recorded_and_a_dump_is_refused_with_a_word() {
     let endpoint = Endpoint::new(|_| ok());
--- a/crates/recorder/tests/recording.rs
+++ b/crates/recorder/tests/recording.rs
@@ -389,6 +389,26 @@
     assert_eq!((e.totals.len(), e.totals[0].guard), (1, Guard::Drained));
 }
 
+#[test]
+fn a_destination_that_leaves_the_list_while_messages_wait_is_named_from_then_on() {
+    let mut b = Bench::new(settings());
+    let (first, second) = (b.take(common::SAFE), b.take(common::UNSAFE));
+    b.wait(200 * MS);
+    b.tell(vec![Event::List(ListNews::Changes(vec![common::entry(0, 1, 0, Phase::Gone)]))]);
+    b.wait(300 * MS);
+    b.end(first, 0, Outcome::Served);
+    for _ in 0..250 {
+        b.wait(100 * MS);
+    }
+    let e = b.explain(Question { message: Some(MessageId(second)), ..Question::default() });
+    let spans = &e.courses[0].spans;
+    assert_eq!(spans[0].at, At::Held(Guard::Window), "{spans:?}");
+    assert_eq!(spans[1].at, At::Held(Guard::Drained), "{spans:?}");
+    assert_eq!(spans[1].from - spans[0].from, 200 * MS);
+    assert!(spans[0].ended.contains("the list of endpoints changed"), "{}", spans[0].ended);
+    assert_eq!(e.courses[0].end.as_deref(), Some("refused"));
+}
+
 #[test]
 fn a_clock_that_steps_is_told_and_changes_no_span() {
     let mut b = Bench::new(settings());
