--- a/crates/daemon/tests/layers.rs
+++ b/crates/daemon/tests/layers.rs
@@ -21,7 +21,9 @@
     // Files that import nothing that is left go, until none are left, or only circles.
     while let Some(name) = imports.iter().find(|(_, uses)| uses.is_empty()).map(|(n, _)| n.clone()) {
         imports.remove(&name);
-        imports.values_mut().for_each(|uses| drop(uses.remove(&name)));
+        imports.values_mut().for_each(|uses| {
+            uses.remove(&name);
+        });
     }
     let names: BTreeSet<String> = imports.keys().cloned().collect();
     let circles: Vec<_> = imports.iter().filter(|(_, uses)| uses.iter().any(|u| names.contains(u))).collect();
