--- a/crates/daemon/tests/sockets/main.rs
+++ b/crates/daemon/tests/sockets/main.rs
@@ -51,6 +51,25 @@
     }
 }
 
+#[test]
+fn an_endpoint_that_moved_takes_its_idle_connections_with_it() {
+    // In test builds the process ends where the decisions believe in connections that there are not.
+    let (node, endpoint) = one("shop", |_| ok());
+    node.hand_in("update", 1, 3, LONG, b"");
+    endpoint.call(0);
+    let moved = Endpoint::new(|_| ok());
+    node.platform.tell(42, &[member("s-1", moved.address, "shop", 3, "up")]);
+    until("a call where it is now", || {
+        node.hand_in("update", 100 + moved.calls() as u64 + endpoint.calls() as u64, 3, LONG, b"");
+        moved.calls() > 0
+    });
+    for id in 2..5 {
+        let before = moved.calls();
+        assert_eq!(node.hand_in("update", id, 3, LONG, b"").status(), 202);
+        until("its call", || moved.calls() > before);
+    }
+}
+
 #[test]
 fn a_connection_that_was_closed_is_not_used_again() {
     // A call on a stale connection would end as a reset, and an unsafe message with it. Both ways of closing:
