--- a/crates/recorder/src/form.rs
+++ b/crates/recorder/src/form.rs
@@ -117,7 +117,7 @@
     frame(&[], record, to)
 }
 
-/// Appends a turn as a frame; as [`write`] of a [`Record::Turn`], but nothing is copied on the way.
+/// Appends a turn as a frame; as [`write()`] of a [`Record::Turn`], but nothing is copied on the way.
 pub fn write_turn(
     number: u64,
     at: Micros,
