--- a/crates/policy/src/choice/view.rs
+++ b/crates/policy/src/choice/view.rs
@@ -42,9 +42,4 @@
     pub fn idle_connections(&self) -> Vec<(EndpointId, usize)> {
         self.endpoints.iter().map(|(&id, e)| (id, e.idle.len())).collect()
     }
-
-    /// Calls that hold a slot.
-    pub fn calls_out(&self) -> usize {
-        self.calls.len()
-    }
 }
