The daemon is a library with a thin binary, and its world comes through one seam

Need: a rehearsal must hold many senders in one process and run them in virtual time, with the same code.

Change: package notchpoint-seam (sockets, wall clock, lasting folder, configuration, signals) with the system's own by tokio; the daemon takes all of them through it. What decides between two things that are ready is a fixed order (select! biased, ordered maps in calls.rs and reports.rs) and no longer chance.

--- a/crates/daemon/src/calls.rs
+++ b/crates/daemon/src/calls.rs
@@ -2,7 +2,7 @@
 
 use crate::config::Config;
 use crate::input::Input;
-use crate::io::{Observed, Observer, is_quiet};
+use crate::io::{Observed, Observer};
 use crate::journal::Journal;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full as Body, Limited};
@@ -11,12 +11,12 @@
 use hyper::header::{CONNECTION, CONTENT_LENGTH, HOST, HeaderMap, RETRY_AFTER};
 use hyper::{Request, Response, StatusCode};
 use notchpoint_policy::*;
+use notchpoint_seam::{Network, Stream};
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::task::JoinHandle;
@@ -88,7 +88,7 @@
 /// What a call came to: for all alike, or for each message (what is not named may have run).
 enum Answer {
     Alike(End),
-    Each(HashMap<MessageId, End>),
+    Each(BTreeMap<MessageId, End>),
 }
 
 /// What passes for the present request: how much of it has been written, and what came back.
@@ -209,14 +209,14 @@
     sender: SendRequest<Body<Bytes>>,
     driver: Driver,
     progress: Rc<Progress>,
-    stream: Rc<TcpStream>,
+    stream: Rc<dyn Stream>,
     address: SocketAddr,
 }
 
 impl Connection {
     /// It may carry a call: it stands, and nothing has come on it that no call waits for.
     fn is_fit(&self) -> bool {
-        self.sender.is_ready() && is_quiet(&self.stream)
+        self.sender.is_ready() && self.stream.is_quiet()
     }
 
     /// Ends the connection, and returns once it has ended: until then its call holds a slot over there.
@@ -241,12 +241,13 @@
 }
 
 pub struct Calls {
-    targets: RefCell<HashMap<EndpointId, Target>>,
+    net: Rc<dyn Network>,
+    targets: RefCell<BTreeMap<EndpointId, Target>>,
     /// The destinations that the list names, or, until then, has named.
-    named: RefCell<HashMap<DestinationId, Option<Instant>>>,
-    pool: RefCell<HashMap<EndpointId, Vec<Idle>>>,
-    waits: RefCell<HashMap<Route, Instant>>,
-    cancels: RefCell<HashMap<AttemptId, UnboundedSender<AttemptId>>>,
+    named: RefCell<BTreeMap<DestinationId, Option<Instant>>>,
+    pool: RefCell<BTreeMap<EndpointId, Vec<Idle>>>,
+    waits: RefCell<BTreeMap<Route, Instant>>,
+    cancels: RefCell<BTreeMap<AttemptId, UnboundedSender<AttemptId>>>,
     out: Cell<usize>,
     /// Calls that have not looked for a connection yet.
     starting: Cell<usize>,
@@ -260,9 +261,15 @@
 }
 
 impl Calls {
-    pub fn new(config: &Config, journal: Rc<RefCell<Journal>>, inputs: UnboundedSender<Input>) -> Rc<Self> {
+    pub fn new(
+        config: &Config,
+        net: Rc<dyn Network>,
+        journal: Rc<RefCell<Journal>>,
+        inputs: UnboundedSender<Input>,
+    ) -> Rc<Self> {
         let set = &config.settings;
         let calls = Rc::new(Self {
+            net,
             targets: RefCell::default(),
             named: RefCell::default(),
             pool: RefCell::default(),
@@ -345,7 +352,7 @@
     }
 
     /// Connections that stand idle, by endpoint.
-    pub fn idle(&self) -> HashMap<EndpointId, usize> {
+    pub fn idle(&self) -> BTreeMap<EndpointId, usize> {
         self.pool.borrow().iter().map(|(&id, idle)| (id, idle.len())).collect()
     }
 
@@ -577,8 +584,9 @@
             }
             let until = since + if settled { REST } else { WHOLE };
             tokio::select! {
-                () = sleep_until(until) => return,
+                biased;
                 () = passed.news.notified() => {}
+                () = sleep_until(until) => return,
             }
         }
     }
@@ -620,9 +628,9 @@
     }
 
     async fn connect(&self, address: SocketAddr) -> Result<Connection, ()> {
-        let stream = timeout(self.connect_timeout, TcpStream::connect(address)).await;
-        let stream = Rc::new(stream.map_err(drop)?.map_err(drop)?);
-        stream.set_nodelay(true).map_err(drop)?;
+        let stream = timeout(self.connect_timeout, self.net.connect(address)).await;
+        let stream = stream.map_err(drop)?.map_err(drop)?;
+        stream.set_nodelay().map_err(drop)?;
         let progress = Rc::new(Progress::default());
         let observed = Observed::new(stream.clone(), progress.clone());
         let made = http1::Builder::new().max_buf_size(BUFFER).handshake(observed).await;
@@ -726,8 +734,8 @@
     Some(Allowance { left: field("x0")?, limit: field("x1")? })
 }
 
-fn read_batch(body: &[u8], wait: Option<Micros>, allowance: Option<Allowance>) -> HashMap<MessageId, End> {
-    let mut ends = HashMap::new();
+fn read_batch(body: &[u8], wait: Option<Micros>, allowance: Option<Allowance>) -> BTreeMap<MessageId, End> {
+    let mut ends = BTreeMap::new();
     for line in String::from_utf8_lossy(body).lines() {
         let mut words = line.split_ascii_whitespace();
         let (Some(id), Some(word)) = (words.next(), words.next()) else { continue };
@@ -749,7 +757,8 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::journal::Open;
+    use crate::journal::{Open, tests::journal};
+    use notchpoint_seam::real::Sockets;
     use tokio::io::AsyncReadExt;
     use tokio::net::TcpListener;
 
@@ -786,11 +795,11 @@
     async fn long_call(cut: bool, patience: Duration, cancel: bool) -> (Outcome, bool) {
         let folder = tempfile::tempdir().expect("a folder");
         let config = crate::config::read(crate::config::tests::TEXT).expect("sound");
-        let journal = Rc::new(RefCell::new(Journal::open(folder.path(), 3_000_000).expect("a journal")));
+        let journal = Rc::new(RefCell::new(journal(folder.path())));
         let (id, endpoint) = (MessageId(1), EndpointId(2));
         journal.borrow_mut().take(id, Open::new("payment", "acme", 3, u64::MAX, Bytes::new())).expect("room");
         let (inputs, mut received) = unbounded_channel();
-        let calls = Calls::new(&config, journal.clone(), inputs);
+        let calls = Calls::new(&config, Rc::new(Sockets), journal.clone(), inputs);
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("an address");
         let dest = DestinationId(3);
--- a/crates/daemon/src/cli.rs
+++ b/crates/daemon/src/cli.rs
@@ -104,7 +104,7 @@
     let operator = file.map_or(Ok(operator::Operator::default()), |f| operator::read(&f))?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let local = tokio::task::LocalSet::new();
-    runtime.block_on(local.run_until(sender::run(operator)))?;
+    runtime.block_on(local.run_until(async { sender::run(sender::surroundings()?, operator).await }))?;
     Ok(ExitCode::SUCCESS)
 }
 
--- a/crates/daemon/src/discovery.rs
+++ b/crates/daemon/src/discovery.rs
@@ -1,18 +1,18 @@
 //! The watch on the list of endpoints. When to watch again after a failure is the module's decision.
 
 use crate::input::Input;
+use crate::io::Observed;
 use crate::listing::Listing;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty};
 use hyper::Request;
 use hyper::client::conn::http1;
 use hyper::header::HOST;
-use hyper_util::rt::TokioIo;
+use notchpoint_seam::Network;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
@@ -24,6 +24,7 @@
 const LONGEST: usize = 4 << 20;
 
 pub struct Discovery {
+    net: Rc<dyn Network>,
     address: Cell<SocketAddr>,
     revision: Rc<Cell<u64>>,
     inputs: UnboundedSender<Input>,
@@ -31,9 +32,14 @@
 }
 
 impl Discovery {
-    pub fn new(address: SocketAddr, revision: u64, inputs: UnboundedSender<Input>) -> Self {
+    pub fn new(
+        address: SocketAddr,
+        revision: u64,
+        net: Rc<dyn Network>,
+        inputs: UnboundedSender<Input>,
+    ) -> Self {
         let (address, revision) = (Cell::new(address), Rc::new(Cell::new(revision)));
-        Self { address, revision, inputs, watch: RefCell::default() }
+        Self { net, address, revision, inputs, watch: RefCell::default() }
     }
 
     /// The list is kept elsewhere from now on. The watch begins there at once: what it tells counts as told
@@ -47,8 +53,9 @@
     /// Begins a watch in place of the one before.
     pub fn watch(&self) {
         let (address, revision, inputs) = (self.address.get(), self.revision.clone(), self.inputs.clone());
+        let net = self.net.clone();
         let task = tokio::task::spawn_local(async move {
-            if let Err(why) = follow(address, &revision, &inputs).await {
+            if let Err(why) = follow(&*net, address, &revision, &inputs).await {
                 eprintln!("discovery: {why}");
             }
             let _ = inputs.send(Input::Unlisted);
@@ -62,13 +69,14 @@
 type Failure = Box<dyn std::error::Error>;
 
 async fn follow(
+    net: &dyn Network,
     address: SocketAddr,
     revision: &Cell<u64>,
     inputs: &UnboundedSender<Input>,
 ) -> Result<(), Failure> {
-    let stream = timeout(SILENCE, TcpStream::connect(address)).await??;
-    stream.set_nodelay(true)?;
-    let (mut sender, driver) = http1::handshake(TokioIo::new(stream)).await?;
+    let stream = timeout(SILENCE, net.connect(address)).await??;
+    stream.set_nodelay()?;
+    let (mut sender, driver) = http1::handshake(Observed::new(stream, ())).await?;
     let driver = tokio::task::spawn_local(driver);
     let _closed_with_the_watch = AbortOnDrop(driver.abort_handle());
     let request = Request::get(format!("/discovery/hosts?stream=1&index={}", revision.get()))
--- a/crates/daemon/src/flight.rs
+++ b/crates/daemon/src/flight.rs
@@ -1,11 +1,11 @@
 //! The flight recorder of this process: off, or beside the decisions.
 
 use crate::config::Config;
-use crate::journal::unix_now;
 use crate::operator::{self, Store};
 use notchpoint_policy::{Action, EndpointId, Event, Micros, Sender};
 use notchpoint_recorder::store::{Folder, Memory};
 use notchpoint_recorder::{Options, Recorder, recorder};
+use notchpoint_seam::Clock;
 use std::cell::{Cell, RefCell};
 use std::fs::{self, File};
 use std::io::{self, BufWriter, Write};
@@ -16,6 +16,7 @@
 const DUMPS: usize = 4;
 
 pub struct Flight {
+    clock: Rc<dyn Clock>,
     recorder: RefCell<Option<Recorder>>,
     folder: PathBuf,
     dumps: Cell<u32>,
@@ -28,10 +29,15 @@
 
 impl Flight {
     /// Begins to record if the operator wants it.
-    pub fn open(set: &operator::Recorder, config: &Config) -> Result<Rc<Self>, String> {
+    pub fn open(set: &operator::Recorder, config: &Config, clock: Rc<dyn Clock>) -> Result<Rc<Self>, String> {
         let folder = set.folder.clone().unwrap_or_default();
         let flight = |recorder| {
-            Rc::new(Self { recorder: RefCell::new(recorder), folder: folder.clone(), dumps: Cell::new(0) })
+            Rc::new(Self {
+                clock: clock.clone(),
+                recorder: RefCell::new(recorder),
+                folder: folder.clone(),
+                dumps: Cell::new(0),
+            })
         };
         let fail = |e: &dyn std::fmt::Display| format!("recorder: {}: {e}", folder.display());
         let (store, there): (Box<dyn notchpoint_recorder::store::Store>, _) = match set.store {
@@ -52,7 +58,7 @@
             settings: config.settings.clone(),
             seed: config.seed,
         };
-        let begun = Recorder::begin(options, store, &there, crate::input::CLOCK_START, unix_now());
+        let begun = Recorder::begin(options, store, &there, crate::input::CLOCK_START, clock.unix_now());
         let flight = flight(Some(begun.map_err(|e| fail(&e))?));
         println!("{set}");
         Ok(flight)
@@ -62,7 +68,7 @@
     pub fn turn(&self, at: Micros, events: &[Event], actions: &[Action], after: &Sender) {
         let mut recorder = self.recorder.borrow_mut();
         if let Some(r) = recorder.as_mut()
-            && let Err(why) = r.turn(at, unix_now(), events, actions, after)
+            && let Err(why) = r.turn(at, self.clock.unix_now(), events, actions, after)
         {
             self.stop(&mut recorder, &why);
         }
@@ -107,8 +113,11 @@
             fs::remove_file(path)?;
         }
         self.dumps.set(self.dumps.get() + 1);
-        let path =
-            self.folder.join(format!("dump-{:016}-{:03}.nptrec", unix_now(), self.dumps.get() % 1_000));
+        let path = self.folder.join(format!(
+            "dump-{:016}-{:03}.nptrec",
+            self.clock.unix_now(),
+            self.dumps.get() % 1_000
+        ));
         let half = path.with_extension("half");
         let written = File::create(&half).and_then(|file| {
             let mut file = BufWriter::new(file);
@@ -143,6 +152,7 @@
 mod tests {
     use super::*;
     use notchpoint_recorder::{Recording, replay, replay::Nobody};
+    use notchpoint_seam::real::SystemClock;
 
     #[test]
     fn a_panic_leaves_what_was_recorded() {
@@ -153,7 +163,7 @@
             limit_mb: 1.0,
         };
         let config = crate::config::read(crate::config::tests::TEXT).expect("sound");
-        let flight = Flight::open(&set, &config).expect("begun");
+        let flight = Flight::open(&set, &config, Rc::new(SystemClock)).expect("begun");
         flight.watch_panics();
         let mut sender = Sender::new(config.settings.clone(), config.seed).expect("sound");
         let mut actions = Vec::new();
@@ -178,7 +188,7 @@
         let path = folder.path().join("recording");
         let set = operator::Recorder { store: Store::Folder, folder: Some(path.clone()), limit_mb: 0.25 };
         let config = crate::config::read(crate::config::tests::TEXT).expect("sound");
-        let flight = Flight::open(&set, &config).expect("begun");
+        let flight = Flight::open(&set, &config, Rc::new(SystemClock)).expect("begun");
         // The folder is taken away: the next segment cannot be begun.
         fs::remove_dir_all(&path).expect("removed");
         let mut sender = Sender::new(config.settings.clone(), config.seed).expect("sound");
--- a/crates/daemon/src/inbound.rs
+++ b/crates/daemon/src/inbound.rs
@@ -3,8 +3,8 @@
 use crate::calls::Calls;
 use crate::config::{Config, Names};
 use crate::input::Input;
-use crate::io::{Observed, Observer, is_quiet};
-use crate::journal::{Journal, Open, unix_now};
+use crate::io::{Observed, Observer};
+use crate::journal::{Journal, Open};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
@@ -13,14 +13,13 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use notchpoint_policy::*;
-use socket2::SockRef;
+use notchpoint_seam::{Listener, Stream, net::accept};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::net::Shutdown;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::{Notify, watch};
 use tokio::time::{Instant, sleep_until, timeout, timeout_at};
@@ -94,7 +93,7 @@
 
 /// The place that a connection takes.
 struct Seat {
-    stream: Rc<TcpStream>,
+    stream: Rc<dyn Stream>,
     opened: Instant,
     /// It has had an answer.
     asked: Cell<bool>,
@@ -104,7 +103,7 @@
 }
 
 impl Seat {
-    fn new(stream: Rc<TcpStream>) -> Self {
+    fn new(stream: Rc<dyn Stream>) -> Self {
         let opened = Instant::now();
         let (asked, stage, since) = (Cell::new(false), Cell::new(Stage::Idle), Cell::new(opened));
         Self { stream, opened, asked, stage, since }
@@ -135,7 +134,7 @@
 
     /// No request is open on it, nor waits unread.
     fn is_unused(&self) -> bool {
-        self.stage.get() == Stage::Idle && is_quiet(&self.stream)
+        self.stage.get() == Stage::Idle && self.stream.is_quiet()
     }
 }
 
@@ -154,7 +153,7 @@
         while self.taken.borrow().len() >= most {
             if let Some((number, seat)) = self.unused() {
                 // Ended here and now: between the look and the end nothing can come in.
-                let _ = SockRef::from(&*seat.stream).shutdown(Shutdown::Both);
+                let _ = seat.stream.shutdown(Shutdown::Both);
                 self.taken.borrow_mut().remove(&number);
                 return;
             }
@@ -231,12 +230,12 @@
 }
 
 /// Accepts connections, so many at once. Those that find no place wait in the system's queue.
-pub async fn serve(inbound: Rc<Inbound>, listener: TcpListener) {
+pub async fn serve(inbound: Rc<Inbound>, listener: Rc<dyn Listener>) {
     let seats = Rc::new(Seats::default());
     loop {
         seats.free(inbound.places).await;
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
+        let stream = match accept(&*listener).await {
+            Ok(stream) => stream,
             Err(e) => {
                 // Out of descriptors, or a client that left: neither is mended by asking again at once.
                 eprintln!("accept: {e}");
@@ -244,7 +243,7 @@
                 continue;
             }
         };
-        let (inbound, seats, seat) = (inbound.clone(), seats.clone(), Rc::new(Seat::new(Rc::new(stream))));
+        let (inbound, seats, seat) = (inbound.clone(), seats.clone(), Rc::new(Seat::new(stream)));
         let number = seats.take(&seat);
         tokio::task::spawn_local(async move {
             connection(inbound, seat).await;
@@ -254,7 +253,7 @@
 }
 
 async fn connection(inbound: Rc<Inbound>, seat: Rc<Seat>) {
-    if seat.stream.set_nodelay(true).is_err() {
+    if seat.stream.set_nodelay().is_err() {
         return;
     }
     let receipt = Rc::new(Receipt { due: RefCell::default(), seat: seat.clone(), inbound: inbound.clone() });
@@ -286,6 +285,7 @@
     let mut closing = false;
     loop {
         tokio::select! {
+            biased;
             _ = &mut served => return,
             _ = close.wait_for(|c| *c), if !closing => {
                 closing = true;
@@ -371,7 +371,7 @@
         return Ok(come_back(inbound));
     }
     let left = left.as_micros() as Micros;
-    let open = Open::new(&name, &handed.tenant_name, handed.dest.0, unix_now() + left, body);
+    let open = Open::new(&name, &handed.tenant_name, handed.dest.0, journal.unix_now() + left, body);
     // The record comes before the answer. Without a record there is no promise.
     if journal.take(handed.id, open).is_err() {
         return Ok(come_back(inbound));
@@ -525,6 +525,8 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use notchpoint_seam::real::Sockets;
+    use tokio::net::{TcpListener, TcpStream};
     use tokio::sync::mpsc::unbounded_channel;
 
     #[test]
@@ -549,7 +551,7 @@
             clients[0].writable().await.expect("open");
             clients[0].try_write(b"P").expect("written");
             let first = seats.taken.borrow()[&0].clone();
-            first.stream.readable().await.expect("it comes");
+            std::future::poll_fn(|cx| first.stream.poll_read_ready(cx)).await.expect("it comes");
             seats.taken.borrow()[&1].stage.set(Stage::Answering);
             seats.free(4).await;
             assert_eq!(seats.taken.borrow().keys().copied().collect::<Vec<_>>(), [0, 1, 3]);
@@ -566,13 +568,13 @@
         local.block_on(&runtime, async {
             let folder = tempfile::tempdir().expect("a folder");
             let config = crate::config::read(crate::config::tests::TEXT).expect("sound");
-            let journal = Rc::new(RefCell::new(Journal::open(folder.path(), 3_000_000).expect("a journal")));
+            let journal = Rc::new(RefCell::new(crate::journal::tests::journal(folder.path())));
             let (inputs, mut received) = unbounded_channel();
             let inbound = Rc::new(Inbound {
                 places: places(&config),
                 most_reading: most_reading(&config),
                 reading: Cell::new(0),
-                calls: Calls::new(&config, journal.clone(), inputs.clone()),
+                calls: Calls::new(&config, Rc::new(Sockets), journal.clone(), inputs.clone()),
                 set: config.settings,
                 names: config.names,
                 journal: journal.clone(),
@@ -582,7 +584,7 @@
             });
             let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
             let address = listener.local_addr().expect("an address");
-            let stream = Rc::new(TcpStream::connect(address).await.expect("a connection"));
+            let stream: Rc<dyn Stream> = Rc::new(TcpStream::connect(address).await.expect("a connection"));
             let receive = || {
                 let seat = Rc::new(Seat::new(stream.clone()));
                 Rc::new(Receipt { due: RefCell::default(), seat, inbound: inbound.clone() })
--- a/crates/daemon/src/io.rs
+++ b/crates/daemon/src/io.rs
@@ -2,14 +2,12 @@
 //! be done next.
 
 use hyper::rt::{Read, ReadBufCursor, Write};
-use socket2::SockRef;
+use notchpoint_seam::Stream;
 use std::io::{self, ErrorKind};
-use std::mem::MaybeUninit;
 use std::net::Shutdown;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
-use tokio::net::TcpStream;
 
 /// Read at a time: far more than a usual request or answer, and little enough to lie on the stack.
 const BLOCK: usize = 4 << 10;
@@ -23,24 +21,23 @@
     fn flushed(&self) {}
 }
 
+/// Nobody looks on.
+impl Observer for () {
+    fn read(&self, _: &[u8]) {}
+    fn wrote(&self, _: &[u8]) {}
+}
+
 pub struct Observed<O> {
-    stream: Rc<TcpStream>,
+    stream: Rc<dyn Stream>,
     observer: O,
 }
 
 impl<O> Observed<O> {
-    pub fn new(stream: Rc<TcpStream>, observer: O) -> Self {
+    pub fn new(stream: Rc<dyn Stream>, observer: O) -> Self {
         Self { stream, observer }
     }
 }
 
-/// Whether the peer has said nothing that was not read yet, its end included. It asks the system itself: what
-/// the runtime knows of a socket is as old as its last look.
-pub fn is_quiet(stream: &TcpStream) -> bool {
-    let peeked = SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]);
-    peeked.is_err_and(|e| e.kind() == ErrorKind::WouldBlock)
-}
-
 /// Runs an operation of the system until it is done or the socket is not ready for it.
 fn attempt<T>(
     cx: &mut Context<'_>,
@@ -86,6 +83,6 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(SockRef::from(&*self.stream).shutdown(Shutdown::Write))
+        Poll::Ready(self.stream.shutdown(Shutdown::Write))
     }
 }
--- a/crates/daemon/src/journal.rs
+++ b/crates/daemon/src/journal.rs
@@ -5,11 +5,10 @@
 
 use bytes::Bytes;
 use notchpoint_policy::{EndpointId, MessageId};
+use notchpoint_seam::{Clock, Disk, File};
 use std::collections::BTreeMap;
-use std::fs::{self, File, OpenOptions};
-use std::io::{self, Read, Write};
-use std::path::{Path, PathBuf};
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::io;
+use std::rc::Rc;
 
 const FILE: &str = "journal";
 const NEW: &str = "journal.new";
@@ -22,11 +21,6 @@
 /// Kept free of the limit: two files are rounded up to 512 bytes, and the folder may count.
 const SPARE: u64 = 16 << 10;
 
-/// Unix time in microseconds: deadlines outlast the process only by this clock.
-pub fn unix_now() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros() as u64)
-}
-
 /// How a message that is not delivered ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
@@ -72,8 +66,9 @@
 }
 
 pub struct Journal {
-    folder: PathBuf,
-    file: File,
+    disk: Rc<dyn Disk>,
+    clock: Rc<dyn Clock>,
+    file: Box<dyn File>,
     size: u64,
     limit: u64,
     /// The weight of all that is open.
@@ -87,18 +82,10 @@
 
 impl Journal {
     /// Reads what an earlier process left, drops a torn tail, and starts a file with what is still open.
-    pub fn open(folder: &Path, limit: u64) -> io::Result<Self> {
+    pub fn open(disk: Rc<dyn Disk>, clock: Rc<dyn Clock>, limit: u64) -> io::Result<Self> {
         // Left by a process that ended within a replacement; the old file is whole.
-        match fs::remove_file(folder.join(NEW)) {
-            Err(e) if e.kind() != io::ErrorKind::NotFound => return Err(e),
-            _ => {}
-        }
-        let mut old = Vec::new();
-        match File::open(folder.join(FILE)) {
-            Ok(mut f) => drop(f.read_to_end(&mut old)?),
-            Err(e) if e.kind() == io::ErrorKind::NotFound => {}
-            Err(e) => return Err(e),
-        }
+        disk.remove(NEW)?;
+        let old = disk.read(FILE)?.unwrap_or_default();
         let mut open = BTreeMap::new();
         let mut rest = &old[..];
         while let Some((record, after)) = unframe(rest) {
@@ -107,16 +94,20 @@
             }
             rest = after;
         }
-        let file = OpenOptions::new().create(true).append(true).open(folder.join(FILE))?;
+        let file = disk.append(FILE)?;
         let weight = open.values().map(Open::weight).sum();
-        let folder = folder.to_owned();
         let held = open.values().filter(|m| m.verdict.is_none()).count();
         let size = old.len() as u64;
-        let mut journal = Self { folder, file, size, limit, weight, broken: false, open, held };
+        let mut journal = Self { disk, clock, file, size, limit, weight, broken: false, open, held };
         journal.replace()?;
         Ok(journal)
     }
 
+    /// Unix time in microseconds, by the clock that its deadlines are written in.
+    pub fn unix_now(&self) -> u64 {
+        self.clock.unix_now()
+    }
+
     pub fn get(&self, id: MessageId) -> Option<&Open> {
         self.open.get(&id)
     }
@@ -146,8 +137,9 @@
 
     /// To be called before an attempt's first byte is written; after an error it must not be.
     pub fn attempt(&mut self, id: MessageId, number: u32, endpoint: EndpointId) -> io::Result<()> {
+        let at = self.unix_now();
         let Some(m) = self.open.get_mut(&id) else { return Ok(()) };
-        let attempt = Attempt { number, endpoint, at: unix_now(), never_ran: false };
+        let attempt = Attempt { number, endpoint, at, never_ran: false };
         m.attempts.push(attempt);
         self.append(&attempted(id, &attempt)).inspect_err(|_| {
             if let Some(m) = self.open.get_mut(&id) {
@@ -217,12 +209,11 @@
                 text.extend(frame(&judged(id, v)));
             }
         }
-        let path = self.folder.join(NEW);
-        let file = OpenOptions::new().create(true).append(true).open(&path)?;
+        let mut file = self.disk.append(NEW)?;
         file.set_len(0)?;
-        if let Err(e) = (&file).write_all(&text).and_then(|()| fs::rename(&path, self.folder.join(FILE))) {
+        if let Err(e) = file.write_all(&text).and_then(|()| self.disk.rename(NEW, FILE)) {
             // A half-written file would count against the limit for as long as it stays.
-            let _ = fs::remove_file(&path);
+            let _ = self.disk.remove(NEW);
             return Err(e);
         }
         (self.file, self.size, self.broken) = (file, text.len() as u64, false);
@@ -356,13 +347,23 @@
 }
 
 #[cfg(test)]
-mod tests {
+pub mod tests {
     use super::*;
+    use notchpoint_seam::real::{Folder, SystemClock};
+    use std::fs;
+    use std::path::Path;
 
     const LIMIT: u64 = 300_000;
 
+    /// One as on the platform, for tests of what stands on it.
+    pub fn journal(folder: &Path) -> Journal {
+        let disk = Rc::new(Folder(folder.to_owned()));
+        Journal::open(disk, Rc::new(SystemClock), 3_000_000).expect("a journal")
+    }
+
     fn open(folder: &Path) -> Journal {
-        Journal::open(folder, LIMIT).expect("a journal")
+        let disk = Rc::new(Folder(folder.to_owned()));
+        Journal::open(disk, Rc::new(SystemClock), LIMIT).expect("a journal")
     }
 
     fn message(body: usize) -> Open {
@@ -450,7 +451,7 @@
         let mut journal = open(folder.path());
         journal.take(MessageId(1), message(5)).expect("room");
         // A file that cannot be written to, as on a broken disk; later writing works again.
-        journal.file = File::open(folder.path().join(FILE)).expect("a file");
+        journal.file = Box::new(fs::File::open(folder.path().join(FILE)).expect("a file"));
         assert!(journal.take(MessageId(2), message(5)).is_err());
         assert!(journal.broken && journal.get(MessageId(2)).is_none());
         journal.take(MessageId(3), message(5)).expect("written anew");
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,19 @@
+//! The sender as a library: the program `notchpoint` is a thin shell round it, and a rehearsal runs many of it in
+//! one process. What surrounds it comes through `notchpoint_seam`.
+
+mod calls;
+pub mod cli;
+pub mod config;
+mod discovery;
+mod flight;
+mod inbound;
+mod input;
+mod io;
+mod journal;
+pub mod listing;
+mod node;
+mod notices;
+pub mod operator;
+mod peers;
+mod reports;
+pub mod sender;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -5,7 +5,7 @@
 use crate::discovery::Discovery;
 use crate::flight::Flight;
 use crate::input::{CLOCK_START, Input};
-use crate::journal::{Journal, Open, Verdict, unix_now};
+use crate::journal::{Journal, Open, Verdict};
 use crate::listing::{Listing, Member, State};
 use crate::peers::Peers;
 use crate::reports::Reports;
@@ -104,7 +104,7 @@
 
     fn resumed(&self, id: MessageId, open: &Open, attempts: u32) -> Option<Event> {
         let place = |list: &[String], name: &str| list.iter().position(|n| n == name).map(|n| n as u32);
-        let now = unix_now();
+        let now = self.journal.borrow().unix_now();
         let ran = open.attempts.iter().filter(|a| !a.never_ran).min_by_key(|a| a.at);
         let message = Message {
             id,
@@ -135,15 +135,18 @@
                 }
             };
             if self.events.is_empty() {
+                // The order is fixed, here as wherever this program waits for several things: what decides
+                // between two that are ready must not be chance, or no run could be played again.
                 tokio::select! {
-                    input = self.inputs.recv() => {
-                        let Some(input) = input else { return };
-                        self.note(input);
-                    }
+                    biased;
                     () = alarm => {
                         self.wake = None;
                         self.events.push(Event::Wake);
                     }
+                    input = self.inputs.recv() => {
+                        let Some(input) = input else { return };
+                        self.note(input);
+                    }
                 }
             }
             // What comes within a tick of the last turn waits; after quiet a turn is due at once.
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -3,11 +3,12 @@
 use crate::config::Config;
 use crate::input::Input;
 use notchpoint_policy::Event;
+use notchpoint_seam::{Datagrams, Network};
+use std::future::poll_fn;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::UdpSocket;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::time::sleep;
 
@@ -16,25 +17,26 @@
 const AGAIN: Duration = Duration::from_millis(10);
 
 pub struct Peers {
-    socket: Rc<UdpSocket>,
+    socket: Rc<dyn Datagrams>,
     peers: Vec<SocketAddr>,
     all: Option<SocketAddr>,
 }
 
 impl Peers {
-    pub async fn bind(
+    pub fn bind(
         address: SocketAddr,
         config: &Config,
+        net: &dyn Network,
         inputs: UnboundedSender<Input>,
     ) -> io::Result<Self> {
-        let socket = Rc::new(UdpSocket::bind(address).await?);
+        let socket = net.datagrams(address)?;
         let (peers, all) = (config.peers.clone(), config.peers_all);
         let (heard, known) = (socket.clone(), peers.clone());
         tokio::task::spawn_local(async move {
             let mut buffer = [0; LONGEST + 1];
             loop {
                 // An error tells of an earlier datagram that found nobody. A lasting one must not spin.
-                let Ok((n, from)) = heard.recv_from(&mut buffer).await else {
+                let Ok((n, from)) = poll_fn(|cx| heard.poll_recv_from(cx, &mut buffer)).await else {
                     sleep(AGAIN).await;
                     continue;
                 };
--- a/crates/daemon/src/reports.rs
+++ b/crates/daemon/src/reports.rs
@@ -1,5 +1,6 @@
 //! Notices to the platform. When they are told is decided in `notices.rs`; here they are posted.
 
+use crate::io::Observed;
 use crate::journal::{Journal, Verdict};
 use crate::notices::{Notices, Start};
 use bytes::Bytes;
@@ -7,15 +8,14 @@
 use hyper::Request;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{CONTENT_TYPE, HOST};
-use hyper_util::rt::TokioIo;
 use notchpoint_policy::MessageId;
+use notchpoint_seam::Network;
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::future::pending;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
 use tokio::task::AbortHandle;
@@ -30,6 +30,7 @@
 type Connection = SendRequest<Full<Bytes>>;
 
 pub struct Reports {
+    net: Rc<dyn Network>,
     address: Cell<SocketAddr>,
     relocated: Notify,
     notices: RefCell<Notices>,
@@ -39,10 +40,10 @@
 }
 
 impl Reports {
-    pub fn new(address: SocketAddr, journal: Rc<RefCell<Journal>>) -> Rc<Self> {
+    pub fn new(address: SocketAddr, net: Rc<dyn Network>, journal: Rc<RefCell<Journal>>) -> Rc<Self> {
         let (address, relocated, news) = (Cell::new(address), Notify::new(), Notify::new());
         let (notices, started) = (RefCell::default(), Instant::now());
-        let reports = Rc::new(Self { address, relocated, notices, news, journal, started });
+        let reports = Rc::new(Self { net, address, relocated, notices, news, journal, started });
         let task = reports.clone();
         tokio::task::spawn_local(async move { task.run().await });
         reports
@@ -68,7 +69,7 @@
     async fn run(self: Rc<Self>) {
         let (ended, mut ends) = unbounded_channel::<(u64, Result<Connection, String>)>();
         let mut kept: Option<Connection> = None;
-        let mut posts: HashMap<u64, AbortHandle> = HashMap::new();
+        let mut posts: BTreeMap<u64, AbortHandle> = BTreeMap::new();
         loop {
             let start = self.notices.borrow_mut().start(self.started.elapsed());
             if let Some(start) = start {
@@ -89,8 +90,7 @@
                 }
             };
             tokio::select! {
-                () = self.news.notified() => {}
-                () = alarm => {}
+                biased;
                 () = self.relocated.notified() => {
                     kept = None;
                     for post in self.notices.borrow_mut().relocated(self.started.elapsed()) {
@@ -119,6 +119,8 @@
                         }
                     }
                 }
+                () = self.news.notified() => {}
+                () = alarm => {}
             }
         }
     }
@@ -144,9 +146,9 @@
         let mut sender = match connection {
             Some(c) if !c.is_closed() => c,
             _ => {
-                let stream = TcpStream::connect(self.address.get()).await?;
-                stream.set_nodelay(true)?;
-                let (sender, driver) = http1::handshake(TokioIo::new(stream)).await?;
+                let stream = self.net.connect(self.address.get()).await?;
+                stream.set_nodelay()?;
+                let (sender, driver) = http1::handshake(Observed::new(stream, ())).await?;
                 tokio::task::spawn_local(driver);
                 sender
             }
--- a/crates/daemon/src/sender.rs
+++ b/crates/daemon/src/sender.rs
@@ -10,13 +10,13 @@
 use crate::operator::Operator;
 use crate::peers::Peers;
 use crate::reports::Reports;
+use notchpoint_seam::{ConfigSource, Signal, World};
 use std::cell::{Cell, RefCell};
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpListener;
-use tokio::signal::unix::{Signal, SignalKind, signal};
-use tokio::sync::{mpsc::unbounded_channel, watch};
+use tokio::sync::mpsc::{Receiver, unbounded_channel};
+use tokio::sync::{Notify, watch};
 use tokio::time::{Instant, sleep, timeout_at};
 
 /// After SIGTERM: until then connections go on coming and are answered, also if nothing else is left to do.
@@ -30,38 +30,43 @@
 
 pub type Failure = Box<dyn std::error::Error>;
 
-fn variable(name: &str) -> Result<PathBuf, Failure> {
-    std::env::var_os(name).map(PathBuf::from).ok_or_else(|| format!("{name} is not set").into())
+/// What a sender needs, from the environment that the platform gives it.
+///
+/// # Errors
+/// A variable is missing, or signals cannot be watched.
+pub fn surroundings() -> Result<World, Failure> {
+    let variable =
+        |name: &str| std::env::var_os(name).map(PathBuf::from).ok_or_else(|| format!("{name} is not set"));
+    Ok(notchpoint_seam::real::world(&variable("BALANCER_STATE")?, variable("BALANCER_CONFIG")?)?)
 }
 
-fn read(path: &Path) -> Result<Config, Failure> {
-    let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
-    Ok(crate::config::read(&text)?)
+fn read(source: &ConfigSource) -> Result<Config, Failure> {
+    Ok(crate::config::read(&source()?)?)
 }
 
-/// Runs one sender until it is told to end.
-pub async fn run(operator: Operator) -> Result<(), Failure> {
-    // First of all: without a handler the signal would end the process.
-    let hangup = signal(SignalKind::hangup())?;
-    let path = variable("BALANCER_CONFIG")?;
-    let config = read(&path)?;
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    let journal = Journal::open(&variable("BALANCER_STATE")?, config.disk)?;
+/// Runs one sender until it is told to end. It belongs inside a `LocalSet`.
+///
+/// # Errors
+/// Why it could not start.
+pub async fn run(world: World, operator: Operator) -> Result<(), Failure> {
+    let World { net, clock, disk, signals, config: source } = world;
+    let config = read(&source)?;
+    let journal = Journal::open(disk, clock.clone(), config.disk)?;
     let journal = Rc::new(RefCell::new(journal));
     let (inputs, received) = unbounded_channel();
-    let calls = Calls::new(&config, journal.clone(), inputs.clone());
-    let reports = Reports::new(config.discovery, journal.clone());
-    let discovery = Discovery::new(config.discovery, config.known.revision, inputs.clone());
+    let calls = Calls::new(&config, net.clone(), journal.clone(), inputs.clone());
+    let reports = Reports::new(config.discovery, net.clone(), journal.clone());
+    let discovery = Discovery::new(config.discovery, config.known.revision, net.clone(), inputs.clone());
     let discovery = Rc::new(discovery);
-    tokio::task::spawn_local(reload(hangup, path, discovery.clone(), reports.clone()));
+    let flight = Flight::open(&operator.recorder, &config, clock)?;
+    flight.watch_panics();
+    let terminate = Rc::new(Notify::new());
+    let told = Told { discovery: discovery.clone(), reports: reports.clone(), flight: flight.clone() };
+    tokio::task::spawn_local(told.heed(signals, source, terminate.clone()));
     let peers = match config.peer_listen.filter(|_| config.settings.may_note) {
-        Some(address) => Some(Peers::bind(address, &config, inputs.clone()).await?),
+        Some(address) => Some(Peers::bind(address, &config, &*net, inputs.clone())?),
         None => None,
     };
-    let flight = Flight::open(&operator.recorder, &config)?;
-    flight.watch_panics();
-    tokio::task::spawn_local(dump(signal(SignalKind::user_defined1())?, flight.clone()));
     let parts = Parts {
         flight,
         journal: journal.clone(),
@@ -85,13 +90,13 @@
         close: watch::Sender::new(false),
     });
     // What was left open is taken up: only now is the sender ready.
-    let listener = TcpListener::bind(config.listen).await?;
+    let listener = net.listen(config.listen)?;
     println!("listening on {}", listener.local_addr()?);
     tokio::task::spawn_local(crate::inbound::serve(inbound.clone(), listener));
     tokio::select! {
+        biased;
         () = node.run() => {}
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+        () = terminate.notified() => {}
     }
     let told = Instant::now();
     inbound.draining.set(true);
@@ -108,25 +113,40 @@
     Ok(())
 }
 
-/// On SIGHUP the configuration is read anew and what may change while the process runs is taken from it:
-/// where discovery is. One that cannot be read changes nothing.
-async fn reload(mut hangup: Signal, path: PathBuf, discovery: Rc<Discovery>, reports: Rc<Reports>) {
-    while hangup.recv().await.is_some() {
-        match read(&path) {
+/// What signals are about.
+struct Told {
+    discovery: Rc<Discovery>,
+    reports: Rc<Reports>,
+    flight: Rc<Flight>,
+}
+
+impl Told {
+    async fn heed(self, mut signals: Receiver<Signal>, source: ConfigSource, terminate: Rc<Notify>) {
+        while let Some(signal) = signals.recv().await {
+            match signal {
+                Signal::Reload => self.reload(&source),
+                Signal::Terminate => terminate.notify_one(),
+                Signal::Dump => self.dump(),
+            }
+        }
+    }
+
+    /// The configuration is read anew and what may change while the process runs is taken from it: where
+    /// discovery is. One that cannot be read changes nothing.
+    fn reload(&self, source: &ConfigSource) {
+        match read(source) {
             Ok(config) => {
                 println!("configuration read anew: discovery at {}", config.discovery);
-                discovery.relocate(config.discovery);
-                reports.relocate(config.discovery);
+                self.discovery.relocate(config.discovery);
+                self.reports.relocate(config.discovery);
             }
             Err(why) => eprintln!("the configuration stays as it was: {why}"),
         }
     }
-}
 
-/// On SIGUSR1 what is recorded is written to a file of its own.
-async fn dump(mut asked: Signal, flight: Rc<Flight>) {
-    while asked.recv().await.is_some() {
-        match flight.dump() {
+    /// What is recorded is written to a file of its own.
+    fn dump(&self) {
+        match self.flight.dump() {
             Ok(Some(path)) => println!("recording written to {}", path.display()),
             Ok(None) => eprintln!("nothing is recorded: the recorder is off"),
             Err(why) => eprintln!("the recording could not be written: {why}"),
--- /dev/null
+++ b/crates/seam/src/lib.rs
@@ -0,0 +1,52 @@
+//! What a sender needs of the world around it, as narrow as it can be: sockets, the wall clock, the folder that
+//! outlasts it, its configuration and its signals. [`real`] is the system's own, by tokio; a rehearsal brings
+//! another. The daemon is the same code in both.
+//!
+//! The monotonic clock and timers are tokio's in every world: a rehearsal runs on a runtime whose time is paused.
+//! Random numbers come from the seed in the configuration.
+#![warn(missing_docs)]
+
+pub mod disk;
+pub mod net;
+pub mod real;
+
+pub use disk::{Disk, File};
+pub use net::{Datagrams, Listener, Network, Stream};
+
+use std::io;
+use std::rc::Rc;
+use tokio::sync::mpsc::Receiver;
+
+/// The wall clock: deadlines outlast a process only by it.
+pub trait Clock {
+    /// Unix time in microseconds.
+    fn unix_now(&self) -> u64;
+}
+
+/// What a process may be told from outside.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Signal {
+    /// Read the configuration anew (SIGHUP).
+    Reload,
+    /// End in an orderly way (SIGTERM, or an interrupt).
+    Terminate,
+    /// Write what the flight recorder holds to a file (SIGUSR1).
+    Dump,
+}
+
+/// The configuration's text, read anew each time.
+pub type ConfigSource = Box<dyn Fn() -> io::Result<String>>;
+
+/// All that surrounds one sender.
+pub struct World {
+    /// Where connections come from and go to.
+    pub net: Rc<dyn Network>,
+    /// The wall clock.
+    pub clock: Rc<dyn Clock>,
+    /// The folder that outlasts the process.
+    pub disk: Rc<dyn Disk>,
+    /// What it is told from outside.
+    pub signals: Receiver<Signal>,
+    /// Its configuration.
+    pub config: ConfigSource,
+}
--- /dev/null
+++ b/crates/seam/src/real.rs
@@ -0,0 +1,182 @@
+//! The system's own sockets, clock, files and signals.
+
+use crate::net::Connecting;
+use crate::{Clock, ConfigSource, Datagrams, Disk, File, Listener, Network, Signal, Stream, World};
+use socket2::SockRef;
+use std::fs::{self, OpenOptions};
+use std::io::{self, ErrorKind, Write};
+use std::mem::MaybeUninit;
+use std::net::{Shutdown, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::{SystemTime, UNIX_EPOCH};
+use tokio::io::ReadBuf;
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::mpsc::{Receiver, channel};
+
+/// The system as it is, for a sender with this folder and this configuration. It belongs inside a `LocalSet`.
+///
+/// # Errors
+/// Signals cannot be watched.
+pub fn world(state: &Path, config: PathBuf) -> io::Result<World> {
+    // First of all: without a handler a signal would end the process.
+    let signals = signals()?;
+    let config: ConfigSource = Box::new(move || {
+        fs::read_to_string(&config)
+            .map_err(|e| io::Error::new(e.kind(), format!("{}: {e}", config.display())))
+    });
+    let disk = Rc::new(Folder(state.to_owned()));
+    Ok(World { net: Rc::new(Sockets), clock: Rc::new(SystemClock), disk, signals, config })
+}
+
+/// Signals that wait to be heeded. Those after them wait in the system, where equal ones are one.
+const SIGNALS: usize = 8;
+
+fn signals() -> io::Result<Receiver<Signal>> {
+    let (tell, told) = channel(SIGNALS);
+    for (kind, means) in [
+        (SignalKind::hangup(), Signal::Reload),
+        (SignalKind::terminate(), Signal::Terminate),
+        (SignalKind::interrupt(), Signal::Terminate),
+        (SignalKind::user_defined1(), Signal::Dump),
+    ] {
+        let (mut stream, tell) = (signal(kind)?, tell.clone());
+        tokio::task::spawn_local(async move {
+            while stream.recv().await.is_some() && tell.send(means).await.is_ok() {}
+        });
+    }
+    Ok(told)
+}
+
+/// The system's wall clock.
+pub struct SystemClock;
+
+impl Clock for SystemClock {
+    fn unix_now(&self) -> u64 {
+        SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros() as u64)
+    }
+}
+
+/// A folder of the file system.
+pub struct Folder(pub PathBuf);
+
+impl Disk for Folder {
+    fn read(&self, name: &str) -> io::Result<Option<Vec<u8>>> {
+        match fs::read(self.0.join(name)) {
+            Ok(bytes) => Ok(Some(bytes)),
+            Err(e) if e.kind() == ErrorKind::NotFound => Ok(None),
+            Err(e) => Err(e),
+        }
+    }
+
+    fn append(&self, name: &str) -> io::Result<Box<dyn File>> {
+        Ok(Box::new(OpenOptions::new().create(true).append(true).open(self.0.join(name))?))
+    }
+
+    fn rename(&self, from: &str, to: &str) -> io::Result<()> {
+        fs::rename(self.0.join(from), self.0.join(to))
+    }
+
+    fn remove(&self, name: &str) -> io::Result<()> {
+        match fs::remove_file(self.0.join(name)) {
+            Err(e) if e.kind() != ErrorKind::NotFound => Err(e),
+            _ => Ok(()),
+        }
+    }
+}
+
+impl File for fs::File {
+    fn write_all(&mut self, bytes: &[u8]) -> io::Result<()> {
+        Write::write_all(self, bytes)
+    }
+
+    fn set_len(&mut self, len: u64) -> io::Result<()> {
+        fs::File::set_len(self, len)
+    }
+}
+
+/// The system's sockets.
+pub struct Sockets;
+
+impl Network for Sockets {
+    fn connect(&self, to: SocketAddr) -> Connecting {
+        Box::pin(async move { Ok(Rc::new(TcpStream::connect(to).await?) as Rc<dyn Stream>) })
+    }
+
+    fn listen(&self, at: SocketAddr) -> io::Result<Rc<dyn Listener>> {
+        Ok(Rc::new(TcpListener::from_std(bound(at)?)?))
+    }
+
+    fn datagrams(&self, at: SocketAddr) -> io::Result<Rc<dyn Datagrams>> {
+        let socket = std::net::UdpSocket::bind(at)?;
+        socket.set_nonblocking(true)?;
+        Ok(Rc::new(UdpSocket::from_std(socket)?))
+    }
+}
+
+/// Connections that wait to be accepted; tokio's own listeners have as many.
+const BACKLOG: i32 = 1024;
+
+/// As tokio binds: at once again at an address whose old connections have not all gone.
+fn bound(at: SocketAddr) -> io::Result<std::net::TcpListener> {
+    let socket = socket2::Socket::new(socket2::Domain::for_address(at), socket2::Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&at.into())?;
+    socket.listen(BACKLOG)?;
+    Ok(socket.into())
+}
+
+impl Stream for TcpStream {
+    fn poll_read_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        TcpStream::poll_read_ready(self, cx)
+    }
+
+    fn try_read(&self, buf: &mut [u8]) -> io::Result<usize> {
+        TcpStream::try_read(self, buf)
+    }
+
+    fn poll_write_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        TcpStream::poll_write_ready(self, cx)
+    }
+
+    fn try_write(&self, buf: &[u8]) -> io::Result<usize> {
+        TcpStream::try_write(self, buf)
+    }
+
+    fn is_quiet(&self) -> bool {
+        let peeked = SockRef::from(self).peek(&mut [MaybeUninit::uninit()]);
+        peeked.is_err_and(|e| e.kind() == ErrorKind::WouldBlock)
+    }
+
+    fn shutdown(&self, how: Shutdown) -> io::Result<()> {
+        SockRef::from(self).shutdown(how)
+    }
+
+    fn set_nodelay(&self) -> io::Result<()> {
+        TcpStream::set_nodelay(self, true)
+    }
+}
+
+impl Listener for TcpListener {
+    fn poll_accept(&self, cx: &mut Context<'_>) -> Poll<io::Result<Rc<dyn Stream>>> {
+        TcpListener::poll_accept(self, cx).map_ok(|(stream, _)| Rc::new(stream) as Rc<dyn Stream>)
+    }
+
+    fn local_addr(&self) -> io::Result<SocketAddr> {
+        TcpListener::local_addr(self)
+    }
+}
+
+impl Datagrams for UdpSocket {
+    fn poll_recv_from(&self, cx: &mut Context<'_>, buf: &mut [u8]) -> Poll<io::Result<(usize, SocketAddr)>> {
+        let mut buf = ReadBuf::new(buf);
+        UdpSocket::poll_recv_from(self, cx, &mut buf).map_ok(|from| (buf.filled().len(), from))
+    }
+
+    fn try_send_to(&self, bytes: &[u8], to: SocketAddr) -> io::Result<usize> {
+        UdpSocket::try_send_to(self, bytes, to)
+    }
+}
