Rehearsals in virtual time: emulated partners, an in-memory world, scenarios, rules, score

Need: what happens when partners fail was rehearsed with throwaway scripts, and failures could not be caused again.

Change: packages notchpoint-emulator (sans-IO model of a partner, ledger of effects) and notchpoint-rehearsal (network, folder and clock in memory behind the daemon's seam; clients, discovery, scenarios in TOML, independent checker, score, report as text, JSON and HTML; notchpoint-rehearse run and check). The daemon logs by tracing, as text or JSON.

--- a/crates/daemon/src/calls.rs
+++ b/crates/daemon/src/calls.rs
@@ -710,7 +710,7 @@
         410 => (Outcome::Moot, true),
         other => {
             if other != 500 {
-                eprintln!("an endpoint answered {other}");
+                tracing::warn!("an endpoint answered {other}");
             }
             (Outcome::Failed, false)
         }
--- a/crates/daemon/src/cli.rs
+++ b/crates/daemon/src/cli.rs
@@ -1,6 +1,6 @@
 //! The command line.
 
-use crate::operator;
+use crate::operator::{self, Format};
 use crate::sender::{self, Failure};
 use clap::{Parser, Subcommand};
 use notchpoint_policy::{DestinationId, FINGERPRINT, MessageId, Micros};
@@ -102,12 +102,22 @@
 fn serve(file: Option<PathBuf>) -> Result<ExitCode, Failure> {
     let file = file.or_else(|| std::env::var_os("NOTCHPOINT_OPERATOR").map(PathBuf::from));
     let operator = file.map_or(Ok(operator::Operator::default()), |f| operator::read(&f))?;
+    log(operator.log.format);
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let local = tokio::task::LocalSet::new();
     runtime.block_on(local.run_until(async { sender::run(sender::surroundings()?, operator).await }))?;
     Ok(ExitCode::SUCCESS)
 }
 
+/// From now on what happens is logged to standard output, a line each.
+fn log(format: Format) {
+    let lines = tracing_subscriber::fmt().with_ansi(false).with_target(false);
+    match format {
+        Format::Text => lines.init(),
+        Format::Json => lines.json().flatten_event(true).init(),
+    }
+}
+
 /// Standard output may be a pipe that its reader has closed, which is no failure.
 fn say(text: &str) -> Result<(), Failure> {
     match io::stdout().write_all(text.as_bytes()) {
--- a/crates/daemon/src/discovery.rs
+++ b/crates/daemon/src/discovery.rs
@@ -56,7 +56,7 @@
         let net = self.net.clone();
         let task = tokio::task::spawn_local(async move {
             if let Err(why) = follow(&*net, address, &revision, &inputs).await {
-                eprintln!("discovery: {why}");
+                tracing::warn!("discovery: {why}");
             }
             let _ = inputs.send(Input::Unlisted);
         });
@@ -102,7 +102,7 @@
                     let _ = inputs.send(Input::Listed(news));
                 }
                 // The lines after it may well be sound.
-                Err(why) => eprintln!("discovery: a line: {why}"),
+                Err(why) => tracing::warn!("discovery: a line: {why}"),
             }
         }
         if pending.len() > LONGEST {
--- a/crates/daemon/src/flight.rs
+++ b/crates/daemon/src/flight.rs
@@ -60,7 +60,7 @@
         };
         let begun = Recorder::begin(options, store, &there, crate::input::CLOCK_START, clock.unix_now());
         let flight = flight(Some(begun.map_err(|e| fail(&e))?));
-        println!("{set}");
+        tracing::info!("{set}");
         Ok(flight)
     }
 
@@ -93,7 +93,7 @@
 
     /// The sender matters more than its recording: one that cannot be written ends, and is said to.
     fn stop(&self, recorder: &mut Option<Recorder>, why: &recorder::Error) {
-        eprintln!("recorder: {}: {why}; recording ends", self.folder.display());
+        tracing::warn!("recorder: {}: {why}; recording ends", self.folder.display());
         *recorder = None;
     }
 
@@ -140,8 +140,8 @@
             before(panic);
             let flight = AT_PANIC.try_with(|f| f.try_borrow().ok().and_then(|f| f.clone())).ok().flatten();
             match flight.map(|f| f.dump()) {
-                Some(Ok(Some(path))) => eprintln!("recording written to {}", path.display()),
-                Some(Err(why)) => eprintln!("the recording could not be written: {why}"),
+                Some(Ok(Some(path))) => tracing::warn!("recording written to {}", path.display()),
+                Some(Err(why)) => tracing::warn!("the recording could not be written: {why}"),
                 _ => {}
             }
         }));
--- a/crates/daemon/src/inbound.rs
+++ b/crates/daemon/src/inbound.rs
@@ -238,7 +238,7 @@
             Ok(stream) => stream,
             Err(e) => {
                 // Out of descriptors, or a client that left: neither is mended by asking again at once.
-                eprintln!("accept: {e}");
+                tracing::warn!("accept: {e}");
                 tokio::time::sleep(Duration::from_millis(10)).await;
                 continue;
             }
--- a/crates/daemon/src/journal.rs
+++ b/crates/daemon/src/journal.rs
@@ -175,7 +175,7 @@
 
     fn append_or_log(&mut self, record: &[u8]) {
         if let Err(e) = self.append(record) {
-            eprintln!("journal: {e}");
+            tracing::warn!("journal: {e}");
         }
     }
 
--- a/crates/daemon/src/listing.rs
+++ b/crates/daemon/src/listing.rs
@@ -26,7 +26,8 @@
     /// member could not be read does not mean that it has gone.
     fn from(told: Told) -> Self {
         let all = told.members.len();
-        let read = |m| serde_json::from_value(m).inspect_err(|e| eprintln!("discovery: a member: {e}")).ok();
+        let read =
+            |m| serde_json::from_value(m).inspect_err(|e| tracing::warn!("discovery: a member: {e}")).ok();
         let members: Vec<Member> = told.members.into_iter().filter_map(read).collect();
         Self { revision: told.revision, complete: told.complete && members.len() == all, members }
     }
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -249,7 +249,7 @@
                     }
                 }
                 Action::CloseIdle { endpoint } => self.calls.close_idle(endpoint),
-                Action::Log(line) => println!("{line}"),
+                Action::Log(line) => tracing::info!("{line}"),
                 // The protocol has no probes, and the module asks for none; a watch brings the whole list.
                 Action::Probe { .. } | Action::Fetch => {}
             }
--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -10,6 +10,24 @@
 pub struct Operator {
     #[serde(default)]
     pub recorder: Recorder,
+    #[serde(default)]
+    pub log: Log,
+}
+
+/// The program's log, on standard output.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Eq)]
+#[serde(deny_unknown_fields, default)]
+pub struct Log {
+    pub format: Format,
+}
+
+/// How a line of the log looks.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "lowercase")]
+pub enum Format {
+    #[default]
+    Text,
+    Json,
 }
 
 /// The flight recorder.
--- a/crates/daemon/src/reports.rs
+++ b/crates/daemon/src/reports.rs
@@ -110,11 +110,12 @@
                             let mut journal = self.journal.borrow_mut();
                             told.into_iter().for_each(|id| journal.end(id));
                             if age > LONG {
-                                eprintln!("reports: a notice was told after {} ms", age.as_millis());
+                                tracing::warn!("reports: a notice was told after {} ms", age.as_millis());
                             }
                         }
                         Err(why) => {
-                            eprintln!("reports: {why}; the oldest notice waits for {} ms", age.as_millis());
+                            let ms = age.as_millis();
+                            tracing::warn!("reports: {why}; the oldest notice waits for {ms} ms");
                             self.notices.borrow_mut().failed(post, now);
                         }
                     }
--- a/crates/daemon/src/sender.rs
+++ b/crates/daemon/src/sender.rs
@@ -91,7 +91,7 @@
     });
     // What was left open is taken up: only now is the sender ready.
     let listener = net.listen(config.listen)?;
-    println!("listening on {}", listener.local_addr()?);
+    tracing::info!("listening on {}", listener.local_addr()?);
     tokio::task::spawn_local(crate::inbound::serve(inbound.clone(), listener));
     tokio::select! {
         biased;
@@ -136,20 +136,20 @@
     fn reload(&self, source: &ConfigSource) {
         match read(source) {
             Ok(config) => {
-                println!("configuration read anew: discovery at {}", config.discovery);
+                tracing::info!("configuration read anew: discovery at {}", config.discovery);
                 self.discovery.relocate(config.discovery);
                 self.reports.relocate(config.discovery);
             }
-            Err(why) => eprintln!("the configuration stays as it was: {why}"),
+            Err(why) => tracing::warn!("the configuration stays as it was: {why}"),
         }
     }
 
     /// What is recorded is written to a file of its own.
     fn dump(&self) {
         match self.flight.dump() {
-            Ok(Some(path)) => println!("recording written to {}", path.display()),
-            Ok(None) => eprintln!("nothing is recorded: the recorder is off"),
-            Err(why) => eprintln!("the recording could not be written: {why}"),
+            Ok(Some(path)) => tracing::info!("recording written to {}", path.display()),
+            Ok(None) => tracing::warn!("nothing is recorded: the recorder is off"),
+            Err(why) => tracing::warn!("the recording could not be written: {why}"),
         }
     }
 }
--- /dev/null
+++ b/crates/emulator/src/ledger.rs
@@ -0,0 +1,53 @@
+//! What a partner saw and what took effect: the evidence that rules are checked on.
+
+use crate::Micros;
+use crate::partner::CallId;
+
+/// A message took effect, or was recognised as one that had.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Effect {
+    /// When.
+    pub at: Micros,
+    /// The message.
+    pub message: u64,
+    /// At which of the partner's endpoints.
+    pub endpoint: usize,
+    /// Its caller had gone by then.
+    pub abandoned: bool,
+    /// It was dropped as a repeat: no second effect.
+    pub dropped: bool,
+}
+
+/// A call that came.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Seen {
+    /// Its number.
+    pub call: CallId,
+    /// When its first byte came.
+    pub first: Micros,
+    /// When its last byte came.
+    pub at: Micros,
+    /// At which endpoint.
+    pub endpoint: usize,
+    /// Which sender made it.
+    pub sender: usize,
+    /// The messages in it.
+    pub messages: Vec<u64>,
+    /// When it was answered, with which status; 0 for what is no answer.
+    pub answered: Option<(Micros, u16)>,
+    /// How long the answer told to wait.
+    pub wait: Option<Micros>,
+    /// When its caller was gone.
+    pub gone: Option<Micros>,
+}
+
+/// All of it. It grows with the run; a run has an end.
+#[derive(Clone, Debug, Default)]
+pub struct Ledger {
+    /// In the order of time.
+    pub effects: Vec<Effect>,
+    /// In the order of their numbers, which is that of time.
+    pub calls: Vec<Seen>,
+    /// When an endpoint that was still cold got too much and fell over.
+    pub falls: Vec<(Micros, usize)>,
+}
--- /dev/null
+++ b/crates/rehearsal/src/lib.rs
@@ -0,0 +1,25 @@
+//! Rehearsals: real senders, emulated partners, clients and a platform, in virtual time or on loopback
+//! sockets; what was seen is scored by worth and checked against the rules by what nobody of the senders
+//! tells.
+//!
+//! `scenario.rs` reads what is to be played, `run.rs` plays it, `checker.rs` and `score.rs` judge it,
+//! `report.rs` shows it. `virt/` is the world in memory.
+#![warn(missing_docs)]
+
+pub mod arrivals;
+pub mod book;
+pub mod checker;
+pub mod client;
+pub mod config;
+pub mod endpoint;
+pub mod hosts;
+pub mod platform;
+pub mod report;
+pub mod run;
+pub mod scenario;
+pub mod score;
+pub mod virt;
+pub mod wire;
+
+pub use run::{Outcome, run};
+pub use scenario::Scenario;
--- /dev/null
+++ b/crates/rehearsal/src/virt/mod.rs
@@ -0,0 +1,217 @@
+//! A world in memory, in virtual time: the daemon's own code, many senders in one thread, and nothing that is
+//! not a function of scenario and seed.
+
+pub mod disk;
+pub mod net;
+
+use crate::hosts::{Hosts, Who};
+use disk::Store;
+use net::{Host, Net};
+use notchpoint::operator::Operator;
+use notchpoint_seam::{Clock, Network, Signal, World};
+use std::cell::RefCell;
+use std::future::Future;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::pin::Pin;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::sync::mpsc::{Sender, channel};
+use tokio::task::{AbortHandle, LocalSet};
+use tokio::time::Instant;
+
+/// The wall clock of a world begins here: 2026-03-01, as good as any day.
+const EPOCH: u64 = 1_772_323_200_000_000;
+/// A process that is polled so often in one instant does not wait for anything any more: it hangs.
+const SPINS: u32 = 100_000;
+/// Signals that wait to be heeded.
+const SIGNALS: usize = 8;
+
+/// What a daemon finds in the place of the world around it. A test takes a guard out by lying to it.
+pub type Around = Rc<dyn Fn(usize, World) -> World>;
+
+/// The world.
+pub struct Virtual {
+    net: Rc<Net>,
+    clock: Rc<VirtualClock>,
+    around: Option<Around>,
+    senders: RefCell<Vec<Machine>>,
+    beats: Arc<AtomicU64>,
+}
+
+struct Machine {
+    store: Rc<Store>,
+    config: Rc<RefCell<String>>,
+    process: Option<Process>,
+}
+
+struct Process {
+    host: Rc<Host>,
+    signals: Sender<Signal>,
+    task: AbortHandle,
+    ended: Rc<RefCell<Option<String>>>,
+}
+
+struct VirtualClock(Instant);
+
+impl Clock for VirtualClock {
+    fn unix_now(&self) -> u64 {
+        EPOCH + self.0.elapsed().as_micros() as u64
+    }
+}
+
+impl Virtual {
+    /// A world for so many senders. `beats` is raised whenever a sender has been run, for a watchdog outside.
+    pub fn new(
+        senders: usize,
+        disk: u64,
+        latency: Duration,
+        seed: u64,
+        around: Option<Around>,
+        beats: Arc<AtomicU64>,
+    ) -> Rc<Self> {
+        let machine = |_| Machine { store: Store::new(disk), config: Rc::default(), process: None };
+        let net = Net::new(latency, seed);
+        net.set_everybody(SocketAddr::from((EVERYBODY, PEERS)));
+        Rc::new(Self {
+            net,
+            clock: Rc::new(VirtualClock(Instant::now())),
+            around,
+            senders: RefCell::new((0..senders).map(machine).collect()),
+            beats,
+        })
+    }
+
+    /// The network, for what a scenario does to it.
+    pub fn net(&self) -> &Rc<Net> {
+        &self.net
+    }
+
+    /// A sender's lasting folder.
+    pub fn store(&self, sender: usize) -> Rc<Store> {
+        self.senders.borrow()[sender].store.clone()
+    }
+}
+
+const EVERYBODY: Ipv4Addr = Ipv4Addr::new(10, 3, 255, 1);
+const PEERS: u16 = 7_946;
+const PLATFORM: Ipv4Addr = Ipv4Addr::new(10, 2, 0, 1);
+
+/// The n-th machine of a net of 62,500.
+fn ip(net: u8, n: usize) -> Ipv4Addr {
+    Ipv4Addr::new(10, net, (n / 250) as u8, (n % 250) as u8 + 1)
+}
+
+impl Hosts for Virtual {
+    fn address(&self, who: Who) -> SocketAddr {
+        match who {
+            Who::Sender(n) => SocketAddr::from((ip(0, n), 8_081)),
+            Who::Endpoint(n) => SocketAddr::from((ip(1, n), 8_081)),
+            Who::Platform(n) => SocketAddr::from((PLATFORM, 10_000 + n as u16)),
+            Who::Clients => SocketAddr::from((ip(9, 0), 0)),
+        }
+    }
+
+    fn network(&self, who: Who) -> Rc<dyn Network> {
+        self.net.host(self.address(who).ip())
+    }
+
+    fn peers(&self, sender: usize) -> Option<(SocketAddr, Vec<SocketAddr>, SocketAddr)> {
+        let at = |n| SocketAddr::from((ip(3, n), PEERS));
+        let all = (0..self.senders.borrow().len()).map(at).collect();
+        Some((at(sender), all, SocketAddr::from((EVERYBODY, PEERS))))
+    }
+
+    fn configure(&self, sender: usize, text: String) {
+        *self.senders.borrow()[sender].config.borrow_mut() = text;
+    }
+
+    fn start(&self, sender: usize) -> Result<(), String> {
+        let mut senders = self.senders.borrow_mut();
+        let machine = &mut senders[sender];
+        let host = self.net.host(IpAddr::V4(ip(0, sender)));
+        let (signals, told) = channel(SIGNALS);
+        let config = machine.config.clone();
+        let world = World {
+            net: host.clone(),
+            clock: self.clock.clone(),
+            disk: machine.store.handle(host.dead()),
+            signals: told,
+            config: Box::new(move || Ok(config.borrow().clone())),
+        };
+        let world = match &self.around {
+            Some(around) => around(sender, world),
+            None => world,
+        };
+        let ended = Rc::new(RefCell::new(None));
+        let local = LocalSet::new();
+        let main = local.spawn_local(notchpoint::sender::run(world, Operator::default()));
+        let tell = ended.clone();
+        let process = Running { local, at: Instant::now(), spins: 0, beats: self.beats.clone() };
+        let task = tokio::task::spawn_local(async move {
+            let why = tokio::select! {
+                biased;
+                () = process => "hangs: it runs on and on and waits for nothing".to_owned(),
+                end = main => match end {
+                    Ok(Ok(())) => String::new(),
+                    Ok(Err(e)) => format!("ended: {e}"),
+                    Err(e) => format!("ended: {e}"),
+                },
+            };
+            tell.borrow_mut().get_or_insert(why);
+        });
+        machine.process = Some(Process { host, signals, task: task.abort_handle(), ended });
+        Ok(())
+    }
+
+    fn signal(&self, sender: usize, signal: Signal) {
+        if let Some(p) = &self.senders.borrow()[sender].process {
+            let _ = p.signals.try_send(signal);
+        }
+    }
+
+    fn kill(&self, sender: usize) {
+        if let Some(p) = self.senders.borrow_mut()[sender].process.take() {
+            // Dead first: what its remains do when they are dropped must have no effect.
+            p.host.kill();
+            p.task.abort();
+        }
+    }
+
+    fn ended(&self, sender: usize) -> Option<String> {
+        let senders = self.senders.borrow();
+        let process = senders[sender].process.as_ref()?;
+        process.ended.borrow().clone()
+    }
+
+    fn freeze(&self, _: usize, _: bool) {}
+}
+
+/// A process that runs; ends only if it hangs.
+struct Running {
+    local: LocalSet,
+    at: Instant,
+    spins: u32,
+    beats: Arc<AtomicU64>,
+}
+
+impl Future for Running {
+    type Output = ();
+
+    fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<()> {
+        let now = Instant::now();
+        self.spins = if self.at == now { self.spins + 1 } else { 0 };
+        self.at = now;
+        if self.spins > SPINS {
+            return Poll::Ready(());
+        }
+        let done = Pin::new(&mut self.local).poll(cx);
+        self.beats.fetch_add(1, Ordering::Relaxed);
+        match done {
+            // All tasks have ended; the main one tells why.
+            Poll::Ready(()) | Poll::Pending => Poll::Pending,
+        }
+    }
+}
--- a/crates/seam/src/lib.rs
+++ b/crates/seam/src/lib.rs
@@ -1,9 +1,9 @@
-//! What a sender needs of the world around it, as narrow as it can be: sockets, the wall clock, the folder that
-//! outlasts it, its configuration and its signals. [`real`] is the system's own, by tokio; a rehearsal brings
-//! another. The daemon is the same code in both.
+//! What a sender needs of the world around it, as narrow as it can be: sockets, the wall clock, the folder
+//! that outlasts it, its configuration and its signals. [`real`] is the system's own, by tokio; a rehearsal
+//! brings another. The daemon is the same code in both.
 //!
-//! The monotonic clock and timers are tokio's in every world: a rehearsal runs on a runtime whose time is paused.
-//! Random numbers come from the seed in the configuration.
+//! The monotonic clock and timers are tokio's in every world: a rehearsal runs on a runtime whose time is
+//! paused. Random numbers come from the seed in the configuration.
 #![warn(missing_docs)]
 
 pub mod disk;
