A wake asked for is never lost: two clocks' rounding left messages without an answer

Cause: the node forgot a wake when its timer fired, the module when its own clock had passed it. A turn caused by news that came between the two dropped the module's and kept the node's; the timer then fired for a moment that was over, the module planned nothing new, and nobody was left waiting.

Change: the node keeps the wake in the module's clock and forgets it by the same comparison.

--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -33,7 +33,10 @@
     inputs: UnboundedReceiver<Input>,
     /// The attempts made for each message that is open or has one out.
     attempts: HashMap<MessageId, Attempts>,
-    wake: Option<Instant>,
+    /// When the module asked to be called, by its own clock. It is forgotten by the same comparison as over
+    /// there: a moment that only one of the two takes to have passed would leave neither waiting for the
+    /// next.
+    wake: Option<Micros>,
     last_turn: Option<Instant>,
     events: Vec<Event>,
 }
@@ -127,7 +130,7 @@
     /// out go on, and their ends still reach the journal.
     pub async fn run(&mut self) {
         loop {
-            let wake = self.wake;
+            let wake = self.wake.map(|at| self.started + Duration::from_micros(at - CLOCK_START));
             let alarm = async {
                 match wake {
                     Some(at) => sleep_until(at).await,
@@ -139,10 +142,7 @@
                 // between two that are ready must not be chance, or no run could be played again.
                 tokio::select! {
                     biased;
-                    () = alarm => {
-                        self.wake = None;
-                        self.events.push(Event::Wake);
-                    }
+                    () = alarm => self.events.push(Event::Wake),
                     input = self.inputs.recv() => {
                         let Some(input) = input else { return };
                         self.note(input);
@@ -229,6 +229,7 @@
         if cfg!(debug_assertions) {
             self.compare_connections(&events);
         }
+        self.wake = self.wake.filter(|&w| w > now);
         self.sender.handle(now, &events, &mut actions);
         self.flight.turn(now, &events, &actions, &self.sender);
         let mut loads: Vec<(EndpointId, Vec<Item>)> = Vec::new();
@@ -239,7 +240,7 @@
                 Action::Refuse { id, after } => self.end(id, Verdict::Bounced(after.div_ceil(1_000))),
                 Action::Fail { id } => self.end(id, Verdict::Dead),
                 Action::WakeAt(at) => {
-                    let at = self.started + Duration::from_micros(at.saturating_sub(CLOCK_START));
+                    let at = at.max(CLOCK_START);
                     self.wake = Some(self.wake.map_or(at, |w| w.min(at)));
                 }
                 Action::Watch => self.discovery.watch(),
--- a/crates/rehearsal/src/book.rs
+++ b/crates/rehearsal/src/book.rs
@@ -45,6 +45,8 @@
     pub forsaken: Option<Micros>,
     /// When an endpoint wrote that it is delivered.
     pub delivered: Option<Micros>,
+    /// That crossed its caller's closing, so that the caller cannot know.
+    pub crossed: bool,
     /// Notices, each with its moment, life of the sender and verdict; `true` once the platform's 204 is
     /// written.
     pub notices: Vec<Notice>,
@@ -117,6 +119,8 @@
     pub lives: RefCell<Vec<Vec<Life>>>,
     /// Changes of the list.
     pub listed: RefCell<Vec<Listed>>,
+    /// From when to when discovery told nothing.
+    pub outages: RefCell<Vec<(Micros, Micros)>>,
     /// Clients that misbehaved.
     pub bad: RefCell<Vec<Bad>>,
     /// What the world itself saw that must not be, such as a message that nobody handed in.
@@ -134,6 +138,7 @@
             messages: RefCell::default(),
             lives: RefCell::new(vec![Vec::new(); senders]),
             listed: RefCell::default(),
+            outages: RefCell::default(),
             bad: RefCell::default(),
             odd: RefCell::default(),
             log: RefCell::default(),
@@ -180,6 +185,17 @@
         self.lives.borrow()[sender].len() as u32
     }
 
+    /// What was just answered crossed its caller's closing.
+    pub fn crossed(&self, ids: &[u64]) {
+        let mut messages = self.messages.borrow_mut();
+        for id in ids {
+            self.log(format_args!("crossed {id:016x}"));
+            if let Some(m) = messages.get_mut(id) {
+                m.crossed = true;
+            }
+        }
+    }
+
     /// A message was delivered: an endpoint wrote so.
     pub fn delivered(&self, id: u64) {
         let now = self.now();
--- a/crates/rehearsal/src/client.rs
+++ b/crates/rehearsal/src/client.rs
@@ -205,6 +205,7 @@
                 answered: None,
                 forsaken: None,
                 delivered: None,
+                crossed: false,
                 notices: Vec::new(),
             },
         );
--- a/crates/rehearsal/src/endpoint.rs
+++ b/crates/rehearsal/src/endpoint.rs
@@ -20,6 +20,8 @@
 
 /// Between two bytes of an answer that trickles.
 const TRICKLE: Duration = Duration::from_millis(20);
+/// A caller that closes so soon after an answer had not read it: its patience ended in that moment.
+const CROSSING: Micros = 2_000;
 /// Noise in place of an answer.
 const NOISE: &[u8] = b"\x16\x03\x01\x00\xa5 not an answer at all\r\n\r\n";
 
@@ -201,6 +203,7 @@
     async fn connection(self: Rc<Self>, endpoint: usize, stream: Rc<dyn Stream>) {
         let mut wire = Wire::new(stream);
         let idle = Duration::from_secs_f64(self.model.borrow().spec().idle_s);
+        let mut answered: Option<(Micros, Vec<u64>)> = None;
         loop {
             let request = match timeout(idle, wire.request()).await {
                 Ok(Ok(Some(request))) => request,
@@ -209,7 +212,14 @@
                         .odd(format!("destination {}: a request that cannot be read: {e}", self.destination));
                     return;
                 }
-                _ => return,
+                ended => {
+                    if let (Ok(_), Some((at, ids))) = (ended, answered)
+                        && self.book.now() <= at + CROSSING
+                    {
+                        self.book.crossed(&ids);
+                    }
+                    return;
+                }
             };
             let Some(ids) = ids(&request) else {
                 self.book.odd(format!("destination {}: a request that makes no sense", self.destination));
@@ -239,6 +249,7 @@
             if !self.answer(&mut wire, &ids, reply).await || request.closes() {
                 return;
             }
+            answered = Some((self.book.now(), ids));
         }
     }
 
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod config;
 pub mod endpoint;
 pub mod hosts;
+pub mod hunt;
 pub mod platform;
 pub mod report;
 pub mod run;
@@ -21,5 +22,5 @@
 pub mod virt;
 pub mod wire;
 
-pub use run::{Outcome, run};
+pub use run::{Options, Outcome, run};
 pub use scenario::Scenario;
