Rehearsals on loopback with real processes, and a demo for newcomers

Need: nobody could start the sender without the platform's configuration, and a rehearsal in virtual time had nothing to be compared with.

--- a/crates/rehearsal/src/book.rs
+++ b/crates/rehearsal/src/book.rs
@@ -125,6 +125,8 @@
     pub bad: RefCell<Vec<Bad>>,
     /// What the world itself saw that must not be, such as a message that nobody handed in.
     pub odd: RefCell<Vec<(Micros, String)>>,
+    /// Somebody else hands messages in as well, which is not odd then.
+    pub strangers: Cell<bool>,
     log: RefCell<String>,
     lines: Cell<u64>,
 }
@@ -141,6 +143,7 @@
             outages: RefCell::default(),
             bad: RefCell::default(),
             odd: RefCell::default(),
+            strangers: Cell::new(false),
             log: RefCell::default(),
             lines: Cell::new(0),
         }
--- a/crates/rehearsal/src/endpoint.rs
+++ b/crates/rehearsal/src/endpoint.rs
@@ -20,6 +20,8 @@
 
 /// Between two bytes of an answer that trickles.
 const TRICKLE: Duration = Duration::from_millis(20);
+/// Bytes of an answer after which its status is plain: `HTTP/1.1 200 `.
+const FIRST_LINE: usize = 13;
 /// A caller that closes so soon after an answer had not read it: its patience ended in that moment.
 const CROSSING: Micros = 2_000;
 /// Noise in place of an answer.
@@ -260,6 +262,11 @@
         let mut sender = 0;
         for id in ids {
             let Some(m) = messages.get(id) else {
+                if self.book.strangers.get() {
+                    let (class, memory) = self.classes[0].clone();
+                    found.push(Arriving { id: *id, class, memory, key: *id });
+                    continue;
+                }
                 drop(messages);
                 self.book.odd(format!("message {id:016x} was called and never handed in"));
                 return None;
@@ -336,11 +343,13 @@
             }
             Reply::Trickle => {
                 done = if ids.len() == 1 { ids } else { &[] };
-                done.iter().for_each(|id| self.book.delivered(*id));
-                for byte in plain(200, "") {
+                for (n, byte) in plain(200, "").into_iter().enumerate() {
                     if wire.write(&[byte]).await.is_err() {
                         return false;
                     }
+                    if n + 1 == FIRST_LINE {
+                        done.iter().for_each(|id| self.book.delivered(*id));
+                    }
                     sleep(TRICKLE).await;
                 }
                 return true;
--- a/crates/rehearsal/src/hunt.rs
+++ b/crates/rehearsal/src/hunt.rs
@@ -100,7 +100,8 @@
             let mut share = || r.random_range(0.0..0.15);
             let (a, b, c, d, e) = (share(), share(), share(), share(), share());
             let faults = format!(
-                "faults = {{ silent = {a:.3}, reset = {b:.3}, spoilt = {c:.3}, half = {d:.3}, trickle = {e:.3} }}\n"
+                "faults = {{ silent = {a:.3}, reset = {b:.3}, spoilt = {c:.3}, half = {d:.3}, \
+                 trickle = {e:.3} }}\n"
             );
             ("faults", format!("{target}{faults}{}", span(r, 15.0)))
         }
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -3,7 +3,7 @@
 //! tells.
 //!
 //! `scenario.rs` reads what is to be played, `run.rs` plays it, `checker.rs` and `score.rs` judge it,
-//! `report.rs` shows it. `virt/` is the world in memory.
+//! `report.rs` shows it. `virt/` is the world in memory, `live.rs` the one of this machine.
 #![warn(missing_docs)]
 
 pub mod arrivals;
@@ -11,9 +11,11 @@
 pub mod checker;
 pub mod client;
 pub mod config;
+pub mod demo;
 pub mod endpoint;
 pub mod hosts;
 pub mod hunt;
+pub mod live;
 pub mod platform;
 pub mod report;
 pub mod run;
--- a/crates/rehearsal/src/main.rs
+++ b/crates/rehearsal/src/main.rs
@@ -1,7 +1,10 @@
 //! `notchpoint-rehearse`: plays scenarios.
 
 use clap::{Parser, Subcommand};
+use notchpoint_rehearsal::demo::demo;
 use notchpoint_rehearsal::hunt::{Ground, hunt, shrink};
+use notchpoint_rehearsal::live::Live;
+use notchpoint_rehearsal::run::run_live;
 use notchpoint_rehearsal::{Options, checker, report, run, scenario, score};
 use std::io::Write;
 use std::path::{Path, PathBuf};
@@ -21,6 +24,18 @@
 
 #[derive(Debug, Subcommand)]
 enum Command {
+    /// Show a real sender at work, in half a minute: emulated partners, two classes, a hall that goes silent
+    ///
+    /// It leaves a report with plots, and the configuration that it used as a file to begin from. Exit status
+    /// as for run.
+    Demo {
+        /// Where report, configuration, state and log are left
+        #[arg(long, value_name = "FOLDER", default_value = "notchpoint-demo")]
+        folder: PathBuf,
+    },
+    /// Be the sender, as `notchpoint` without arguments is
+    #[command(hide = true)]
+    Sender,
     /// Play a scenario, score it and check the rules
     ///
     /// Exit status: 0 all rules were kept; 1 one was broken; 2 the scenario could not be played; 3 a sender
@@ -40,6 +55,15 @@
         /// Have each sender's flight recorder write here, for `notchpoint explain`
         #[arg(long, value_name = "FOLDER")]
         record: Option<PathBuf>,
+        /// Play it on loopback sockets, against real processes and in real time
+        #[arg(long, conflicts_with = "record")]
+        live: bool,
+        /// With --live: the program that is started as sender [default: this build's own]
+        #[arg(long, value_name = "PROGRAM", requires = "live")]
+        sender: Option<PathBuf>,
+        /// With --live: where senders have their configuration, state and log
+        #[arg(long, value_name = "FOLDER", default_value = "notchpoint-live", requires = "live")]
+        folder: PathBuf,
         /// Print JSON in place of text
         #[arg(long)]
         json: bool,
@@ -76,9 +100,18 @@
 
 fn main() -> ExitCode {
     let done = match Cli::parse().command {
-        Command::Run { file, seed, log, html, record, json } => {
-            let options = Options { record, ..Options::default() };
-            play(&file, seed, log.as_deref(), html.as_deref(), options, json)
+        Command::Sender => return notchpoint::cli::run(notchpoint::cli::Cli::parse_from(["notchpoint"])),
+        Command::Demo { folder } => {
+            own_sender().and_then(|c| demo(c, &folder)).map(|kept| ExitCode::from(u8::from(!kept)))
+        }
+        Command::Run { file, seed, log, html, record, live, sender, folder, json } => {
+            let how = if live {
+                let command = sender.map_or_else(own_sender, |program| Ok(vec![program]));
+                command.map(|command| How::Live(command, folder))
+            } else {
+                Ok(How::Virtual(Options { record, ..Options::default() }))
+            };
+            how.and_then(|how| play(&file, seed, log.as_deref(), html.as_deref(), how, json))
         }
         Command::Hunt { file, seeds, from, jobs, out } => hunt_command(&file, seeds, from, jobs, &out),
         Command::Check { files } => check(&files),
@@ -89,6 +122,18 @@
     })
 }
 
+/// In which world a scenario is played.
+enum How {
+    Virtual(Options),
+    Live(Vec<PathBuf>, PathBuf),
+}
+
+/// This program is a sender as well, so that nothing else has to be built or found.
+fn own_sender() -> Result<Vec<PathBuf>, String> {
+    let program = std::env::current_exe().map_err(|e| e.to_string())?;
+    Ok(vec![program, "sender".into()])
+}
+
 fn write(path: &Path, text: &str) -> Result<(), String> {
     std::fs::write(path, text).map_err(|e| format!("{}: {e}", path.display()))
 }
@@ -98,12 +143,18 @@
     seed: Option<u64>,
     log: Option<&Path>,
     html: Option<&Path>,
-    options: Options,
+    how: How,
     json: bool,
 ) -> Result<ExitCode, String> {
     let scenario = Rc::new(scenario::read(file).map_err(|e| e.to_string())?);
     let seed = seed.unwrap_or(scenario.seed);
-    let outcome = run(&scenario, seed, &options)?;
+    let outcome = match how {
+        How::Virtual(options) => run(&scenario, seed, &options)?,
+        How::Live(command, folder) => {
+            let place = Live::new(scenario.senders.count, command, &folder)?;
+            run_live(&scenario, seed, place, false, |_| {})?
+        }
+    };
     let breaches = checker::check(&outcome);
     let score = score::score(&outcome, breaches.len());
     if json {
--- a/crates/rehearsal/src/platform.rs
+++ b/crates/rehearsal/src/platform.rs
@@ -176,6 +176,9 @@
                 let mut messages = self.book.messages.borrow_mut();
                 let Some(m) = messages.get_mut(id) else {
                     drop(messages);
+                    if self.book.strangers.get() {
+                        continue;
+                    }
                     self.book.odd(format!("sender {sender}: a notice for {id:016x}, which nobody handed in"));
                     continue;
                 };
--- a/crates/rehearsal/src/run.rs
+++ b/crates/rehearsal/src/run.rs
@@ -6,6 +6,7 @@
 use crate::config::{self, Addresses};
 use crate::endpoint::Shell;
 use crate::hosts::{Hosts, Who};
+use crate::live::Live;
 use crate::platform::{Member, Platform};
 use crate::scenario::{Do, Event, Mode, Scenario};
 use crate::virt::{Around, Virtual};
@@ -92,6 +93,39 @@
     }))
 }
 
+/// Plays a scenario on loopback sockets, against real processes of `place`. `look` is called once a second.
+///
+/// # Errors
+/// What could not be built, or is for virtual time only.
+pub fn run_live(
+    scenario: &Rc<Scenario>,
+    seed: u64,
+    place: Live,
+    strangers: bool,
+    look: impl Fn(&Play) + 'static,
+) -> Result<Outcome, String> {
+    let not = scenario.only_virtual();
+    if !not.is_empty() {
+        return Err(not.join("\n"));
+    }
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
+    let local = LocalSet::new();
+    runtime.block_on(local.run_until(async {
+        let play = Play::build(scenario.clone(), seed, Rc::new(place), None, LEAD)?;
+        play.book.strangers.set(strangers);
+        let watched = play.clone();
+        tokio::task::spawn_local(async move {
+            for second in 0.. {
+                sleep_until(watched.book.at(second * 1_000_000)).await;
+                look(&watched);
+            }
+        });
+        let outcome = play.run().await?;
+        Ok(Outcome { log: outcome.book.take_log(), ..outcome })
+    }))
+}
+
 /// Ends the process if a sender blocks the only thread there is: virtual time cannot pass then.
 struct Watchdog(Arc<AtomicU64>);
 
@@ -223,6 +257,11 @@
         &self.book
     }
 
+    /// What is played.
+    pub fn scenario(&self) -> &Scenario {
+        &self.scenario
+    }
+
     /// The destinations, to look at.
     pub fn shells(&self) -> &[Rc<Shell>] {
         &self.shells
--- a/crates/rehearsal/src/scenario.rs
+++ b/crates/rehearsal/src/scenario.rs
@@ -647,6 +647,13 @@
         all.flat_map(|(n, p)| (0..p.get_ref().destinations).map(move |d| (n, d))).collect()
     }
 
+    /// What it needs that only virtual time has.
+    pub fn only_virtual(&self) -> Vec<String> {
+        let events = self.event.iter().map(|e| e.get_ref());
+        let events = events.filter(|e| matches!(e.what, Do::Cut | Do::DiskFull));
+        events.map(|e| format!("event at {} s: {:?} is for virtual time only", e.at_s, e.what)).collect()
+    }
+
     /// The halls, in the order in which they are named first.
     pub fn halls(&self) -> Vec<String> {
         let mut halls: Vec<String> = Vec::new();
