Rehearsals: compare, twice, explain; check names every mistake in a configuration

Need: two builds or settings were compared by eye, and a configuration's mistakes were told one at a time.

--- a/crates/daemon/src/cli.rs
+++ b/crates/daemon/src/cli.rs
@@ -60,9 +60,12 @@
         #[arg(long, value_name = "FILE", requires = "dest")]
         svg: Option<PathBuf>,
     },
-    /// Read the operator's file and say what it switches on
+    /// Read a file and say all that is wrong with it
+    ///
+    /// Of the operator's file it says what that switches on; of a configuration (a name that ends in .json)
+    /// every mistake, by key. Exit status: 0 the file is sound; 2 it is not, or cannot be read.
     Check {
-        /// The file
+        /// The operator's file (TOML), or a configuration (JSON)
         file: PathBuf,
     },
 }
@@ -88,6 +91,7 @@
             let question = Question { message, dest: dest.map(DestinationId), from, to };
             explain_command(&file, question, json, svg.as_deref())
         }
+        Some(Command::Check { file }) if file.extension().is_some_and(|e| e == "json") => check_config(&file),
         Some(Command::Check { file }) => operator::read(&file).map_err(Failure::from).and_then(|o| {
             say(&format!("{}: {}\n", file.display(), o.recorder))?;
             Ok(ExitCode::SUCCESS)
@@ -99,6 +103,18 @@
     })
 }
 
+fn check_config(file: &Path) -> Result<ExitCode, Failure> {
+    let name = file.display();
+    let text = std::fs::read_to_string(file).map_err(|e| format!("{name}: {e}"))?;
+    let wrong = crate::check::mistakes(&text);
+    if wrong.is_empty() {
+        say(&format!("{name}: sound\n"))?;
+        return Ok(ExitCode::SUCCESS);
+    }
+    let lines: Vec<String> = wrong.iter().map(|w| format!("{name}: {w}")).collect();
+    Err(lines.join("\n").into())
+}
+
 fn serve(file: Option<PathBuf>) -> Result<ExitCode, Failure> {
     let file = file.or_else(|| std::env::var_os("NOTCHPOINT_OPERATOR").map(PathBuf::from));
     let operator = file.map_or(Ok(operator::Operator::default()), |f| operator::read(&f))?;
--- a/crates/daemon/src/inbound.rs
+++ b/crates/daemon/src/inbound.rs
@@ -20,8 +20,8 @@
 use std::net::Shutdown;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::Notify;
+use tokio::sync::mpsc::UnboundedSender;
 use tokio::time::{Instant, sleep_until, timeout, timeout_at};
 
 const BODY: usize = 64 << 10;
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -2,6 +2,7 @@
 //! it in one process. What surrounds it comes through `notchpoint_seam`.
 
 mod calls;
+mod check;
 pub mod cli;
 pub mod config;
 mod discovery;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -285,8 +285,8 @@
         let journal = self.journal.borrow();
         let owed = journal.iter().filter(|(id, m)| m.verdict.is_none() && self.attempts.contains_key(id));
         let owed: Vec<MessageId> = owed.map(|(id, _)| id).collect();
-        // One that the first line of its answer has settled is over for the journal; the module hears of it once
-        // the rest of the answer has come, or not come.
+        // One that the first line of its answer has settled is over for the journal; the module hears of it
+        // once the rest of the answer has come, or not come.
         let settled = |id| journal.get(id).is_none() && self.attempts.get(&id).is_some_and(|a| a.out > 0);
         let held = self.sender.open().into_iter().map(|o| o.0).filter(|id| !settled(*id));
         let held: Vec<MessageId> = held.collect();
--- a/crates/daemon/src/sender.rs
+++ b/crates/daemon/src/sender.rs
@@ -15,8 +15,8 @@
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::mpsc::{Receiver, unbounded_channel};
 use tokio::sync::Notify;
+use tokio::sync::mpsc::{Receiver, unbounded_channel};
 use tokio::time::{Instant, sleep, timeout_at};
 
 /// After SIGTERM: until then connections go on coming and are answered, also if nothing else is left to do.
--- a/crates/daemon/tests/layers.rs
+++ b/crates/daemon/tests/layers.rs
@@ -1,24 +1,18 @@
-//! The files of the daemon import one another one way only.
+//! The files of each package import one another one way only, and so do the packages.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
-#[test]
-fn no_file_of_the_daemon_imports_one_that_imports_it() {
-    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("src");
-    let mut imports: BTreeMap<String, BTreeSet<String>> = BTreeMap::new();
-    for file in std::fs::read_dir(folder).expect("a folder").flatten() {
-        let name = file.path().file_stem().and_then(|n| n.to_str()).expect("a name").to_owned();
-        let text = std::fs::read_to_string(file.path()).expect("a file");
-        // What only tests import is no layer.
-        let text = text.split("#[cfg(test)]").next().unwrap_or_default();
-        let words = text.split("crate::").skip(1).map(|rest| {
-            rest.chars().take_while(|c| c.is_ascii_alphanumeric() || *c == '_').collect::<String>()
-        });
-        imports.insert(name, words.collect());
-    }
-    assert!(imports.len() > 10 && imports["calls"].contains("journal"), "{imports:?}");
-    // Files that import nothing that is left go, until none are left, or only circles.
+type Imports = BTreeMap<String, BTreeSet<String>>;
+
+fn packages() -> Vec<PathBuf> {
+    let crates = Path::new(env!("CARGO_MANIFEST_DIR")).join("..");
+    let all = std::fs::read_dir(crates).expect("a folder").flatten().map(|e| e.path());
+    all.filter(|p| p.join("Cargo.toml").exists()).collect()
+}
+
+/// What is left of the imports once all that import nothing that is left are gone: circles.
+fn circles(mut imports: Imports) -> Imports {
     while let Some(name) = imports.iter().find(|(_, uses)| uses.is_empty()).map(|(n, _)| n.clone()) {
         imports.remove(&name);
         imports.values_mut().for_each(|uses| {
@@ -26,6 +20,81 @@
         });
     }
     let names: BTreeSet<String> = imports.keys().cloned().collect();
-    let circles: Vec<_> = imports.iter().filter(|(_, uses)| uses.iter().any(|u| names.contains(u))).collect();
-    assert!(circles.is_empty(), "a circle among {circles:?}");
+    imports.retain(|_, uses| uses.iter().any(|u| names.contains(u)));
+    imports
+}
+
+/// Which modules of a package its modules import. What lies in a folder belongs to the module of that name.
+fn modules(folder: &Path) -> Imports {
+    let mut imports = Imports::new();
+    let mut folders = vec![(folder.to_owned(), None::<String>)];
+    while let Some((folder, module)) = folders.pop() {
+        for path in std::fs::read_dir(folder).expect("a folder").flatten().map(|e| e.path()) {
+            let stem = path.file_stem().and_then(|n| n.to_str()).expect("a name").to_owned();
+            let name = module.clone().unwrap_or(stem);
+            if path.is_dir() {
+                folders.push((path, Some(name)));
+                continue;
+            }
+            let text = std::fs::read_to_string(&path).expect("a file");
+            // What only tests import is no layer.
+            let text = text.split("#[cfg(test)]").next().unwrap_or_default();
+            let words = text.split("crate::").skip(1).map(|rest| {
+                rest.chars().take_while(|c| c.is_ascii_alphanumeric() || *c == '_').collect::<String>()
+            });
+            let uses = imports.entry(name.clone()).or_default();
+            uses.extend(words.filter(|w| *w != name));
+        }
+    }
+    // Of a package's root nothing but its modules counts.
+    imports.remove("lib");
+    imports.remove("main");
+    let names: BTreeSet<String> = imports.keys().cloned().collect();
+    imports.values_mut().for_each(|uses| uses.retain(|u| names.contains(u)));
+    imports
+}
+
+#[test]
+fn no_file_of_a_package_imports_one_that_imports_it() {
+    let mut files = 0;
+    for package in packages() {
+        // The decisions are one module over several files, each a part of its `impl`.
+        if package.ends_with("policy") || package.ends_with("simhost") {
+            continue;
+        }
+        let imports = modules(&package.join("src"));
+        files += imports.len();
+        let left = circles(imports);
+        assert!(left.is_empty(), "{}: a circle among {left:?}", package.display());
+    }
+    assert!(files > 40, "{files} files");
+    let daemon = modules(&Path::new(env!("CARGO_MANIFEST_DIR")).join("src"));
+    assert!(daemon["calls"].contains("journal"), "{daemon:?}");
+}
+
+#[test]
+fn decisions_know_nothing_of_stores_or_sockets() {
+    let mut uses = Imports::new();
+    for package in packages() {
+        let text = std::fs::read_to_string(package.join("Cargo.toml")).expect("a file");
+        let name = text
+            .lines()
+            .find_map(|l| l.strip_prefix("name = "))
+            .expect("a name")
+            .trim_matches('"')
+            .to_owned();
+        let normal = text.split("[dev-dependencies]").next().unwrap_or_default();
+        let found =
+            normal.lines().filter_map(|l| l.split_once(".workspace").map(|(n, _)| n.trim().to_owned()));
+        uses.insert(name, found.collect());
+    }
+    for decides in ["notchpoint-policy", "notchpoint-emulator"] {
+        for outside in ["tokio", "hyper", "socket2", "notchpoint-seam", "notchpoint", "tracing"] {
+            assert!(!uses[decides].contains(outside), "{decides} uses {outside}");
+        }
+    }
+    let names: BTreeSet<String> = uses.keys().cloned().collect();
+    uses.values_mut().for_each(|u| u.retain(|n| names.contains(n)));
+    let left = circles(uses);
+    assert!(left.is_empty(), "a circle among {left:?}");
 }
--- a/crates/emulator/src/ledger.rs
+++ b/crates/emulator/src/ledger.rs
@@ -1,7 +1,10 @@
 //! What a partner saw and what took effect: the evidence that rules are checked on.
 
 use crate::Micros;
-use crate::partner::CallId;
+
+/// A call, numbered by the partner in the order in which they came.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CallId(pub u64);
 
 /// A message took effect, or was recognised as one that had.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -9,8 +9,8 @@
 pub mod partner;
 pub mod spec;
 
-pub use ledger::{Effect, Ledger, Seen};
-pub use partner::{CallId, Change, Done, Partner, Reply, Word};
+pub use ledger::{CallId, Effect, Ledger, Seen};
+pub use partner::{Change, Done, Partner, Reply, Word};
 pub use spec::{Cold, Faults, Service, Spec, Thrash};
 
 /// A moment or a span, in microseconds.
--- a/crates/emulator/src/partner.rs
+++ b/crates/emulator/src/partner.rs
@@ -1,7 +1,7 @@
 //! The model of a partner.
 
 use crate::Micros;
-use crate::ledger::{Effect, Ledger, Seen};
+use crate::ledger::{CallId, Effect, Ledger, Seen};
 use crate::spec::{Cold, Faults, Spec};
 use rand::{Rng, SeedableRng};
 use rand_distr::{Distribution, LogNormal};
@@ -9,10 +9,6 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, VecDeque};
 
-/// A call, numbered by the partner in the order in which they came.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct CallId(pub u64);
-
 /// How one message of a call with several ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Word {
--- a/crates/rehearsal/src/hosts.rs
+++ b/crates/rehearsal/src/hosts.rs
@@ -1,7 +1,8 @@
 //! Where processes run: in memory, or on this machine.
 
-use notchpoint_seam::{Network, Signal};
+use notchpoint_seam::{Network, Signal, World};
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::rc::Rc;
 
 /// Who stands somewhere.
@@ -17,6 +18,19 @@
     Clients,
 }
 
+/// What a daemon finds in the place of the world around it, by sender. A test takes a guard out by lying to
+/// it.
+pub type Around = Rc<dyn Fn(usize, World) -> World>;
+
+/// What may be asked of a run in virtual time.
+#[derive(Clone, Default)]
+pub struct Options {
+    /// What senders find in the place of the world around them.
+    pub around: Option<Around>,
+    /// Where their flight recorders write, a folder each.
+    pub record: Option<PathBuf>,
+}
+
 /// What a run needs of the place it runs in. A sender's process is started, told and killed by number.
 pub trait Hosts {
     /// Where somebody is to listen. Port 0 stands for any.
--- a/crates/rehearsal/src/hunt.rs
+++ b/crates/rehearsal/src/hunt.rs
@@ -3,7 +3,8 @@
 
 use crate::checker::{Breach, Rule, check};
 use crate::client::mix;
-use crate::run::{Options, run};
+use crate::hosts::Options;
+use crate::run::run;
 use crate::scenario::{self, Scenario, Wrong};
 use crate::score;
 use rand::{Rng, SeedableRng};
--- a/crates/rehearsal/src/main.rs
+++ b/crates/rehearsal/src/main.rs
@@ -1,7 +1,9 @@
 //! `notchpoint-rehearse`: plays scenarios.
 
 use clap::{Parser, Subcommand};
+use notchpoint_rehearsal::compare::{Side, compare};
 use notchpoint_rehearsal::demo::demo;
+use notchpoint_rehearsal::explain::explain;
 use notchpoint_rehearsal::hunt::{Ground, hunt, shrink};
 use notchpoint_rehearsal::live::Live;
 use notchpoint_rehearsal::run::run_live;
@@ -88,6 +90,53 @@
         #[arg(long, value_name = "FILE", default_value = "found.toml")]
         out: PathBuf,
     },
+    /// Play two settings, or two builds, on the same seeds and say whether they differ by more than chance
+    ///
+    /// Exit status: 0 compared; 2 something could not be played.
+    Compare {
+        /// A scenario
+        a: PathBuf,
+        /// Another, or the same
+        b: PathBuf,
+        /// The program that plays B: a notchpoint-rehearse of another build [default: this one]
+        #[arg(long, value_name = "PROGRAM")]
+        build: Option<PathBuf>,
+        /// How many seeds
+        #[arg(long, value_name = "N", default_value_t = 30)]
+        seeds: u64,
+        /// The first seed
+        #[arg(long, value_name = "N", default_value_t = 1)]
+        from: u64,
+        /// Threads [default: one for each core]
+        #[arg(long, value_name = "N")]
+        jobs: Option<usize>,
+        /// Print JSON in place of text
+        #[arg(long)]
+        json: bool,
+    },
+    /// Play each seed twice and look for a difference in the event log
+    ///
+    /// Exit status: 0 all are equal to the byte; 1 two differ; 2 the scenario could not be played.
+    Twice {
+        /// The scenario, a TOML file
+        file: PathBuf,
+        /// How many seeds
+        #[arg(long, value_name = "N", default_value_t = 200)]
+        seeds: u64,
+    },
+    /// Say all that is known of a message: what client, partners and platform saw, and its sender's recorder
+    ///
+    /// Exit status: 0 said; 2 the scenario could not be played, or has no such message.
+    Explain {
+        /// The scenario, a TOML file
+        file: PathBuf,
+        /// The message, by its X-Request-ID
+        #[arg(long, value_name = "ID", value_parser = read_id)]
+        message: u64,
+        /// Chance, in place of the scenario's own seed
+        #[arg(long, value_name = "N")]
+        seed: Option<u64>,
+    },
     /// Read scenarios and say all that is wrong with them, by line and key
     ///
     /// Exit status: 0 all are sound; 2 one is not.
@@ -114,6 +163,11 @@
             how.and_then(|how| play(&file, seed, log.as_deref(), html.as_deref(), how, json))
         }
         Command::Hunt { file, seeds, from, jobs, out } => hunt_command(&file, seeds, from, jobs, &out),
+        Command::Compare { a, b, build, seeds, from, jobs, json } => {
+            compare_command(a, b, build, seeds, from, jobs, json)
+        }
+        Command::Twice { file, seeds } => twice(&file, seeds),
+        Command::Explain { file, message, seed } => explain_command(&file, message, seed),
         Command::Check { files } => check(&files),
     };
     done.unwrap_or_else(|why| {
@@ -171,6 +225,67 @@
     Ok(ExitCode::from(u8::from(!breaches.is_empty())))
 }
 
+fn read_id(text: &str) -> Result<u64, String> {
+    let id = u64::from_str_radix(text, 16).ok().filter(|_| text.len() == 16);
+    id.ok_or_else(|| "an id has 16 hex digits".to_owned())
+}
+
+fn cores(jobs: Option<usize>) -> usize {
+    jobs.unwrap_or_else(|| std::thread::available_parallelism().map_or(1, std::num::NonZero::get))
+}
+
+fn compare_command(
+    a: PathBuf,
+    b: PathBuf,
+    build: Option<PathBuf>,
+    seeds: u64,
+    from: u64,
+    jobs: Option<usize>,
+    json: bool,
+) -> Result<ExitCode, String> {
+    let own = std::env::current_exe().map_err(|e| e.to_string())?;
+    let other = build.unwrap_or_else(|| own.clone());
+    let sides = [Side { program: own, file: a }, Side { program: other, file: b }];
+    let c = compare(&sides, from, seeds, cores(jobs))?;
+    if json {
+        println!("{}", serde_json::to_string_pretty(&c).map_err(|e| e.to_string())?);
+        return Ok(ExitCode::SUCCESS);
+    }
+    for (n, name) in ["A", "B"].iter().enumerate() {
+        println!(
+            "{name}: worth kept {:.4} on average, spread {:.4}; rules broken on {} of {} seeds",
+            c.kept[n], c.spread[n], c.broken[n], c.seeds
+        );
+    }
+    let chance = if c.difference.abs() < 2.0 * c.error { "may be chance" } else { "more than chance" };
+    println!("B less A, seed by seed: {:+.4}, standard error {:.4}: {chance}", c.difference, c.error);
+    Ok(ExitCode::SUCCESS)
+}
+
+fn twice(file: &Path, seeds: u64) -> Result<ExitCode, String> {
+    let scenario = Rc::new(scenario::read(file).map_err(|e| e.to_string())?);
+    for seed in 1..=seeds {
+        let log = || run(&scenario, seed, &Options::default()).map(|o| o.log);
+        let (one, two) = (log()?, log()?);
+        if one != two {
+            let differ = one.lines().zip(two.lines()).enumerate().find(|(_, (a, b))| a != b);
+            println!("seed {seed}: two runs differ: {differ:?}");
+            return Ok(ExitCode::from(1));
+        }
+    }
+    println!("{seeds} seeds, each played twice: all logs are equal to the byte");
+    Ok(ExitCode::SUCCESS)
+}
+
+fn explain_command(file: &Path, message: u64, seed: Option<u64>) -> Result<ExitCode, String> {
+    let scenario = Rc::new(scenario::read(file).map_err(|e| e.to_string())?);
+    let folder = std::env::temp_dir().join(format!("notchpoint-explain-{}", std::process::id()));
+    let said = explain(&scenario, seed.unwrap_or(scenario.seed), message, &folder);
+    // Also where nothing could be said: the recordings are large.
+    let _ = std::fs::remove_dir_all(&folder);
+    said.map(|_| ExitCode::SUCCESS)
+}
+
 fn hunt_command(
     file: &Path,
     seeds: u64,
@@ -179,7 +294,7 @@
     out: &Path,
 ) -> Result<ExitCode, String> {
     let ground = Ground::read(file).map_err(|e| e.to_string())?;
-    let jobs = jobs.unwrap_or_else(|| std::thread::available_parallelism().map_or(1, |n| n.get()));
+    let jobs = cores(jobs);
     let done = std::sync::atomic::AtomicU64::new(0);
     let found = hunt(&ground, from, seeds, jobs, |seed, breach| {
         let n = done.fetch_add(1, std::sync::atomic::Ordering::Relaxed) + 1;
--- a/crates/rehearsal/src/run.rs
+++ b/crates/rehearsal/src/run.rs
@@ -5,15 +5,14 @@
 use crate::client::{Clients, mix};
 use crate::config::{self, Addresses};
 use crate::endpoint::Shell;
-use crate::hosts::{Hosts, Who};
+use crate::hosts::{Hosts, Options, Who};
 use crate::live::Live;
 use crate::platform::{Member, Platform};
 use crate::scenario::{Do, Event, Mode, Scenario};
-use crate::virt::{Around, Virtual};
+use crate::virt::Virtual;
 use notchpoint_emulator::{Change, Faults, Ledger, Micros, Partner};
 use notchpoint_seam::Signal;
 use std::cell::{Cell, RefCell};
-use std::path::PathBuf;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -57,15 +56,6 @@
     pub live: bool,
 }
 
-/// What may be asked of a run in virtual time.
-#[derive(Clone, Default)]
-pub struct Options {
-    /// What senders find in the place of the world around them.
-    pub around: Option<Around>,
-    /// Where their flight recorders write, a folder each.
-    pub record: Option<PathBuf>,
-}
-
 /// Plays a scenario in virtual time.
 ///
 /// # Errors
--- a/crates/rehearsal/src/virt/mod.rs
+++ b/crates/rehearsal/src/virt/mod.rs
@@ -4,8 +4,7 @@
 pub mod disk;
 pub mod net;
 
-use crate::hosts::{Hosts, Who};
-use crate::run::Options;
+use crate::hosts::{Around, Hosts, Options, Who};
 use crate::scenario::Scenario;
 use disk::Store;
 use net::{Host, Net};
@@ -34,9 +33,6 @@
 /// Signals that wait to be heeded.
 const SIGNALS: usize = 8;
 
-/// What a daemon finds in the place of the world around it. A test takes a guard out by lying to it.
-pub type Around = Rc<dyn Fn(usize, World) -> World>;
-
 /// The world.
 pub struct Virtual {
     net: Rc<Net>,
--- a/crates/rehearsal/tests/world/blind.rs
+++ b/crates/rehearsal/tests/world/blind.rs
@@ -1,7 +1,7 @@
-//! Lies told to a daemon through its seam: each takes one guard out, without a line of the daemon changed. What the
-//! guard goes by is not what there is.
+//! Lies told to a daemon through its seam: each takes one guard out, without a line of the daemon changed.
+//! What the guard goes by is not what there is.
 
-use notchpoint_rehearsal::virt::Around;
+use notchpoint_rehearsal::hosts::Around;
 use notchpoint_seam::net::Connecting;
 use notchpoint_seam::{Datagrams, Disk, File, Listener, Network, Stream, World};
 use std::cell::{Cell, RefCell};
@@ -202,7 +202,7 @@
             match lie {
                 Lie::NotWritten(each) => {
                     self.count.set(n);
-                    if n % each == 0 {
+                    if n.is_multiple_of(*each) {
                         self.inner.try_write(buf)?;
                         self.dead.set(true);
                         return Err(io::ErrorKind::BrokenPipe.into());
@@ -210,7 +210,7 @@
                 }
                 Lie::Swallowed(each) if buf.starts_with(b"POST /reports") => {
                     self.count.set(n);
-                    if n % each == 0 {
+                    if n.is_multiple_of(*each) {
                         *self.faked.borrow_mut() = b"HTTP/1.1 204 X\r\nContent-Length: 0\r\n\r\n".to_vec();
                         if let Some(w) = self.waker.take() {
                             w.wake();
--- a/crates/rehearsal/tests/world/determinism.rs
+++ b/crates/rehearsal/tests/world/determinism.rs
@@ -37,7 +37,9 @@
 
 #[test]
 fn every_shipped_scenario_keeps_the_rules() {
-    for name in ["hall-silent", "thundering-return", "list-out-of-reach", "rolling-replacement", "payment-storm"] {
+    for name in
+        ["hall-silent", "thundering-return", "list-out-of-reach", "rolling-replacement", "payment-storm"]
+    {
         let (_, score, breaches) = play(&shipped(&format!("{name}.toml")), 1, &Options::default());
         assert!(breaches.is_empty(), "{name}: {}", breaches[0]);
         assert!(score.kept > 0.8, "{name}: {}", score.kept);
--- a/crates/rehearsal/tests/world/hard.rs
+++ b/crates/rehearsal/tests/world/hard.rs
@@ -9,7 +9,8 @@
 fn small(effect: &str, deadline: f64, is: &str, events: &str) -> String {
     format!(
         "name = \"small\"\nduration_s = 6.0\n[senders]\ncount = 1\n[[class]]\nname = \"payment\"\n\
-         effect = \"{effect}\"\nwanted_s = {deadline:?}\ndeadline_s = {deadline:?}\n[[partner]]\nname = \"bank\"\n\
+         effect = \"{effect}\"\nwanted_s = {deadline:?}\ndeadline_s = {deadline:?}\n\
+         [[partner]]\nname = \"bank\"\n\
          is = {{ {is} }}\n[[traffic]]\nclass = \"payment\"\ncount = 2\n{events}"
     )
 }
@@ -65,7 +66,9 @@
     let (o, _, breaches) = play(&day, 5, &Options::default());
     assert!(breaches.is_empty(), "{}", breaches[0]);
     let messages = o.book.messages.borrow();
-    let within = |m: &&notchpoint_rehearsal::book::Message| m.sender == 1 && (8_100_000..10_900_000).contains(&m.handed);
+    let within = |m: &&notchpoint_rehearsal::book::Message| {
+        m.sender == 1 && (8_100_000..10_900_000).contains(&m.handed)
+    };
     let refused = messages.values().filter(within).filter(|m| m.answered.is_some_and(|a| a.1 == 503)).count();
     assert!(refused > 10, "{refused} refused while the folder was full");
 }
@@ -81,7 +84,9 @@
 #[test]
 fn a_destination_that_falls_over_is_said_to_have() {
     // The model, not a sender, is at fault here: it falls at a tenth of what it can do.
-    let day = DAY.replace("fall_multiple = 1.5", "fall_multiple = 1.0").replace("start_share = 0.1", "start_share = 0.01");
+    let day = DAY
+        .replace("fall_multiple = 1.5", "fall_multiple = 1.0")
+        .replace("start_share = 0.1", "start_share = 0.01");
     let found = (1..6).any(|seed| {
         let (o, _, breaches) = play(&day, seed, &Options::default());
         let fell: usize = o.ledgers.iter().map(|l| l.falls.len()).sum();
@@ -95,7 +100,10 @@
 fn what_hunts_have_found_stays_mended() {
     // Messages of a quiet moment got their notice up to two seconds late: a wake was lost between two clocks.
     let mut calm = crate::shipped("calm.toml");
-    let _ = write!(calm, "\n[[event]]\nat_s = 56.813\ndo = \"die\"\npartner = \"merchant\"\ndestination = 0\nfor_s = 10.209\n");
+    let _ = write!(
+        calm,
+        "\n[[event]]\nat_s = 56.813\ndo = \"die\"\npartner = \"merchant\"\ndestination = 0\nfor_s = 10.209\n"
+    );
     let (_, _, breaches) = play(&calm, 41, &Options::default());
     assert!(breaches.is_empty(), "{}", breaches[0]);
 }
--- a/crates/rehearsal/tests/world/mutants.rs
+++ b/crates/rehearsal/tests/world/mutants.rs
@@ -1,10 +1,11 @@
-//! The checker is proved by daemons with one guard taken out: each must be caught, by the rule that the guard is for.
+//! The checker is proved by daemons with one guard taken out: each must be caught, by the rule that the guard
+//! is for.
 
 use crate::blind::{Lie, amnesia, config, sockets, unwritten};
 use crate::{DAY, play};
 use notchpoint_rehearsal::Options;
 use notchpoint_rehearsal::checker::Rule;
-use notchpoint_rehearsal::virt::Around;
+use notchpoint_rehearsal::hosts::Around;
 use serde_json::json;
 
 /// Within so many seeds a mutant is caught.
@@ -59,10 +60,7 @@
 
 #[test]
 fn drains_are_not_heard() {
-    let lies = &[
-        Lie::Read(b"\"draining\"", b"\"up\"      "),
-        Lie::Read(b"\"removed\"", b"\"up\"     "),
-    ];
+    let lies = &[Lie::Read(b"\"draining\"", b"\"up\"      "), Lie::Read(b"\"removed\"", b"\"up\"     ")];
     caught("drains not heard", sockets(PLATFORM, lies), Rule::DrainsKept);
 }
 
