A connection chosen in the turn is looked at again before its request goes out

Cause, by reading, not yet measured: bytes that came between the choice and the request (a second copy of an answer) could pass for the new call's answer; before, the look and the use were one step. The look stands before the use again.

--- a/crates/daemon/src/calls.rs
+++ b/crates/daemon/src/calls.rs
@@ -513,6 +513,10 @@
             }
             return moot;
         };
+        // Looked at once more: what came on it since it was chosen would pass for this call's answer.
+        if let Some(unfit) = used.take_if(|c| !c.is_fit()) {
+            unfit.close().await;
+        }
         let mut recorded = false;
         loop {
             let reused = used.is_some();
