--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -91,8 +91,6 @@
 /// How long a note of an outage waits for a second, and the least time between two written about a route.
 const NOTE_SPAN: Micros = 5 * SEC;
 const NOTE_LEAST: Micros = 2 * SEC;
-/// Times beyond this (centuries) are taken as this, so that sums of them stay in range.
-const FAR: Micros = 1 << 60;
 
 impl Route {
     fn troubled(&self) -> bool {
@@ -195,33 +193,6 @@
 }
 
 impl Sender {
-    /// A sender with nothing held. Randomness comes from the seed alone.
-    pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
-        settings.check()?;
-        Ok(Self {
-            rng: fastrand::Rng::with_seed(seed),
-            now: 0,
-            held: BTreeMap::new(),
-            live: 0,
-            calls: BTreeMap::new(),
-            next_call: 0,
-            routes: BTreeMap::new(),
-            endpoints: BTreeMap::new(),
-            dests: BTreeMap::new(),
-            queued: BTreeSet::new(),
-            keys: BTreeMap::new(),
-            idle_safe: (FAR, 0),
-            scarce: vec![0; settings.kinds.len()],
-            tenants: settings.tenants.iter().map(|&a| (a / settings.senders as f64, 0)).collect(),
-            out: Vec::new(),
-            watch_at: if settings.list == ListMode::Ask { 0 } else { Micros::MAX },
-            wake: None,
-            late: Late::default(),
-            passed: BTreeSet::new(),
-            set: settings,
-        })
-    }
-
     /// Takes in all events of one moment, then makes one dispatch pass. `now` must not run backwards.
     pub fn handle(&mut self, now: Micros, events: &[Event], out: &mut Vec<Action>) {
         self.now = now.clamp(self.now, FAR);
@@ -343,18 +314,6 @@
         while self.live as f64 > room.max(1.0) && self.shed() {}
     }
 
-    /// A bucket of one second counts a tenant's share.
-    fn over_share(&mut self, tenant: usize) -> bool {
-        let Some(&rate) = self.set.tenants.get(tenant) else { return false };
-        let rate = rate / self.set.senders as f64;
-        let (tokens, at) = &mut self.tenants[tenant];
-        *tokens = (*tokens + rate * self.now.saturating_sub(*at) as f64 / SEC as f64).min(rate.max(1.0));
-        *at = self.now;
-        let over = *tokens < 1.0;
-        *tokens -= f64::from(!over);
-        over
-    }
-
     /// Room is short: refuses what earns least for the time that it will fill a place. It guards against a
     /// rush to one destination, or dead ones, pushing out the rest; it hurts where the wait is misjudged.
     fn shed(&mut self) -> bool {
@@ -413,21 +372,6 @@
         }
     }
 
-    fn finish(&mut self, id: MessageId) {
-        let Some(h) = self.held.get_mut(&id) else { return };
-        if !h.done {
-            h.done = true;
-            self.live -= 1;
-            self.dests.entry(h.dest).and_modify(|d| d.queue.retain(|&q| q != id));
-        }
-        if h.out == 0 {
-            if let Some(k) = h.key.as_ref().and_then(|k| self.keys.get_mut(k)) {
-                k.0.retain(|&q| q != id);
-            }
-            self.held.remove(&id);
-        }
-    }
-
     /// The last word where no more can be done: a refusal if it may be one, else no promise. It comes at
     /// once, so a client that may try again is told when: after as long as the next trial would wait.
     fn give_up(&mut self, id: MessageId) {
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -6,6 +6,9 @@
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
+/// Times beyond this (centuries) are taken as this, so that sums of them stay in range.
+pub const FAR: Micros = 1 << 60;
+
 /// A destination, or one endpoint of it where its endpoints are routes apart.
 pub type RouteId = (DestinationId, Option<EndpointId>);
 
@@ -177,6 +180,63 @@
     pub(crate) passed: BTreeSet<DestinationId>,
 }
 
+impl Sender {
+    /// A sender with nothing held. Randomness comes from the seed alone.
+    pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
+        settings.check()?;
+        Ok(Self {
+            rng: fastrand::Rng::with_seed(seed),
+            now: 0,
+            held: BTreeMap::new(),
+            live: 0,
+            calls: BTreeMap::new(),
+            next_call: 0,
+            routes: BTreeMap::new(),
+            endpoints: BTreeMap::new(),
+            dests: BTreeMap::new(),
+            queued: BTreeSet::new(),
+            keys: BTreeMap::new(),
+            idle_safe: (FAR, 0),
+            scarce: vec![0; settings.kinds.len()],
+            tenants: settings.tenants.iter().map(|&a| (a / settings.senders as f64, 0)).collect(),
+            out: Vec::new(),
+            watch_at: if settings.list == ListMode::Ask { 0 } else { Micros::MAX },
+            wake: None,
+            late: Late::default(),
+            passed: BTreeSet::new(),
+            set: settings,
+        })
+    }
+
+    /// A bucket of one second counts a tenant's share.
+    pub(crate) fn over_share(&mut self, tenant: usize) -> bool {
+        let Some(&rate) = self.set.tenants.get(tenant) else { return false };
+        let rate = rate / self.set.senders as f64;
+        let (tokens, at) = &mut self.tenants[tenant];
+        *tokens = (*tokens + rate * self.now.saturating_sub(*at) as f64 / 1e6).min(rate.max(1.0));
+        *at = self.now;
+        let over = *tokens < 1.0;
+        *tokens -= f64::from(!over);
+        over
+    }
+
+    /// A message is over: it leaves what waits, and is forgotten once no attempt of it is out.
+    pub(crate) fn finish(&mut self, id: MessageId) {
+        let Some(h) = self.held.get_mut(&id) else { return };
+        if !h.done {
+            h.done = true;
+            self.live -= 1;
+            self.dests.entry(h.dest).and_modify(|d| d.queue.retain(|&q| q != id));
+        }
+        if h.out == 0 {
+            if let Some(k) = h.key.as_ref().and_then(|k| self.keys.get_mut(k)) {
+                k.0.retain(|&q| q != id);
+            }
+            self.held.remove(&id);
+        }
+    }
+}
+
 /// What comes in is averaged over this long, in seconds: as a few messages of a thin stream take.
 const FLOW_SPAN: f64 = 20.0;
 /// So many calls count as much as what was known before of how late calls fare: one, since routes differ.
