A destination back from an outage is not taken for one short of connections

Senders that had been refused at once during the outage and were served within 3 s of that said 'scarce' to all (ended(): no_room within OUTAGE_LEAST), so for 60 s everybody closed its idle connections at all destinations of the kind; the handshakes also took capacity: destination 0, untouched by the outage and with no refusal before, refused 20 to 50 calls in some seconds. Checked: idle ends by time were under 10 a second before; no note but 'scarce' closes connections. Now a refused connect between two answers counts only where the answers lie within 3 s, or no outage of the route is known or was told of; the refused connect alone closes nothing. Test: a_destination_back_from_an_outage_is_not_taken_for_one_short_of_connections; it fails with the condition taken out (tried).

--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -451,17 +451,21 @@
             });
             if let Some(e) = self.endpoints.get_mut(&ended.endpoint) {
                 e.out -= 1;
+                // Turned away at the door at once, and served soon after or with no word of an outage: a full
+                // table. A destination that was down refused all for as long as that.
+                let known = |r: &Route| matches!(r.health, Health::Open { failed: true, .. });
+                let quiet = |r: &Route| !known(r) && r.heard.is_none();
+                let sound = self.routes.get(&ended.route).is_some_and(quiet);
+                let up = e.answered > 0 && (sound || now < e.answered + OUTAGE_LEAST);
+                room = outcome == Served && e.no_room > e.answered && up;
+                if outcome == ConnectFailed && up && now - ended.sent < self.set.connect_timeout / 4 {
+                    e.no_room = now;
+                }
                 if matches!(outcome, Served | Failed | Full { .. } | Spoilt) {
                     e.answered = now;
                 }
-                // Turned away at the door at once: maybe a full table; served soon after: surely, no outage.
-                room = outcome == Served && e.no_room > 0 && now < e.no_room + OUTAGE_LEAST;
-                if outcome == ConnectFailed && now - ended.sent < self.set.connect_timeout / 4 {
-                    e.no_room = now;
-                }
-                if room || e.no_room == now {
-                    let until = now + if room { FORGET } else { COOLDOWN };
-                    self.scarce[e.kind] = self.scarce[e.kind].max(until);
+                if room {
+                    self.scarce[e.kind] = now + FORGET;
                 }
                 if matches!(outcome, Served | Failed | Full { .. }) {
                     if !self.set.conns_told {
--- a/crates/policy/tests/fleet.rs
+++ b/crates/policy/tests/fleet.rs
@@ -207,6 +207,38 @@
     assert!(closes(&rig) >= 1);
 }
 
+#[test]
+fn a_destination_back_from_an_outage_is_not_taken_for_one_short_of_connections() {
+    let mut rig =
+        Rig::new(Settings { conn_idle: 10 * SEC, may_note: true, connect_timeout: SEC, ..thin(100) }, 0, 1);
+    for _ in 0..3 {
+        rig.take(SAFE);
+        rig.pass(50 * MS);
+        rig.end_all(Outcome::Served);
+    }
+    let refused = rig.take(SAFE);
+    rig.end(refused, Outcome::ConnectFailed);
+    // It refuses connections for five seconds, and is seen to for the last time just before it is back.
+    for _ in 0..10 {
+        rig.take_for(SAFE, 1, None, 60 * SEC);
+        rig.pass(450 * MS);
+        rig.end_all(Outcome::ConnectFailed);
+        // What goes out right behind a refusal is refused at once, too.
+        rig.pass(50 * MS);
+        rig.end_all(Outcome::ConnectFailed);
+    }
+    let before = notes(&rig).len();
+    for _ in 0..20 {
+        rig.take_for(SAFE, 1, None, 60 * SEC);
+        rig.pass(2 * SEC);
+        rig.end_all(Outcome::Served);
+    }
+    assert!(rig.log_has("answers again"));
+    let closes = rig.said.iter().filter(|(_, a)| matches!(a, Action::CloseIdle { .. })).count();
+    assert_eq!(closes, 0, "connections are kept: the outage is over");
+    assert_eq!(notes(&rig).len(), before + 1, "all are told that it is up, and nothing else");
+}
+
 #[test]
 fn a_stuck_call_at_one_destination_leaves_two_slots_useful() {
     let mut rig = Rig::new(Settings { slots: 2, ..thin(9) }, 0, 1);
