What an outage refused is forgotten once a note says that it is over

Senders that had one connect refused before others told them of the outage kept that moment; the note 'up' cleared the outage (note(): Word::Up), and the next served call, with a refused connect behind it and no outage known any more, said 'scarce' to all. Test: what_an_outage_refused_is_forgotten_when_others_say_that_it_is_over; without the line it fails (tried).

--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -618,6 +618,10 @@
                 if let Health::Open { since, .. } = r.health {
                     let long = now >= since + OUTAGE_LEAST;
                     r.health = if long { Health::Ramp { since: now } } else { Health::Closed };
+                    // What turned connections away was the outage.
+                    let of = |id, e: &Endpoint| e.dest == route.0 && route.1.is_none_or(|only| only == id);
+                    let ends = self.endpoints.iter_mut().filter(|(id, e)| of(**id, e));
+                    ends.for_each(|(_, e)| e.no_room = 0);
                 }
             }
             Word::Full => {
--- a/crates/policy/tests/fleet.rs
+++ b/crates/policy/tests/fleet.rs
@@ -239,6 +239,35 @@
     assert_eq!(notes(&rig).len(), before + 1, "all are told that it is up, and nothing else");
 }
 
+#[test]
+fn what_an_outage_refused_is_forgotten_when_others_say_that_it_is_over() {
+    let [down, up] = words();
+    let mut rig = Rig::new(Settings { conn_idle: 10 * SEC, may_note: true, ..thin(100) }, 0, 1);
+    rig.take(SAFE);
+    rig.pass(50 * MS);
+    rig.end_all(Outcome::Served);
+    rig.pass(200 * MS);
+    let refused = rig.take_for(SAFE, 1, None, 60 * SEC);
+    rig.end(refused, Outcome::ConnectFailed);
+    note(&mut rig, 1, &down);
+    note(&mut rig, 2, &down);
+    for _ in 0..50 {
+        rig.pass(100 * MS);
+        rig.end_all(Outcome::ConnectFailed);
+    }
+    note(&mut rig, 3, &up);
+    let before = notes(&rig).len();
+    for n in 0..160 {
+        if n % 20 == 0 {
+            rig.take_for(SAFE, 1, None, 60 * SEC);
+        }
+        rig.pass(100 * MS);
+        rig.end_all(Outcome::Served);
+    }
+    let closes = rig.said.iter().filter(|(_, a)| matches!(a, Action::CloseIdle { .. })).count();
+    assert_eq!((closes, notes(&rig).len()), (0, before), "no connections were short");
+}
+
 #[test]
 fn a_stuck_call_at_one_destination_leaves_two_slots_useful() {
     let mut rig = Rig::new(Settings { slots: 2, ..thin(9) }, 0, 1);
