notchpoint fleet counts what all senders did together, by second and destination

Need: a sender that behaves well alone may do harm in step with others, and no recording of one shows it. The counts are of what was recorded and are not played again, so recordings of other builds can be read.

--- a/crates/daemon/src/cli.rs
+++ b/crates/daemon/src/cli.rs
@@ -7,6 +7,7 @@
 use clap::{Parser, Subcommand};
 use notchpoint_policy::{DestinationId, FINGERPRINT, MessageId, Micros};
 use notchpoint_recorder::explain::{Explainer, Question};
+use notchpoint_recorder::fleet::Fleet;
 use notchpoint_recorder::replay::{Nobody, Outcome, Watcher};
 use notchpoint_recorder::{Recording, picture, replay, store, text};
 use std::path::{Path, PathBuf};
@@ -61,6 +62,18 @@
         #[arg(long, value_name = "FILE", requires = "dest")]
         svg: Option<PathBuf>,
     },
+    /// Count what all senders of a fleet did together, by second and destination
+    ///
+    /// A file that is cut or foreign is named with the place, and the rest is still read. Exit status: 0; 1 not
+    /// all that was named could be read; 2 nothing could be.
+    Fleet {
+        /// Recordings, one for each sender: dumps, or the folders that the recorder writes to
+        #[arg(required = true)]
+        files: Vec<PathBuf>,
+        /// One destination, by its number
+        #[arg(long, value_name = "N")]
+        dest: Option<u64>,
+    },
     /// Read a file and say all that is wrong with it
     ///
     /// Of the operator's file it says what that switches on; of a configuration (a name that ends in .json)
@@ -98,6 +111,7 @@
             let question = Question { message, dest: dest.map(DestinationId), from, to };
             explain_command(&file, question, json, svg.as_deref())
         }
+        Some(Command::Fleet { files, dest }) => fleet_command(&files, dest.map(DestinationId)),
         Some(Command::Check { file }) if file.extension().is_some_and(|e| e == "json") => check_config(&file),
         Some(Command::Check { file }) => operator::read(&file).map_err(Failure::from).and_then(|o| {
             say(&format!("{0}: {1}\n{0}: {2}\n", file.display(), o.recorder, o.store))?;
@@ -178,6 +192,28 @@
     Ok(done)
 }
 
+fn fleet_command(files: &[PathBuf], dest: Option<DestinationId>) -> Result<ExitCode, Failure> {
+    let mut fleet = Fleet::default();
+    let mut whole = true;
+    for file in files {
+        let damage = match load(file) {
+            Ok(bytes) => fleet.add(&bytes),
+            Err(why) => {
+                eprintln!("notchpoint: {why}");
+                whole = false;
+                continue;
+            }
+        };
+        whole &= damage.is_empty();
+        damage.iter().for_each(|d| eprintln!("{}: {d}", file.display()));
+    }
+    if fleet.senders() == 0 {
+        return Err("no recording among the files named".into());
+    }
+    say(&fleet.text(dest))?;
+    Ok(ExitCode::from(u8::from(!whole)))
+}
+
 fn verdict(done: &Outcome) -> ExitCode {
     ExitCode::from(u8::from(!done.is_equal()))
 }
--- a/crates/recorder/src/lib.rs
+++ b/crates/recorder/src/lib.rs
@@ -10,11 +10,13 @@
 //! - [`recorder`]: what the sender calls once a turn.
 //! - [`mod@replay`]: makes the decisions again and finds the first that differs.
 //! - [`explain`]: which guard kept each message, from when to when, and what began and ended it.
+//! - [`fleet`]: what all senders of a fleet did together, by second and destination.
 //! - [`text`]: an explanation for people.
 //! - [`picture`]: a destination's window, calls and waits over time, as SVG.
 #![warn(missing_docs)]
 
 pub mod explain;
+pub mod fleet;
 pub mod form;
 pub mod picture;
 pub mod recorder;
