A wait told to one sender is passed on to all

Waits bind only the sender that was told (judge(), told_until), so each of 100 had to be refused itself, and where refused calls use a limit up that kept it shut. Since calls of 100 senders with half a message a second each came one apiece, neither the pace of one sender nor the rest after its refusal saw any of it. Now a wait that is news is told to all (14 bytes), kept by them from when they hear it, for 5 s at most, and not drawn out by the sender that told it; they begin again spread over the time between their messages. Tests: kept by all and begun again apart, passed on once, not believed for ever. Each fails without its line: the note, the spread, the bound of 5 s, the sender that draws it out (tried).

--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -498,13 +498,18 @@
         }
     }
 
+    /// How long to rest after a refusal: the less a sender has for a destination, the more senders share it,
+    /// and their tries add up.
+    fn rest_span(&self, route: RouteId) -> Micros {
+        let flow = self.dests.get(&route.0).map_or(0.0, |d| d.flow(self.now)).max(f64::MIN_POSITIVE);
+        let most = REST_MOST.min(REST * u64::from(self.set.senders) / 4).max(REST);
+        ((SEC as f64 * REST_FLOW / flow) as Micros).clamp(REST, most)
+    }
+
     /// What a call's end says of its destination and endpoint.
     fn judge(&mut self, id: u64, call: Call, class: usize, outcome: Outcome, told: Option<Allowance>) {
         let (now, route, sent) = (self.now, call.route, call.sent);
-        // The less a sender has for a destination, the more senders share it: their tries add up.
-        let flow = self.dests.get(&route.0).map_or(0.0, |d| d.flow(now)).max(f64::MIN_POSITIVE);
-        let most = REST_MOST.min(REST * u64::from(self.set.senders) / 4).max(REST);
-        let span = ((SEC as f64 * REST_FLOW / flow) as Micros).clamp(REST, most);
+        let span = self.rest_span(route);
         let (rest, trial_wait) = (self.jitter(span), self.jitter(TRIAL_WAIT));
         let ceiling = self.ceiling(route.0);
         let alone = self.dests.get(&route.0).is_none_or(|d| d.apart || d.endpoints.len() < 2);
@@ -517,10 +522,17 @@
             (r.window, r.last_cut, r.cut_by) = ((r.window * CUT).max(FLOOR), Some(now), Some(outcome));
         }
         let resting = now < r.rest_until;
+        let mut news = None;
         // Every message of a bundle may bring a wait, also behind one that timed out earlier.
         if let Full { wait: Some(w) } = outcome {
-            r.rest_until = r.rest_until.max(now + w.min(FAR) + rest / 4);
+            let end = now + w.min(FAR);
+            r.rest_until = r.rest_until.max(end + rest / 4);
             r.told_until = r.rest_until;
+            // Else each sender must be refused to learn of it, and refused calls may use up the limit.
+            if end > r.wait_known + REST && w >= REST {
+                news = Some(Word::Wait((w / MS).try_into().unwrap_or(u32::MAX)));
+            }
+            r.wait_known = r.wait_known.max(end);
         }
         if call.judged {
             return;
@@ -580,6 +592,9 @@
             (Full { .. }, _) if drowned => self.tell(route, Word::Full),
             _ => {}
         }
+        if let Some(word) = news {
+            self.tell(route, word);
+        }
         if outcome == Served && (was_open || noted) {
             self.log(route.0, "answers again");
             self.tell(route, Word::Up);
@@ -591,10 +606,11 @@
     fn tell(&mut self, route: RouteId, what: Word) {
         let Some(r) = self.routes.get_mut(&route) else { return };
         let told = if matches!(what, Word::Full | Word::Scarce) { &mut r.full_told } else { &mut r.told };
-        if !self.set.may_note || self.set.senders < 2 || self.now < *told + NOTE_LEAST {
+        let timed = matches!(what, Word::Wait(_)); // told only where it is news
+        if !self.set.may_note || self.set.senders < 2 || !timed && self.now < *told + NOTE_LEAST {
             return;
         }
-        *told = self.now.max(1);
+        *told = if timed { *told } else { self.now.max(1) };
         self.out.push(Action::Note { to: None, body: note::write(what, route) });
     }
 
@@ -603,6 +619,7 @@
     fn note(&mut self, from: u32, body: &[u8]) {
         let now = self.now;
         let Some((word, route)) = note::read(body).filter(|_| self.set.may_note) else { return };
+        let spread = self.rest_span(route) as f64 / 2.0;
         let Some(r) = self.routes.get_mut(&route) else { return };
         match word {
             Word::Down => {
@@ -630,6 +647,16 @@
                     r.slow_down(now, PACE_HEARD);
                 }
             }
+            Word::Wait(ms) => {
+                // Believed for a while only, and not drawn out by the same sender: one that is wrong must not
+                // shut a destination for all. All begin again apart.
+                let end = now + (Micros::from(ms) * MS).min(NOTE_SPAN);
+                let drawn_out = now < r.rest_until && r.wait_from == Some(from);
+                if end > r.wait_known && !drawn_out {
+                    (r.wait_known, r.wait_from) = (end, Some(from));
+                    r.rest_until = r.rest_until.max(end + (spread * self.rng.f64()) as Micros);
+                }
+            }
             Word::Scarce => {
                 r.full_told = now;
                 let kind = self.dests.get(&route.0).map_or(0, |d| d.kind);
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -83,6 +83,10 @@
     /// The share of what comes in that is sent while refusals show a limit; 1 where none do.
     pub pace: f64,
     pub full_told: Micros,
+    /// Until when it told any sender to wait, as far as this one knows.
+    pub wait_known: Micros,
+    /// Who told of it, if it was another sender.
+    pub wait_from: Option<u32>,
     pub rest_until: Micros,
     /// Until when the destination told to wait; `rest_until` is this or later.
     pub told_until: Micros,
--- a/crates/policy/tests/fleet.rs
+++ b/crates/policy/tests/fleet.rs
@@ -268,6 +268,80 @@
     assert_eq!((closes, notes(&rig).len()), (0, before), "no connections were short");
 }
 
+/// What a sender writes when it is told to wait for so long.
+fn told_to_wait(wait: Micros) -> Vec<Vec<u8>> {
+    let mut rig = Rig::new(Settings { may_note: true, ..thin(100) }, 0, 1);
+    let id = rig.take(SAFE);
+    rig.end(id, Outcome::Full { wait: Some(wait) });
+    waits(&rig)
+}
+
+/// The notes of a wait that it wrote; they alone are this long.
+fn waits(rig: &Rig) -> Vec<Vec<u8>> {
+    notes(rig).into_iter().filter(|body| body.len() == 14).collect()
+}
+
+#[test]
+fn a_wait_told_to_one_sender_is_kept_by_all() {
+    let [word] = &told_to_wait(3 * SEC)[..] else { panic!("one note") };
+    // A hundred senders with a message each a second: only those that were told or heard nothing call.
+    let mut first: Vec<Micros> = Vec::new();
+    for seed in 0..100 {
+        let mut rig = Rig::seeded(Settings { may_note: true, ..thin(100) }, 0, 1, seed);
+        note(&mut rig, 1, word);
+        let heard = rig.now;
+        rig.take_for(SAFE, 1, None, 60 * SEC);
+        while rig.out.is_empty() && rig.now < heard + 20 * SEC {
+            rig.pass(10 * MS);
+        }
+        first.push(rig.now - heard);
+    }
+    assert!(first.iter().all(|&t| t >= 3 * SEC), "none calls while it lasts");
+    assert!(first.iter().all(|&t| t < 8 * SEC), "all call again");
+    let busiest = (0..80).map(|n| first.iter().filter(|&&t| t / (100 * MS) == n).count()).max();
+    assert!(busiest.is_some_and(|n| n < 30), "they begin again apart: {busiest:?} in a tenth of a second");
+}
+
+#[test]
+fn a_wait_is_passed_on_once_and_only_where_it_is_news() {
+    assert_eq!(told_to_wait(100 * MS).len(), 0, "over before the note is there");
+    let [word] = &told_to_wait(3 * SEC)[..] else { panic!("one note") };
+    let mut rig = Rig::new(Settings { may_note: true, slots: 16, ..thin(100) }, 0, 1);
+    let out = rig.take(SAFE);
+    note(&mut rig, 1, word);
+    rig.end(out, Outcome::Full { wait: Some(3 * SEC) });
+    assert!(waits(&rig).is_empty(), "all know");
+    rig.pass(8 * SEC);
+    let again = rig.out.first().map(|o| o.id).expect("it calls again");
+    rig.end(again, Outcome::Full { wait: Some(3 * SEC) });
+    assert_eq!(waits(&rig).len(), 1, "a new wait is news");
+    // One sender alone writes nothing.
+    let mut rig = Rig::new(Settings { may_note: true, ..thin(1) }, 0, 1);
+    let id = rig.take(SAFE);
+    rig.end(id, Outcome::Full { wait: Some(3 * SEC) });
+    assert!(notes(&rig).is_empty());
+}
+
+#[test]
+fn a_wait_heard_of_is_not_believed_for_ever() {
+    let [word] = &told_to_wait(100_000 * SEC)[..] else { panic!("one note") };
+    let mut rig = Rig::new(Settings { may_note: true, ..thin(100) }, 0, 1);
+    note(&mut rig, 4, word);
+    rig.take_for(SAFE, 1, None, 60 * SEC);
+    for _ in 0..16 {
+        // Said again and again by a sender that is wrong.
+        note(&mut rig, 4, word);
+        rig.pass(500 * MS);
+    }
+    assert_eq!(rig.out.len(), 1, "it finds out for itself");
+    // What it was told itself it keeps to the end.
+    let id = rig.out[0].id;
+    rig.end(id, Outcome::Full { wait: Some(30 * SEC) });
+    rig.take_for(SAFE, 1, None, 60 * SEC);
+    rig.pass(29 * SEC);
+    assert!(rig.out.is_empty());
+}
+
 #[test]
 fn a_stuck_call_at_one_destination_leaves_two_slots_useful() {
     let mut rig = Rig::new(Settings { slots: 2, ..thin(9) }, 0, 1);
