A destination that refused nothing before its outage is used by what it can do

The ramp (share(): METER 0.4 of fall_multiple) sends 0.8 of what comes in, times warmth; what comes in says what a destination can do only from below. Ruled out: breakers (trials ended at once when it was back, by the note 'up'), windows, waits. Now 0.7 where this sender saw no refusal in the last minute: what came in was then no more than the destination can do, so 1.4 times it stays under the multiple of 2. Where refusals showed a limit, 0.4 as before. Tests: the fleet of 100 before a returning destination stays under the limit and sends more than comes in (fails at 0.4); one that refused is begun with more slowly (fails where the two figures are one). Both were tried.

--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -45,6 +45,8 @@
 /// Trials and a ramp's calls stay under this part of what would push a returning destination over, measured
 /// by what comes in for it; and all senders together make at least so many trials a second.
 const METER: f64 = 0.4;
+/// The same where it refused nothing in the last minute: what came in is then no more than it can do.
+const METER_ROOM: f64 = 0.7;
 const TRIALS_LEAST: f64 = 1.5;
 /// So many failed calls, none served in between, open the breaker: one may be chance.
 const FAILS_OPEN: u32 = 2;
@@ -138,7 +140,8 @@
             Health::Open { .. } => 0.0,
             Health::Closed => return self.pace,
         };
-        METER * set.fall_multiple * (set.start_share + (1.0 - set.start_share) * warm.min(1.0))
+        let meter = if self.rate.estimate().is_none() { METER_ROOM } else { METER };
+        meter * set.fall_multiple * (set.start_share + (1.0 - set.start_share) * warm.min(1.0))
     }
 
     /// Credit that time brings, in calls a second.
--- a/crates/policy/tests/fleet.rs
+++ b/crates/policy/tests/fleet.rs
@@ -53,9 +53,38 @@
         );
     }
     assert!(rate(back, back + 10 * SEC) > 1.0, "it comes back all the same");
+    // What was held meanwhile is not left to run out: more goes than the seven a second that come in.
+    let ramp = rate(back + 4 * SEC, back + 14 * SEC);
+    assert!(ramp > 12.0, "a destination that refused nothing is used by what it can do: {ramp}");
     assert!(rate(back + 20 * SEC, back + 30 * SEC) > 4.0, "and is used again in full");
 }
 
+#[test]
+fn a_destination_that_refused_before_its_outage_is_begun_with_more_slowly() {
+    // Two messages a second, more than are let through: calls in the six seconds after it is back.
+    let calls = |refused: bool| {
+        let mut rig = Rig::new(Settings { max_held: 2000, ..thin(2) }, 0, 1);
+        for n in 0..60 {
+            rig.take_for(SAFE, 1, None, 60 * SEC);
+            rig.end_all(if refused && n == 30 { Outcome::Full { wait: None } } else { Outcome::Served });
+            rig.pass(500 * MS);
+            rig.end_all(Outcome::Served);
+        }
+        let mut counted = 0;
+        for n in 0..110 {
+            if n % 5 == 0 {
+                rig.take_for(SAFE, 1, None, 60 * SEC);
+            }
+            rig.pass(100 * MS);
+            counted += if n >= 50 { rig.out.len() } else { 0 };
+            rig.end_all(if n >= 50 { Outcome::Served } else { Outcome::ConnectFailed });
+        }
+        counted
+    };
+    let (sound, full) = (calls(false), calls(true));
+    assert!(sound > full, "{sound} and {full}");
+}
+
 fn note(rig: &mut Rig, from: u32, body: &[u8]) -> Vec<Action> {
     rig.feed(&[Event::Note { from, body: body.to_vec() }])
 }
@@ -228,9 +257,11 @@
         rig.end_all(Outcome::ConnectFailed);
     }
     let before = notes(&rig).len();
-    for _ in 0..20 {
-        rig.take_for(SAFE, 1, None, 60 * SEC);
-        rig.pass(2 * SEC);
+    for n in 0..400 {
+        if n % 20 == 0 {
+            rig.take_for(SAFE, 1, None, 60 * SEC);
+        }
+        rig.pass(100 * MS);
         rig.end_all(Outcome::Served);
     }
     assert!(rig.log_has("answers again"));
