--- a/crates/daemon/src/cli.rs
+++ b/crates/daemon/src/cli.rs
@@ -64,8 +64,8 @@
     },
     /// Count what all senders of a fleet did together, by second and destination
     ///
-    /// A file that is cut or foreign is named with the place, and the rest is still read. Exit status: 0; 1 not
-    /// all that was named could be read; 2 nothing could be.
+    /// A file that is cut or foreign is named with the place, and the rest is still read. Exit status: 0;
+    /// 1 not all that was named could be read; 2 nothing could be.
     Fleet {
         /// Recordings, one for each sender: dumps, or the folders that the recorder writes to
         #[arg(required = true)]
