Operators have an address of their own: status, and a drain that outlasts the process

Change: admin.rs (listener), operations.rs (calls as plain functions), door.rs (what /up says and when connections end), duty.rs (operators' marks in table 2 of the store). Words reach the node through Input::Operator and are answered after their turn. Shown by four tests over loopback; without the guard that lets the oldest unfinished call give way, half_written_calls_keep_no_operator_waiting fails.

--- a/crates/daemon/src/check.rs
+++ b/crates/daemon/src/check.rs
@@ -35,6 +35,7 @@
 const KEYS: &[(&str, Kind, bool)] = &[
     ("name", Text, MAY),
     ("listen", Address, MUST),
+    ("admin_addr", Address, MAY),
     ("discovery", Address, MUST),
     ("peer_listen", Address, MAY),
     ("peers", List, MAY),
--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -33,6 +33,8 @@
     /// The sender's name.
     pub name: String,
     pub listen: SocketAddr,
+    /// Where operators call, if they do.
+    pub admin: Option<SocketAddr>,
     pub discovery: SocketAddr,
     pub peer_listen: Option<SocketAddr>,
     pub peers: Vec<SocketAddr>,
@@ -63,6 +65,7 @@
     #[serde(default)]
     name: String,
     listen: SocketAddr,
+    admin_addr: Option<SocketAddr>,
     discovery: SocketAddr,
     peer_listen: Option<SocketAddr>,
     #[serde(default)]
@@ -302,6 +305,7 @@
     Ok(Config {
         name: file.name,
         listen: file.listen,
+        admin: file.admin_addr,
         discovery: file.discovery,
         peer_listen: file.peer_listen,
         peers: file.peers,
--- /dev/null
+++ b/crates/daemon/src/door.rs
@@ -0,0 +1,109 @@
+//! Whether clients may come in: what `/up` says, and when connections end.
+
+use std::cell::Cell;
+use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::time::{Instant, sleep_until};
+
+/// After a word to drain, or SIGTERM, the front goes on dealing out connections for up to 0.4 s; what comes
+/// until then is served, and open connections are closed between two requests from then on.
+pub const COMING: Duration = Duration::from_millis(600);
+
+/// What all connections look at.
+#[derive(Default)]
+pub struct Door {
+    /// The parts behind it stand, and what was left open is taken up.
+    open: Cell<bool>,
+    /// Operators have taken the sender out: since when. Work goes on, and what comes all the same is served.
+    standby: Cell<Option<Instant>>,
+    /// The process is about to end: nothing more is taken on.
+    pub ending: Cell<bool>,
+    /// Asks connections to end between two requests.
+    pub close: Closing,
+    news: Notify,
+}
+
+impl Door {
+    /// This process takes clients from now on.
+    pub fn open(&self) {
+        self.open.set(true);
+    }
+
+    pub fn is_open(&self) -> bool {
+        self.open.get()
+    }
+
+    /// Clients may be sent here.
+    pub fn is_up(&self) -> bool {
+        self.open.get() && self.standby.get().is_none() && !self.ending.get()
+    }
+
+    /// A connection ends with its next answer.
+    pub fn is_closing(&self) -> bool {
+        self.standby.get().is_some() || self.ending.get()
+    }
+
+    pub fn is_standby(&self) -> bool {
+        self.standby.get().is_some()
+    }
+
+    /// Told twice is told once: the first word counts.
+    pub fn stand_by(&self, wanted: bool) {
+        if wanted == self.is_standby() {
+            return;
+        }
+        self.standby.set(wanted.then(Instant::now));
+        if !wanted && !self.ending.get() {
+            self.close.unsay();
+        }
+        self.news.notify_one();
+    }
+
+    /// Asks idle connections to end once the front has stopped dealing out new ones.
+    pub async fn watch(&self) {
+        loop {
+            match self.standby.get().map(|since| since + COMING) {
+                Some(due) if Instant::now() >= due && !self.close.is_said() => self.close.say(),
+                Some(due) if !self.close.is_said() => {
+                    tokio::select! {
+                        biased;
+                        () = self.news.notified() => {}
+                        () = sleep_until(due) => {}
+                    }
+                }
+                _ => self.news.notified().await,
+            }
+        }
+    }
+}
+
+/// A word to all connections, heard in the order in which they began to listen. (A watch channel wakes its
+/// receivers in random order.)
+#[derive(Default)]
+pub struct Closing {
+    said: Cell<bool>,
+    news: Notify,
+}
+
+impl Closing {
+    pub fn say(&self) {
+        self.said.set(true);
+        self.news.notify_waiters();
+    }
+
+    pub fn is_said(&self) -> bool {
+        self.said.get()
+    }
+
+    /// Connections that have not heard it stay.
+    fn unsay(&self) {
+        self.said.set(false);
+    }
+
+    pub async fn wait(&self) {
+        let news = self.news.notified();
+        if !self.said.get() {
+            news.await;
+        }
+    }
+}
--- a/crates/daemon/src/inbound.rs
+++ b/crates/daemon/src/inbound.rs
@@ -2,6 +2,7 @@
 
 use crate::calls::Calls;
 use crate::config::{Config, Names};
+use crate::door::Door;
 use crate::input::Input;
 use crate::io::{Observed, Observer};
 use crate::journal::{Journal, Open};
@@ -60,10 +61,8 @@
     pub safety: Rc<Safety>,
     pub calls: Rc<Calls>,
     pub inputs: UnboundedSender<Input>,
-    /// The process is about to end: nothing more is taken on.
-    pub draining: Cell<bool>,
-    /// Asks connections to end between two requests.
-    pub close: Closing,
+    /// Whether clients may come in, and when connections end.
+    pub door: Rc<Door>,
     /// Connections at once.
     pub places: usize,
     /// Bytes of the bodies that are being read, and how many there may be.
@@ -71,28 +70,6 @@
     pub most_reading: usize,
 }
 
-/// A word to all connections, heard in the order in which they began to listen. (A watch channel wakes its
-/// receivers in random order.)
-#[derive(Default)]
-pub struct Closing {
-    said: Cell<bool>,
-    news: Notify,
-}
-
-impl Closing {
-    pub fn say(&self) {
-        self.said.set(true);
-        self.news.notify_waiters();
-    }
-
-    async fn wait(&self) {
-        let news = self.news.notified();
-        if !self.said.get() {
-            news.await;
-        }
-    }
-}
-
 /// Half of the descriptors for clients leaves enough for calls, idle connections and the rest.
 pub fn places(config: &Config) -> usize {
     let fit = usize::try_from(config.memory / PLACES_SHARE / PLACE).unwrap_or(usize::MAX);
@@ -294,7 +271,7 @@
                     Ok(answer) => answer,
                     Err(status) => plain(status),
                 };
-                if inbound.draining.get() {
+                if inbound.door.is_closing() {
                     close_after(&mut answer);
                 }
                 // From here to the answer's last byte nothing waits but the writing.
@@ -312,7 +289,7 @@
         tokio::select! {
             biased;
             _ = &mut served => return,
-            () = inbound.close.wait(), if !closing => {
+            () = inbound.door.close.wait(), if !closing => {
                 closing = true;
                 served.as_mut().graceful_shutdown();
             }
@@ -347,7 +324,7 @@
     receipt.seat.enter(Stage::Serving);
     let path = request.uri().path();
     if path == "/up" {
-        return match (request.method(), inbound.draining.get()) {
+        return match (request.method(), !inbound.door.is_up()) {
             (&Method::GET | &Method::HEAD, false) => Ok(plain(StatusCode::OK)),
             (&Method::GET | &Method::HEAD, true) => Err(StatusCode::SERVICE_UNAVAILABLE),
             _ => Ok(not_allowed("GET")),
@@ -383,7 +360,7 @@
     };
     let handed = handed?;
     // A destination that no list has named lately is refused, not failed: the list may be late.
-    if inbound.draining.get() || !inbound.calls.knows(handed.dest) {
+    if inbound.door.ending.get() || !inbound.calls.knows(handed.dest) {
         return Ok(come_back(inbound));
     }
     let Some(left) = record(inbound, &handed, &name, body, since)? else { return Ok(come_back(inbound)) };
@@ -640,8 +617,7 @@
                 names: config.names,
                 journal: journal.clone(),
                 inputs,
-                draining: Cell::new(false),
-                close: Closing::default(),
+                door: Rc::default(),
             });
             let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
             let address = listener.local_addr().expect("an address");
--- a/crates/daemon/src/input.rs
+++ b/crates/daemon/src/input.rs
@@ -1,7 +1,10 @@
 //! What the parts of the program tell the node. It stands apart, so that no part imports the node.
 
 use crate::listing::Listing;
+use crate::operations::{No, Word};
 use notchpoint_policy::{Event, Message, Micros};
+use notchpoint_store::Mark;
+use tokio::sync::oneshot;
 use tokio::time::Instant;
 
 /// The module's clock starts here, so that no span looks back beyond its zero.
@@ -16,4 +19,27 @@
     Listed(Listing),
     /// The watch failed or ended.
     Unlisted,
+    /// An operator's word, and where it is answered once it holds.
+    Operator(Word, Reply),
+}
+
+/// What a word came to.
+pub type Answer = Result<Done, No>;
+
+/// A word holds from now on, and outlasts the process once the store is safe up to the mark.
+#[derive(Debug)]
+pub struct Done {
+    pub what: String,
+    pub mark: Mark,
+}
+
+/// Where a word is answered, once.
+#[derive(Debug)]
+pub struct Reply(pub oneshot::Sender<Answer>);
+
+impl Reply {
+    /// Who asked may have gone; the word holds all the same.
+    pub fn give(self, answer: Answer) {
+        let _ = self.0.send(answer);
+    }
 }
--- a/crates/daemon/src/journal.rs
+++ b/crates/daemon/src/journal.rs
@@ -4,6 +4,7 @@
 //! What is written outlasts the process without a sync; where the operator asks for more (`[store]`),
 //! `safety.rs` waits for the sync before anything is promised or sent.
 
+use crate::duty::{self, Change, DUTY, Duty};
 use crate::legacy;
 use crate::record::{Attempt, JUDGED, MESSAGES, TAKEN, TRIED, judged, key, read, taken, tried};
 pub use crate::record::{Open, Verdict};
@@ -24,6 +25,8 @@
     open: BTreeMap<MessageId, Open>,
     /// Messages without an end or a verdict.
     held: usize,
+    /// What operators have set.
+    duty: Duty,
     /// Verdicts and ends that could not be written yet, oldest first: at most a few for each open message.
     /// They are tried again before anything else is written.
     owed: VecDeque<Batch>,
@@ -35,11 +38,15 @@
         let (mut store, notes) = Store::open(disk.clone(), options)?;
         legacy::carry_over(&*disk, &mut store)?;
         let mut open = BTreeMap::new();
-        let mut unread = None;
+        let (mut duty, mut unread) = (Duty::default(), None);
         store.visit(|table, key, value| {
-            if table == MESSAGES && read(key, value, &mut open).is_none() {
-                unread
-                    .get_or_insert_with(|| format!("a message's record that cannot be read: key {key:02x?}"));
+            let (what, read) = match table {
+                MESSAGES => ("a message's record", read(key, value, &mut open)),
+                DUTY => ("an operator's mark", duty.read(key, value)),
+                _ => return,
+            };
+            if read.is_none() {
+                unread.get_or_insert_with(|| format!("{what} that cannot be read: key {key:02x?}"));
             }
         })?;
         // An attempt or a verdict without its message would be one: nothing is told of it.
@@ -51,7 +58,7 @@
             m.attempts.sort_by_key(|a| a.number);
         }
         let held = open.values().filter(|m| m.verdict.is_none()).count();
-        let mut journal = Self { store, clock, open, held, owed: VecDeque::new() };
+        let mut journal = Self { store, clock, open, held, duty, owed: VecDeque::new() };
         journal.expect_ends();
         Ok((journal, notes))
     }
@@ -89,6 +96,20 @@
         Ok(())
     }
 
+    /// What operators have set.
+    pub fn duty(&self) -> &Duty {
+        &self.duty
+    }
+
+    /// Sets or takes back a mark. After an error nothing has changed.
+    pub fn set(&mut self, change: Change) -> io::Result<()> {
+        if !self.duty.has(&change) {
+            self.append(&duty::batch(&change), Work::Going)?;
+            self.duty.apply(change);
+        }
+        Ok(())
+    }
+
     /// To be called before an attempt's first byte is written; after an error it must not be.
     pub fn attempt(&mut self, id: MessageId, number: u32, endpoint: EndpointId) -> io::Result<()> {
         let at = self.unix_now();
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,11 +1,14 @@
 //! The sender as a library: the program `notchpoint` is a thin shell round it, and a rehearsal runs many of
 //! it in one process. What surrounds it comes through `notchpoint_seam`.
 
+mod admin;
 mod calls;
 mod check;
 pub mod cli;
 pub mod config;
 mod discovery;
+mod door;
+mod duty;
 mod flight;
 mod inbound;
 mod input;
@@ -15,6 +18,7 @@
 pub mod listing;
 mod node;
 mod notices;
+mod operations;
 pub mod operator;
 mod out;
 mod peers;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -3,12 +3,16 @@
 use crate::calls::{Calls, Item, Target};
 use crate::config::{Config, Names};
 use crate::discovery::Discovery;
+use crate::door::Door;
+use crate::duty::Change;
 use crate::flight::Flight;
-use crate::input::{CLOCK_START, Input};
+use crate::input::{Answer, CLOCK_START, Done, Input, Reply};
 use crate::journal::{Journal, Open, Verdict};
 use crate::listing::{Listing, Member, State};
+use crate::operations::{No, Word};
 use crate::peers::Peers;
 use crate::reports::Reports;
+use hyper::StatusCode;
 use notchpoint_policy::*;
 use std::cell::RefCell;
 use std::collections::{HashMap, HashSet};
@@ -30,7 +34,10 @@
     discovery: Rc<Discovery>,
     peers: Option<Peers>,
     flight: Rc<Flight>,
+    door: Rc<Door>,
     inputs: UnboundedReceiver<Input>,
+    /// Words that hold after this turn.
+    replies: Vec<(Reply, Answer)>,
     /// The attempts made for each message that is open or has one out.
     attempts: HashMap<MessageId, Attempts>,
     /// When the module asked to be called, by its own clock. It is forgotten by the same comparison as over
@@ -55,13 +62,14 @@
     pub discovery: Rc<Discovery>,
     pub peers: Option<Peers>,
     pub flight: Rc<Flight>,
+    pub door: Rc<Door>,
     pub inputs: UnboundedReceiver<Input>,
 }
 
 impl Node {
     /// A node that has the list known before, and all messages that an earlier process left open.
     pub fn new(config: &Config, parts: Parts) -> Result<Self, SettingsError> {
-        let Parts { journal, calls, reports, discovery, peers, flight, inputs } = parts;
+        let Parts { journal, calls, reports, discovery, peers, flight, door, inputs } = parts;
         let mut node = Self {
             sender: Sender::new(config.settings.clone(), config.seed)?,
             names: config.names.clone(),
@@ -74,7 +82,9 @@
             discovery,
             peers,
             flight,
+            door,
             inputs,
+            replies: Vec::new(),
             attempts: HashMap::new(),
             wake: None,
             last_turn: None,
@@ -83,6 +93,7 @@
         let entries = node.entries(&config.known, true);
         node.events.push(Event::List(ListNews::Restored(entries)));
         node.resume();
+        node.door.stand_by(node.journal.borrow().duty().standby);
         Ok(node)
     }
 
@@ -137,7 +148,7 @@
                     None => pending().await,
                 }
             };
-            if self.events.is_empty() {
+            if self.events.is_empty() && self.replies.is_empty() {
                 // The order is fixed, here as wherever this program waits for several things: what decides
                 // between two that are ready must not be chance, or no run could be played again.
                 tokio::select! {
@@ -160,8 +171,32 @@
         }
     }
 
+    /// Takes an operator's word. It is answered once the turn that it belongs to is over.
+    fn word(&mut self, word: Word, reply: Reply) {
+        let done = match &word {
+            Word::Standby => self.stand_by(true),
+            Word::Active => self.stand_by(false),
+            Word::Enter(_) | Word::Exit(_) => Err(No::new(StatusCode::NOT_IMPLEMENTED, "not yet")),
+        };
+        let mark = || self.journal.borrow().mark();
+        self.replies.push((reply, done.map(|what| Done { what, mark: mark() })));
+    }
+
+    fn stand_by(&mut self, wanted: bool) -> Result<String, No> {
+        self.enter_mark(Change::Standby(wanted))?;
+        self.door.stand_by(wanted);
+        Ok(if wanted { "standby" } else { "active" }.into())
+    }
+
+    /// A mark that cannot be written is none: it would not outlast the process.
+    fn enter_mark(&mut self, change: Change) -> Result<(), No> {
+        let written = self.journal.borrow_mut().set(change);
+        written.map_err(|e| No::new(StatusCode::INSUFFICIENT_STORAGE, format!("the store: {e}")))
+    }
+
     fn note(&mut self, input: Input) {
         let event = match input {
+            Input::Operator(word, reply) => return self.word(word, reply),
             Input::Event(event) => event,
             Input::Taken(mut message, since) => {
                 message.expires_in = message.expires_in.saturating_sub(since.elapsed().as_micros() as Micros);
@@ -256,6 +291,7 @@
             }
         }
         loads.into_iter().for_each(|(endpoint, items)| self.calls.start(endpoint, items));
+        self.replies.drain(..).for_each(|(reply, answer)| reply.give(answer));
         if cfg!(debug_assertions) {
             self.compare_held();
         }
--- a/crates/daemon/src/sender.rs
+++ b/crates/daemon/src/sender.rs
@@ -1,10 +1,12 @@
 //! One real sender: its parts, its start and its end.
 
+use crate::admin::{self, Admin};
 use crate::calls::Calls;
 use crate::config::Config;
 use crate::discovery::Discovery;
+use crate::door::{COMING, Door};
 use crate::flight::Flight;
-use crate::inbound::{Closing, Inbound};
+use crate::inbound::Inbound;
 use crate::journal::Journal;
 use crate::node::{Node, Parts};
 use crate::operator::Operator;
@@ -21,9 +23,7 @@
 use tokio::sync::mpsc::{Receiver, unbounded_channel};
 use tokio::time::{Instant, sleep, timeout_at};
 
-/// After SIGTERM: until then connections go on coming and are answered, also if nothing else is left to do.
-const COMING: Duration = Duration::from_millis(600);
-/// Until then calls are started: what starts later may not end in time, and may then not be repeated.
+/// After SIGTERM: until then calls are started: what starts later may not end in time, and may then not be repeated.
 const SENDING: Duration = Duration::from_millis(2_200);
 /// Then the process ends, whatever is still out.
 const LAST: Duration = Duration::from_millis(3_300);
@@ -39,7 +39,10 @@
 pub fn surroundings() -> Result<World, Failure> {
     let variable =
         |name: &str| std::env::var_os(name).map(PathBuf::from).ok_or_else(|| format!("{name} is not set"));
-    Ok(notchpoint_seam::real::world(&variable("BALANCER_STATE")?, variable("BALANCER_CONFIG")?)?)
+    let world = notchpoint_seam::real::world(&variable("BALANCER_STATE")?, variable("BALANCER_CONFIG")?)?;
+    let admin = std::env::var("BALANCER_ADMIN_ADDR").ok().filter(|a| !a.is_empty());
+    let admin = admin.map(|a| a.parse().map_err(|e| format!("BALANCER_ADMIN_ADDR: {a}: {e}"))).transpose()?;
+    Ok(World { admin, ..world })
 }
 
 fn read(source: &ConfigSource) -> Result<Config, Failure> {
@@ -51,14 +54,29 @@
 /// # Errors
 /// Why it could not start.
 pub async fn run(world: World, operator: Operator) -> Result<(), Failure> {
-    let World { net, clock, disk, signals, config: source } = world;
+    let World { net, clock, disk, signals, config: source, admin } = world;
     let config = read(&source)?;
+    let (inputs, received) = unbounded_channel();
+    let door = Rc::new(Door::default());
+    let operators = Rc::new(Admin {
+        name: config.name.clone(),
+        door: door.clone(),
+        safety: RefCell::default(),
+        inputs: inputs.clone(),
+    });
+    // First of all: operators are told that it starts while it does.
+    if let Some(address) = admin.or(config.admin) {
+        let listener =
+            net.listen(address).map_err(|e| format!("operators' address (admin_addr) {address}: {e}"))?;
+        tracing::info!("operators at {}", listener.local_addr()?);
+        tokio::task::spawn_local(admin::serve(operators.clone(), listener));
+    }
     let options = storage::options(&config, &operator.store);
     let (journal, notes) = Journal::open(disk, clock.clone(), options).map_err(storage::explained)?;
     tracing::info!("journal: {notes}");
     let journal = Rc::new(RefCell::new(journal));
     let safety = Safety::new(journal.clone());
-    let (inputs, received) = unbounded_channel();
+    *operators.safety.borrow_mut() = Some(safety.clone());
     let calls = Calls::new(&config, net.clone(), journal.clone(), safety.clone(), inputs.clone());
     let reports = Reports::new(config.discovery, net.clone(), journal.clone());
     let discovery = Discovery::new(config.discovery, config.known.revision, net.clone(), inputs.clone());
@@ -79,6 +97,7 @@
         reports: reports.clone(),
         discovery,
         peers,
+        door: door.clone(),
         inputs: received,
     };
     let mut node = Node::new(&config, parts)?;
@@ -92,23 +111,25 @@
         safety,
         calls: calls.clone(),
         inputs,
-        draining: Cell::new(false),
-        close: Closing::default(),
+        door: door.clone(),
     });
     // What was left open is taken up: only now is the sender ready.
     let listener = net.listen(config.listen)?;
     tracing::info!("listening on {}", listener.local_addr()?);
-    tokio::task::spawn_local(crate::inbound::serve(inbound.clone(), listener));
+    tokio::task::spawn_local(crate::inbound::serve(inbound, listener));
+    let watched = door.clone();
+    tokio::task::spawn_local(async move { watched.watch().await });
+    door.open();
     tokio::select! {
         biased;
         () = node.run() => {}
         () = terminate.notified() => {}
     }
     let told = Instant::now();
-    inbound.draining.set(true);
+    door.ending.set(true);
     let _ = timeout_at(told + COMING, node.run()).await;
     // Idle connections end between two requests; one that crosses this comes again on a new connection.
-    inbound.close.say();
+    door.close.say();
     while told.elapsed() < SENDING && !node.is_done() {
         let _ = timeout_at(Instant::now() + LOOK, node.run()).await;
     }
--- a/crates/daemon/src/storage.rs
+++ b/crates/daemon/src/storage.rs
@@ -1,6 +1,7 @@
 //! The folder that outlasts the process: how it is kept, and the commands that look at one.
 
 use crate::config::Config;
+use crate::duty::DUTY;
 use crate::operator::{Durability, Storage};
 use crate::out::say;
 use crate::record::{self, MESSAGES};
@@ -87,7 +88,11 @@
 }
 
 fn table(t: Table) -> String {
-    if t == MESSAGES { "messages".to_owned() } else { format!("table {}", t.0) }
+    match t {
+        MESSAGES => "messages".to_owned(),
+        DUTY => "operators' marks".to_owned(),
+        other => format!("table {}", other.0),
+    }
 }
 
 fn check(dir: &Path) -> Result<ExitCode, Failure> {
--- /dev/null
+++ b/crates/daemon/tests/sockets/operations.rs
@@ -0,0 +1,104 @@
+//! What operators say at the second address.
+
+use crate::world::*;
+use std::time::{Duration, Instant};
+
+/// Answers are owed within so long.
+const OWED: Duration = Duration::from_secs(1);
+
+fn served() -> (Endpoint, Vec<String>) {
+    let endpoint = Endpoint::new(|_| answer("200 OK", "", ""));
+    let members = vec![member("s-1", endpoint.address, "shop", 3, "up")];
+    (endpoint, members)
+}
+
+#[test]
+fn calls_at_the_second_address_are_told_apart() {
+    let (_endpoint, members) = served();
+    let node = Node::new(&members, |c| c);
+    for (line, status) in [
+        ("GET /status", 200),
+        ("POST /active", 200),
+        ("POST /status", 405),
+        ("GET /standby", 405),
+        ("POST /standby/now", 404),
+        ("POST /update", 404),
+        ("POST /maintenance/enter", 400),
+        ("POST /maintenance/enter?name=", 400),
+    ] {
+        assert_eq!(node.say(line).status(), status, "{line}");
+    }
+    // One call to a connection, and a head has a bound.
+    let mut client = Client::new(node.admin);
+    assert_eq!(client.ask("GET /status", &[], b"").header("connection"), "close");
+    assert!(client.ended());
+    let mut client = Client::new(node.admin);
+    client.send("GET /status", &[("X-Long", &"x".repeat(64 << 10))], b"");
+    assert!(client.until_end().starts_with("HTTP/1.1 431"));
+    // Nothing of it can be reached where clients connect.
+    assert_eq!(node.ask("GET /status", &[], b"").status(), 404);
+    assert_eq!(node.ask("POST /standby", &[], b"").status(), 404);
+}
+
+#[test]
+fn half_written_calls_keep_no_operator_waiting() {
+    // Guard: who has sent no whole call gives way to the next. Without it the last of these waits for 5 s.
+    let (_endpoint, members) = served();
+    let node = Node::new(&members, |c| c);
+    let mut holders: Vec<Client> = (0..100).map(|_| Client::new(node.admin)).collect();
+    holders.iter_mut().for_each(|h| h.raw(b"GET /sta"));
+    let asked = Instant::now();
+    assert_eq!(node.say("GET /status").status(), 200);
+    assert!(asked.elapsed() < OWED, "{:?}", asked.elapsed());
+}
+
+#[test]
+fn a_drained_sender_goes_on_with_what_it_has_and_serves_again() {
+    let (endpoint, members) = served();
+    let node = Node::new(&members, |c| c);
+    let mut kept = Client::new(node.address);
+    assert_eq!(kept.hand_in("update", 1, 3, 9_000, b"x").status(), 202);
+    assert_eq!(node.say("POST /standby").status(), 200);
+    assert_eq!(node.ask("GET /up", &[], b"").status(), 503);
+    // Twice is once, and it says that it lives.
+    assert_eq!(node.say("POST /standby").status(), 200);
+    let status = node.say("GET /status");
+    assert_eq!(status.status(), 200);
+    assert!(String::from_utf8_lossy(&status.body).contains("standby"));
+    // The front deals out connections for a moment more: what comes is served, on its last connection.
+    for (client, id) in [(&mut kept, 2), (&mut Client::new(node.address), 3)] {
+        let said = client.hand_in("update", id, 3, 9_000, b"x");
+        assert_eq!((said.status(), said.header("connection")), (202, "close"));
+        assert!(client.ended());
+    }
+    until("all three at the partner", || endpoint.calls() == 3);
+    // One that stays idle is closed between two requests.
+    let mut idle = Client::new(node.address);
+    assert!(idle.ended(), "it is kept open");
+    assert_eq!(node.say("POST /active").status(), 200);
+    assert_eq!(node.ask("GET /up", &[], b"").status(), 200);
+    let mut client = Client::new(node.address);
+    for id in 4..6 {
+        let said = client.hand_in("update", id, 3, 9_000, b"x");
+        assert_eq!((said.status(), said.header("connection")), (202, ""));
+    }
+}
+
+#[test]
+fn a_drain_outlasts_the_process_until_it_is_taken_back() {
+    let (_endpoint, members) = served();
+    let mut node = Node::new(&members, |c| c);
+    assert_eq!(node.say("POST /standby").status(), 200);
+    node.kill();
+    node.start_again();
+    assert_eq!(node.say("GET /status").status(), 200);
+    assert_eq!(node.ask("GET /up", &[], b"").status(), 503);
+    assert_eq!(node.say("POST /active").status(), 200);
+    node.kill();
+    node.start_again();
+    assert_eq!(node.ask("GET /up", &[], b"").status(), 200);
+    // SIGTERM in a drain ends it as ever.
+    assert_eq!(node.say("POST /standby").status(), 200);
+    node.terminate();
+    assert!(node.exit());
+}
--- a/crates/daemon/tests/sockets/world.rs
+++ b/crates/daemon/tests/sockets/world.rs
@@ -246,6 +246,8 @@
     pub folder: tempfile::TempDir,
     pub platform: Platform,
     pub address: SocketAddr,
+    /// Where operators call.
+    pub admin: SocketAddr,
     child: Child,
 }
 
@@ -272,8 +274,8 @@
             let text = text.replace("FOLDER", &folder.path().join("recording").display().to_string());
             std::fs::write(folder.path().join("operator.toml"), text).expect("a file");
         }
-        let (child, address) = start(&folder);
-        let node = Self { folder, platform, address, child };
+        let (child, address, admin) = start(&folder);
+        let node = Self { folder, platform, address, admin, child };
         assert_eq!(node.ask("GET /up", &[], b"").status(), 200);
         node
     }
@@ -287,7 +289,7 @@
     }
 
     pub fn start_again(&mut self) {
-        (self.child, self.address) = start(&self.folder);
+        (self.child, self.address, self.admin) = start(&self.folder);
     }
 
     pub fn kill(&mut self) {
@@ -319,6 +321,11 @@
         self.child.wait().expect("a child").success()
     }
 
+    /// An operator's call.
+    pub fn say(&self, line: &str) -> Heard {
+        Client::new(self.admin).ask(line, &[], b"")
+    }
+
     pub fn ask(&self, line: &str, headers: &[(&str, &str)], body: &[u8]) -> Heard {
         Client::new(self.address).ask(line, headers, body)
     }
@@ -340,7 +347,7 @@
     }
 }
 
-fn start(folder: &tempfile::TempDir) -> (Child, SocketAddr) {
+fn start(folder: &tempfile::TempDir) -> (Child, SocketAddr, SocketAddr) {
     let mut command = Command::new(env!("CARGO_BIN_EXE_notchpoint"));
     let operator = folder.path().join("operator.toml");
     if operator.exists() {
@@ -353,15 +360,19 @@
         .spawn()
         .expect("the program");
     let mut lines = BufReader::new(child.stdout.take().expect("its output")).lines();
+    let mut admin = None;
     let address = loop {
         let line = lines.next().expect("it started").expect("text");
+        if let Some((_, at)) = line.split_once("operators at ") {
+            admin = at.parse().ok();
+        }
         if let Some((_, address)) = line.split_once("listening on ") {
             break address.parse().expect("an address");
         }
     };
     // What it says later is read, so that it never blocks on a full pipe.
     thread::spawn(move || lines.for_each(drop));
-    (child, address)
+    (child, address, admin.expect("an address for operators"))
 }
 
 /// One connection of a client.
--- a/crates/rehearsal/src/virt/mod.rs
+++ b/crates/rehearsal/src/virt/mod.rs
@@ -140,6 +140,7 @@
             disk: machine.store.handle(host.dead()),
             signals: told,
             config: Box::new(move || Ok(config.borrow().clone())),
+            admin: None,
         };
         let world = match &self.around {
             Some(around) => around(sender, world),
--- a/crates/seam/src/lib.rs
+++ b/crates/seam/src/lib.rs
@@ -14,6 +14,7 @@
 pub use net::{Datagrams, Listener, Network, Stream};
 
 use std::io;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::sync::mpsc::Receiver;
 
@@ -49,4 +50,6 @@
     pub signals: Receiver<Signal>,
     /// Its configuration.
     pub config: ConfigSource,
+    /// Where operators call, if it was told beside the configuration.
+    pub admin: Option<SocketAddr>,
 }
--- a/crates/seam/src/real.rs
+++ b/crates/seam/src/real.rs
@@ -30,7 +30,7 @@
             .map_err(|e| io::Error::new(e.kind(), format!("{}: {e}", config.display())))
     });
     let disk = Rc::new(Folder(state.to_owned()));
-    Ok(World { net: Rc::new(Sockets), clock: Rc::new(SystemClock), disk, signals, config })
+    Ok(World { net: Rc::new(Sockets), clock: Rc::new(SystemClock), disk, signals, config, admin: None })
 }
 
 /// Signals that wait to be heeded. Those after them wait in the system, where equal ones are one.
