--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -229,16 +229,6 @@
         out.append(&mut self.out);
     }
 
-    /// A connection stands idle, or an idle one ended: the oldest, as far as can be told.
-    fn idle(&mut self, id: EndpointId, more: bool) {
-        let Some(e) = self.endpoints.get_mut(&id).filter(|_| self.set.conns_told) else { return };
-        if more {
-            e.idle.push(self.now);
-        } else if !e.idle.is_empty() {
-            e.idle.remove(0);
-        }
-    }
-
     fn jitter(&mut self, span: Micros) -> Micros {
         (span as f64 * (0.75 + 0.5 * self.rng.f64())) as Micros
     }
@@ -673,10 +663,6 @@
         }
     }
 
-    fn log(&mut self, dest: DestinationId, what: &str) {
-        self.out.push(Action::Log(format!("destination {} {what}", dest.0)));
-    }
-
     /// Silence counts before the time-out does: a call overdue with nothing heard since it was sent opens the
     /// breaker. It guards against hung and silent destinations; it might hold back one that has only a slow
     /// message, for a trial's time.
@@ -722,10 +708,6 @@
         silent.into_iter().for_each(|route| self.tell(route, Word::Down));
     }
 
-    fn waiting(&self) -> impl Iterator<Item = (DestinationId, &Dest)> {
-        self.queued.iter().map(|id| (*id, &self.dests[id])).filter(|(_, d)| !d.queue.is_empty())
-    }
-
     fn ceiling(&self, dest: DestinationId) -> f64 {
         let troubled = self.routes.range(routes_of(dest)).any(|(_, r)| r.troubled());
         let share = if troubled { CEILING_TROUBLED } else { CEILING };
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -224,6 +224,26 @@
         over
     }
 
+    /// A connection stands idle, or an idle one ended: the oldest, as far as can be told.
+    pub(crate) fn idle(&mut self, id: EndpointId, more: bool) {
+        let Some(e) = self.endpoints.get_mut(&id).filter(|_| self.set.conns_told) else { return };
+        if more {
+            e.idle.push(self.now);
+        } else if !e.idle.is_empty() {
+            e.idle.remove(0);
+        }
+    }
+
+    /// A line for the operator about a destination.
+    pub(crate) fn log(&mut self, dest: DestinationId, what: &str) {
+        self.out.push(Action::Log(format!("destination {} {what}", dest.0)));
+    }
+
+    /// Destinations with messages that wait.
+    pub(crate) fn waiting(&self) -> impl Iterator<Item = (DestinationId, &Dest)> {
+        self.queued.iter().map(|id| (*id, &self.dests[id])).filter(|(_, d)| !d.queue.is_empty())
+    }
+
     /// A message is over: it leaves what waits, and is forgotten once no attempt of it is out.
     pub(crate) fn finish(&mut self, id: MessageId) {
         let Some(h) = self.held.get_mut(&id) else { return };
