Endpoints can be taken out of service, whatever discovery says, and return cold

Change: Event::Service and a set of endpoints out in the module's state; a return ramps its route up, or among others that serve gets one call at a time until it is warm. The node answers once the mark is in the store and the module's turn is over; idle connections end and a call that is still connecting is not written.

--- a/crates/daemon/src/calls.rs
+++ b/crates/daemon/src/calls.rs
@@ -14,7 +14,7 @@
 use notchpoint_policy::*;
 use notchpoint_seam::{Network, Stream};
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -249,6 +249,8 @@
 pub struct Calls {
     net: Rc<dyn Network>,
     targets: RefCell<BTreeMap<EndpointId, Target>>,
+    /// Endpoints that operators have taken out.
+    taken_out: RefCell<BTreeSet<EndpointId>>,
     /// The destinations that the list names, or, until then, has named.
     named: RefCell<BTreeMap<DestinationId, Option<Instant>>>,
     pool: RefCell<BTreeMap<EndpointId, Vec<Idle>>>,
@@ -277,6 +279,7 @@
         let calls = Rc::new(Self {
             net,
             targets: RefCell::default(),
+            taken_out: RefCell::default(),
             named: RefCell::default(),
             pool: RefCell::default(),
             waits: RefCell::default(),
@@ -327,6 +330,19 @@
         named.extend(target.map(|t| (t.dest, None)));
     }
 
+    /// Operators took an endpoint out, or put it back: a call that is not written yet is not made, and idle
+    /// connections end, since it will be restarted.
+    pub fn set_out(&self, id: EndpointId, out: bool) {
+        let mut all = self.taken_out.borrow_mut();
+        if out {
+            all.insert(id);
+            let closed = self.pool.borrow_mut().remove(&id).map_or(0, |idle| idle.len());
+            self.tell_closed(id, closed);
+        } else {
+            all.remove(&id);
+        }
+    }
+
     /// The list names this destination, or did lately.
     pub fn knows(&self, dest: DestinationId) -> bool {
         self.named.borrow().contains_key(&dest)
@@ -626,6 +642,9 @@
     /// The endpoint, where a call may begin now.
     fn target(&self, id: EndpointId) -> Option<Target> {
         let target = self.targets.borrow().get(&id).copied().filter(|t| t.live)?;
+        if self.taken_out.borrow().contains(&id) {
+            return None;
+        }
         let waits = self.waits.borrow();
         waits.get(&target.route(id)).is_none_or(|&until| Instant::now() >= until).then_some(target)
     }
@@ -651,7 +670,8 @@
         let idle: usize = self.pool.borrow().values().map(Vec::len).sum();
         let room = idle < self.most_idle;
         let wanted =
-            self.targets.borrow().get(&id).is_some_and(|t| t.live && t.address == connection.address);
+            self.targets.borrow().get(&id).is_some_and(|t| t.live && t.address == connection.address)
+                && !self.taken_out.borrow().contains(&id);
         if !room || !wanted || !matches!(ready, Ok(Ok(()))) || !connection.is_fit() {
             return connection.close().await;
         }
--- a/crates/daemon/src/listing.rs
+++ b/crates/daemon/src/listing.rs
@@ -1,5 +1,6 @@
 //! The list of endpoints in discovery's form.
 
+use notchpoint_policy::EndpointId;
 use serde::Deserialize;
 use std::net::SocketAddr;
 
@@ -33,6 +34,12 @@
     }
 }
 
+/// The number of an endpoint's id: the same at every sender, since notes name it (FNV-1a).
+pub fn endpoint(id: &str) -> EndpointId {
+    let fold = |h: u64, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3);
+    EndpointId(id.bytes().fold(0xcbf2_9ce4_8422_2325, fold))
+}
+
 /// An endpoint's line.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Member {
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -4,11 +4,11 @@
 use crate::config::{Config, Names};
 use crate::discovery::Discovery;
 use crate::door::Door;
-use crate::duty::Change;
+use crate::duty::{Change, MOST_OUT};
 use crate::flight::Flight;
 use crate::input::{Answer, CLOCK_START, Done, Input, Reply};
 use crate::journal::{Journal, Open, Verdict};
-use crate::listing::{Listing, Member, State};
+use crate::listing::{Listing, Member, State, endpoint};
 use crate::operations::{No, Word};
 use crate::peers::Peers;
 use crate::reports::Reports;
@@ -90,13 +90,24 @@
             last_turn: None,
             events: Vec::new(),
         };
+        node.restore_marks();
         let entries = node.entries(&config.known, true);
         node.events.push(Event::List(ListNews::Restored(entries)));
         node.resume();
-        node.door.stand_by(node.journal.borrow().duty().standby);
         Ok(node)
     }
 
+    /// What operators had set holds before anything is taken up or sent.
+    fn restore_marks(&mut self) {
+        let duty = self.journal.borrow().duty().clone();
+        self.door.stand_by(duty.standby);
+        for (&endpoint, name) in &duty.out {
+            tracing::info!("endpoint {name} is out of service, as operators set it");
+            self.calls.set_out(endpoint, true);
+            self.events.push(Event::Service { endpoint, out: true });
+        }
+    }
+
     /// Takes up what the journal holds open. What becomes of each is the module's decision.
     fn resume(&mut self) {
         let journal = self.journal.clone();
@@ -176,7 +187,8 @@
         let done = match &word {
             Word::Standby => self.stand_by(true),
             Word::Active => self.stand_by(false),
-            Word::Enter(_) | Word::Exit(_) => Err(No::new(StatusCode::NOT_IMPLEMENTED, "not yet")),
+            Word::Enter(name) => self.take_out(name, true),
+            Word::Exit(name) => self.take_out(name, false),
         };
         let mark = || self.journal.borrow().mark();
         self.replies.push((reply, done.map(|what| Done { what, mark: mark() })));
@@ -188,6 +200,29 @@
         Ok(if wanted { "standby" } else { "active" }.into())
     }
 
+    /// Told twice is told once. An id is known as long as the list names it or it is out.
+    fn take_out(&mut self, name: &str, out: bool) -> Result<String, No> {
+        let id = endpoint(name);
+        let (was, many) = {
+            let journal = self.journal.borrow();
+            let marks = &journal.duty().out;
+            (marks.get(&id).is_some_and(|n| n == name), marks.len() >= MOST_OUT)
+        };
+        if !was && !self.calls.is_listed(id) {
+            return Err(No::new(StatusCode::NOT_FOUND, format!("no endpoint has the id {name}")));
+        }
+        if out && !was && many {
+            let why = format!("{MOST_OUT} endpoints are out already; put some back first");
+            return Err(No::new(StatusCode::INSUFFICIENT_STORAGE, why));
+        }
+        self.enter_mark(Change::Out(id, name.to_owned(), out))?;
+        if was != out {
+            self.calls.set_out(id, out);
+            self.events.push(Event::Service { endpoint: id, out });
+        }
+        Ok(format!("{name} {}", if out { "is out of service" } else { "may serve" }))
+    }
+
     /// A mark that cannot be written is none: it would not outlast the process.
     fn enter_mark(&mut self, change: Change) -> Result<(), No> {
         let written = self.journal.borrow_mut().set(change);
@@ -366,9 +401,3 @@
         self.journal.borrow().iter().next().is_none()
     }
 }
-
-/// The number of an endpoint's id: the same at every sender, since notes name it (FNV-1a).
-fn endpoint(id: &str) -> EndpointId {
-    let fold = |h: u64, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3);
-    EndpointId(id.bytes().fold(0xcbf2_9ce4_8422_2325, fold))
-}
--- a/crates/daemon/tests/sockets/operations.rs
+++ b/crates/daemon/tests/sockets/operations.rs
@@ -102,3 +102,33 @@
     node.terminate();
     assert!(node.exit());
 }
+
+#[test]
+fn an_endpoint_taken_out_gets_nothing_until_it_is_put_back() {
+    let (endpoint, members) = served();
+    let mut node = Node::new(&members, |c| c);
+    assert_eq!(node.say("POST /maintenance/enter?name=s-2").status(), 404, "nobody has it");
+    assert_eq!(node.say("POST /maintenance/exit?name=s-2").status(), 404);
+    assert_eq!(node.say("POST /maintenance/exit?name=s-1").status(), 200, "it is in service");
+    for _ in 0..2 {
+        assert_eq!(node.say("POST /maintenance/enter?name=s-1").status(), 200);
+    }
+    assert_eq!(node.hand_in("update", 1, 3, 30_000, b"x").status(), 202);
+    // Discovery says that it is up, that it is gone, and that it is up again.
+    for (revision, phase) in [(42, "up"), (43, "removed"), (44, "up")] {
+        node.platform.tell(revision, &[member("s-1", endpoint.address, "shop", 3, phase)]);
+    }
+    node.restart();
+    node.platform.tell(45, &[member("s-1", endpoint.address, "shop", 3, "up")]);
+    assert_eq!(node.hand_in("update", 2, 3, 30_000, b"x").status(), 202);
+    // An id that left the list while it was out is still known.
+    node.platform.tell(46, &[member("s-1", endpoint.address, "shop", 3, "removed")]);
+    assert_eq!(node.say("POST /maintenance/enter?name=s-1").status(), 200);
+    node.platform.tell(47, &[member("s-1", endpoint.address, "shop", 3, "up")]);
+    // The other messages of this node pass by: what waited had every chance to be sent.
+    assert_eq!(node.hand_in("update", 3, 3, 1, b"x").status(), 202);
+    node.platform.notice(3);
+    assert_eq!(endpoint.calls(), 0);
+    assert_eq!(node.say("POST /maintenance/exit?name=s-1").status(), 200);
+    until("both at the partner", || endpoint.calls() == 2);
+}
--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -213,6 +213,7 @@
                 Event::Note { from, body } => self.note(*from, body),
                 Event::Unused(id) => self.idle(*id, true),
                 Event::Closed(id) => self.idle(*id, false),
+                Event::Service { endpoint, out } => self.service(*endpoint, *out),
                 Event::Wake | Event::Probed { .. } => {}
             }
         }
@@ -239,7 +240,7 @@
             self.watch_at = if ask { self.now + self.jitter(WATCH_AGAIN) } else { self.watch_at };
             return;
         }
-        for route in enter(&mut self.endpoints, &mut self.dests, &self.set.kinds, news) {
+        for route in self.enter(news) {
             let credit = self.rng.f64();
             let fresh = || Route { window: FLOOR, pace: 1.0, credit, ..Route::default() };
             self.routes.entry(route).or_insert_with(fresh);
@@ -262,6 +263,19 @@
         }
     }
 
+    /// Operators restart what they take out: it comes back cold, from an outage that no call has seen.
+    fn service(&mut self, id: EndpointId, out: bool) {
+        let (news, others) = self.set_out(id, out);
+        let Some(e) = self.endpoints.get_mut(&id).filter(|_| news && !out) else { return };
+        (e.cold_until, e.no_room) = (self.now + self.set.cold, 0);
+        e.rests.clear();
+        let apart = self.dests.get(&e.dest).is_some_and(|d| d.apart).then_some(id);
+        if let Some(r) = self.routes.get_mut(&(e.dest, apart)).filter(|_| !others) {
+            (r.health, r.fails, r.errors) = (Health::Ramp { since: self.now }, 0, 0);
+            (r.credit, r.credit_at) = (r.credit.min(1.0), self.now);
+        }
+    }
+
     /// An earlier process may have sent it: its attempts count, and what may have run binds as ever.
     fn resumed(&mut self, m: &Message, attempts: u32, ran: Option<(Micros, EndpointId)>) {
         let ran = ran.map(|(ago, endpoint)| (self.now.saturating_sub(ago), endpoint));
--- a/crates/policy/src/choice/guard.rs
+++ b/crates/policy/src/choice/guard.rs
@@ -64,6 +64,11 @@
         if !e.live {
             return Some(Hold::open(Guard::Drained));
         }
+        let mut fellows = self.dests[&e.dest].endpoints.iter().map(|o| &self.endpoints[o]);
+        // Cold among others that serve: one call at a time, so that it is not pushed over.
+        if self.now < e.cold_until && e.out > 0 && fellows.any(|o| o.live && self.now >= o.cold_until) {
+            return Some(Hold::open(Guard::Cold));
+        }
         // A rest is a preference: where all live endpoints rest, the route's breaker decides on trials.
         let rest = self.rest(e)?;
         let mut others = self.dests[&e.dest].endpoints.iter().map(|o| &self.endpoints[o]);
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -339,6 +339,13 @@
         /// How.
         outcome: Outcome,
     },
+    /// Operators have taken an endpoint out of service, or put it back.
+    Service {
+        /// The endpoint.
+        endpoint: EndpointId,
+        /// It is out from now on: nothing is sent to it, whatever the list says, until it is put back.
+        out: bool,
+    },
 }
 
 /// What the caller is to do, in this order.
@@ -421,7 +428,7 @@
     Cold,
     /// The breaker is open: the next trial is not due, or its turn is another message's.
     Breaker,
-    /// The destination has no endpoint that may be sent to.
+    /// The destination has no endpoint that may be sent to: drained, gone, or taken out of service.
     Drained,
     /// Every endpoint is passed over after failures.
     Endpoint,
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -124,7 +124,12 @@
     pub dest: DestinationId,
     pub zone: u32,
     pub kind: usize,
+    /// It may be sent to: the list says so, and operators have not taken it out.
     pub live: bool,
+    /// What the list alone says.
+    pub listed: bool,
+    /// Back from operators, it is cold until then.
+    pub cold_until: Micros,
     pub out: u32,
     pub idle: Vec<Micros>,
     /// When it was last sent to, how long after the time before, and when it refused a connect at once.
@@ -168,6 +173,8 @@
     pub(crate) routes: BTreeMap<RouteId, Route>,
     pub(crate) endpoints: BTreeMap<EndpointId, Endpoint>,
     pub(crate) dests: BTreeMap<DestinationId, Dest>,
+    /// Endpoints that operators have taken out, whether the list names them or not.
+    pub(crate) taken_out: BTreeSet<EndpointId>,
     pub(crate) queued: BTreeSet<DestinationId>,
     pub(crate) keys: BTreeMap<Box<str>, Key>,
     /// Connections idle for longer are not trusted, until then.
@@ -198,6 +205,7 @@
             routes: BTreeMap::new(),
             endpoints: BTreeMap::new(),
             dests: BTreeMap::new(),
+            taken_out: BTreeSet::new(),
             queued: BTreeSet::new(),
             keys: BTreeMap::new(),
             idle_safe: (FAR, 0),
@@ -244,6 +252,22 @@
         self.queued.iter().map(|id| (*id, &self.dests[id])).filter(|(_, d)| !d.queue.is_empty())
     }
 
+    /// Enters what the list says; gives the routes that it names.
+    pub(crate) fn enter(&mut self, news: &ListNews) -> Vec<RouteId> {
+        enter(&mut self.endpoints, &mut self.dests, &self.set.kinds, &self.taken_out, news)
+    }
+
+    /// Enters that operators took an endpoint out, or put it back; gives whether that is news, and whether
+    /// another endpoint of its route is in service.
+    pub(crate) fn set_out(&mut self, id: EndpointId, out: bool) -> (bool, bool) {
+        let news = if out { self.taken_out.insert(id) } else { self.taken_out.remove(&id) };
+        let Some(e) = self.endpoints.get_mut(&id) else { return (news, false) };
+        e.live = e.listed && !out;
+        let (dest, apart) = (e.dest, self.dests.get(&e.dest).is_some_and(|d| d.apart));
+        let other = |(o, e): (&EndpointId, &Endpoint)| *o != id && e.dest == dest && e.live;
+        (news, !apart && self.endpoints.iter().any(other))
+    }
+
     /// A message is over: it leaves what waits, and is forgotten once no attempt of it is out.
     pub(crate) fn finish(&mut self, id: MessageId) {
         let Some(h) = self.held.get_mut(&id) else { return };
@@ -351,10 +375,11 @@
 }
 
 /// Enters what the list says; gives the routes that it names. What is gone and has nothing out is dropped.
-pub fn enter(
+fn enter(
     endpoints: &mut BTreeMap<EndpointId, Endpoint>,
     dests: &mut BTreeMap<DestinationId, Dest>,
     kinds: &[Kind],
+    taken_out: &BTreeSet<EndpointId>,
     news: &ListNews,
 ) -> Vec<RouteId> {
     let mut routes = Vec::new();
@@ -362,7 +387,10 @@
         ListNews::Changes(list) => list,
         ListNews::Whole(list) | ListNews::Restored(list) => {
             let named: BTreeSet<EndpointId> = list.iter().map(|n| n.endpoint).collect();
-            endpoints.iter_mut().for_each(|(id, e)| e.live &= named.contains(id));
+            endpoints.iter_mut().for_each(|(id, e)| {
+                e.listed &= named.contains(id);
+                e.live &= e.listed;
+            });
             list
         }
         ListNews::Unavailable => return routes,
@@ -371,7 +399,8 @@
         let Some(kind) = kinds.get(n.kind as usize) else { continue };
         let e =
             endpoints.entry(n.endpoint).or_insert_with(|| Endpoint { dest: n.dest, ..Endpoint::default() });
-        (e.live, e.zone, e.kind) = (n.phase == Phase::Live, n.zone, n.kind as usize);
+        (e.listed, e.zone, e.kind) = (n.phase == Phase::Live, n.zone, n.kind as usize);
+        e.live = e.listed && !taken_out.contains(&n.endpoint);
         let d = dests.entry(e.dest).or_default();
         (d.apart, d.bundle, d.kind) = (kind.apart, kind.bundle as usize, e.kind);
         if !d.endpoints.contains(&n.endpoint) {
@@ -382,7 +411,7 @@
     if list.iter().all(|n| n.phase == Phase::Live) && matches!(news, ListNews::Changes(_)) {
         return routes;
     }
-    endpoints.retain(|_, e| e.live || e.out > 0);
+    endpoints.retain(|id, e| e.listed || e.out > 0 || taken_out.contains(id));
     dests.values_mut().for_each(|d| d.endpoints.retain(|e| endpoints.contains_key(e)));
     routes
 }
--- a/crates/recorder/src/explain.rs
+++ b/crates/recorder/src/explain.rs
@@ -419,6 +419,8 @@
         Event::Unused(_) => "a connection stands idle".into(),
         Event::Closed(_) => "an idle connection ended".into(),
         Event::Probed { .. } => "a probe ended".into(),
+        Event::Service { out: true, .. } => "operators took an endpoint out".into(),
+        Event::Service { .. } => "operators put an endpoint back".into(),
     }
 }
 
--- a/crates/recorder/src/fleet.rs
+++ b/crates/recorder/src/fleet.rs
@@ -191,7 +191,7 @@
                 c.entries += entries;
             }
             Event::Note { .. } => self.common.entry(second).or_default().heard += 1,
-            Event::Wake | Event::Unused(_) | Event::Probed { .. } => {}
+            Event::Wake | Event::Unused(_) | Event::Probed { .. } | Event::Service { .. } => {}
         }
     }
 
