New settings at SIGHUP: taken whole or not at all, and messages keep the class they came with

Change: classes.rs (names, tags, places), terms.rs (what a file changes, all mistakes by key), Event::Settings in the module; definitions in table 3 of the store. The file is checked whole before discovery's address is used.

--- a/crates/daemon/src/inbound.rs
+++ b/crates/daemon/src/inbound.rs
@@ -1,12 +1,13 @@
 //! Where clients connect: `GET /up` and `POST /CLASS`.
 
 use crate::calls::Calls;
-use crate::config::{Config, Names};
+use crate::config::Config;
 use crate::door::Door;
 use crate::input::Input;
 use crate::io::{Observed, Observer};
 use crate::journal::{Journal, Open};
 use crate::safety::Safety;
+use crate::terms::Terms;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
@@ -55,8 +56,8 @@
 
 /// What all connections share.
 pub struct Inbound {
-    pub set: Settings,
-    pub names: Names,
+    /// The settings in force.
+    pub terms: Rc<RefCell<Terms>>,
     pub journal: Rc<RefCell<Journal>>,
     pub safety: Rc<Safety>,
     pub calls: Rc<Calls>,
@@ -332,7 +333,7 @@
     }
     let name = path.strip_prefix('/').unwrap_or(path);
     let name = name.split('/').next().unwrap_or(name).to_owned();
-    let Some(class) = inbound.names.classes.iter().position(|c| *c == name) else {
+    let Some(class) = inbound.terms.borrow().classes.open(&name) else {
         return Err(StatusCode::NOT_FOUND);
     };
     if request.method() != Method::POST {
@@ -346,7 +347,10 @@
     if request.body().size_hint().lower() > BODY as u64 {
         return Ok(last(StatusCode::PAYLOAD_TOO_LARGE));
     }
-    let handed = read_headers(inbound, request.headers(), class);
+    let (handed, tag) = {
+        let terms = inbound.terms.borrow();
+        (read_headers(&terms, request.headers(), &name, class), terms.classes.tag(class).to_owned())
+    };
     // The body is read even where the headers say no: an answer across a request still being written is lost.
     let body = match timeout_at(receipt.seat.whole_by(), read_body(inbound, request.into_body())).await {
         Err(_) => return Ok(last(StatusCode::REQUEST_TIMEOUT)),
@@ -363,7 +367,7 @@
     if inbound.door.ending.get() || !inbound.calls.knows(handed.dest) {
         return Ok(come_back(inbound));
     }
-    let Some(left) = record(inbound, &handed, &name, body, since)? else { return Ok(come_back(inbound)) };
+    let Some(left) = record(inbound, &handed, &tag, body, since)? else { return Ok(come_back(inbound)) };
     let (mark, since, mut record) =
         (inbound.safety.mark(), Instant::now(), Record { inbound, id: Some(handed.id) });
     if !inbound.safety.reached(&mark, SAFE_WITHIN).await {
@@ -388,7 +392,7 @@
 fn record(
     inbound: &Inbound,
     handed: &Handed,
-    class: &str,
+    tag: &str,
     body: Bytes,
     since: Instant,
 ) -> Result<Option<Micros>, StatusCode> {
@@ -398,11 +402,11 @@
         return Err(StatusCode::CONFLICT);
     }
     let left = handed.time.saturating_sub(since.elapsed());
-    if left.is_zero() || journal.held() >= inbound.set.max_held as usize {
+    if left.is_zero() || journal.held() >= inbound.terms.borrow().set.max_held as usize {
         return Ok(None);
     }
     let left = left.as_micros() as Micros;
-    let open = Open::new(class, &handed.tenant_name, handed.dest.0, journal.unix_now() + left, body);
+    let open = Open::new(tag, &handed.tenant_name, handed.dest.0, journal.unix_now() + left, body);
     // The record comes before the answer. Without a record there is no promise.
     Ok(journal.take(handed.id, open).is_ok().then_some(left))
 }
@@ -486,7 +490,7 @@
 /// Refused, with advice on when to come back as far as clients heed it.
 fn come_back(inbound: &Inbound) -> Response<Full<Bytes>> {
     let mut answer = plain(StatusCode::SERVICE_UNAVAILABLE);
-    let advice = COME_BACK.min(inbound.set.max_advice);
+    let advice = COME_BACK.min(inbound.terms.borrow().set.max_advice);
     if advice > 0
         && let Ok(value) = HeaderValue::from_str(&format!("{:.3}", advice as f64 / 1e6))
     {
@@ -504,7 +508,7 @@
     time: Duration,
 }
 
-fn read_headers(inbound: &Inbound, headers: &HeaderMap, class: usize) -> Result<Handed, StatusCode> {
+fn read_headers(terms: &Terms, headers: &HeaderMap, name: &str, class: usize) -> Result<Handed, StatusCode> {
     let bad = StatusCode::BAD_REQUEST;
     // A header given twice would mean one thing to us and another to who reads the other line.
     let text = |name: &str| {
@@ -514,10 +518,10 @@
             _ => Err(bad),
         }
     };
-    if text("X-Priority-Class")? != inbound.names.classes.get(class).map(String::as_str) {
+    if text("X-Priority-Class")? != Some(name) {
         return Err(bad);
     }
-    let tenants = &inbound.names.tenants;
+    let tenants = &terms.names.tenants;
     let tenant_name = text("X-Tenant-Id")?.unwrap_or("");
     let tenant = tenants.iter().position(|t| t == tenant_name).map(|t| t as u32);
     if tenant.is_none() && !tenants.is_empty() {
@@ -526,7 +530,7 @@
     let id = text("X-Request-ID")?.ok_or(bad)?;
     let ms = text("X-Timeout-Ms")?.and_then(read_number).ok_or(bad)?;
     // No message of a class may be delivered for longer.
-    if ms.saturating_mul(1_000) > inbound.set.classes.get(class).map_or(0, |c| c.deadline) {
+    if ms.saturating_mul(1_000) > terms.set.classes.get(class).map_or(0, |c| c.deadline) {
         return Err(bad);
     }
     let fields = text("X-Envelope")?.ok_or(bad)?.split([',', ';', '&', ' ']);
@@ -557,6 +561,7 @@
 mod tests {
     use super::*;
     use notchpoint_seam::real::Sockets;
+    use std::collections::BTreeSet;
     use tokio::net::{TcpListener, TcpStream};
     use tokio::sync::mpsc::unbounded_channel;
 
@@ -613,8 +618,7 @@
                     inputs.clone(),
                 ),
                 safety: Safety::new(journal.clone()),
-                set: config.settings,
-                names: config.names,
+                terms: Rc::new(RefCell::new(Terms::new(&config, &BTreeMap::new(), &BTreeSet::new()).0)),
                 journal: journal.clone(),
                 inputs,
                 door: Rc::default(),
--- a/crates/daemon/src/input.rs
+++ b/crates/daemon/src/input.rs
@@ -1,5 +1,6 @@
 //! What the parts of the program tell the node. It stands apart, so that no part imports the node.
 
+use crate::config::Config;
 use crate::listing::Listing;
 use crate::operations::{No, Word};
 use notchpoint_policy::{Event, Message, Micros};
@@ -19,6 +20,8 @@
     Listed(Listing),
     /// The watch failed or ended.
     Unlisted,
+    /// A new configuration, checked whole.
+    Configured(Box<Config>),
     /// An operator's word, and where it is answered once it holds.
     Operator(Word, Reply),
 }
--- a/crates/daemon/src/journal.rs
+++ b/crates/daemon/src/journal.rs
@@ -4,11 +4,12 @@
 //! What is written outlasts the process without a sync; where the operator asks for more (`[store]`),
 //! `safety.rs` waits for the sync before anything is promised or sent.
 
+use crate::classes;
 use crate::duty::{self, Change, DUTY, Duty};
 use crate::legacy;
-use crate::record::{Attempt, JUDGED, MESSAGES, TAKEN, TRIED, judged, key, read, taken, tried};
+use crate::record::{Attempt, CLASSES, JUDGED, MESSAGES, TAKEN, TRIED, judged, key, read, taken, tried};
 pub use crate::record::{Open, Verdict};
-use notchpoint_policy::{EndpointId, MessageId};
+use notchpoint_policy::{Class, EndpointId, MessageId};
 use notchpoint_seam::{Clock, Disk};
 use notchpoint_store::{Batch, Error, Mark, Notes, Options, Store, Sync, Work};
 use std::collections::BTreeMap;
@@ -27,6 +28,8 @@
     held: usize,
     /// What operators have set.
     duty: Duty,
+    /// Definitions of classes that messages may have, by tag, as they were when this was opened.
+    classes: BTreeMap<String, Class>,
     /// Verdicts and ends that could not be written yet, oldest first: at most a few for each open message.
     /// They are tried again before anything else is written.
     owed: VecDeque<Batch>,
@@ -38,10 +41,11 @@
         let (mut store, notes) = Store::open(disk.clone(), options)?;
         legacy::carry_over(&*disk, &mut store)?;
         let mut open = BTreeMap::new();
-        let (mut duty, mut unread) = (Duty::default(), None);
+        let (mut duty, mut classes, mut unread) = (Duty::default(), BTreeMap::new(), None);
         store.visit(|table, key, value| {
             let (what, read) = match table {
                 MESSAGES => ("a message's record", read(key, value, &mut open)),
+                CLASSES => ("a class's definition", read_class(key, value, &mut classes)),
                 DUTY => ("an operator's mark", duty.read(key, value)),
                 _ => return,
             };
@@ -58,7 +62,7 @@
             m.attempts.sort_by_key(|a| a.number);
         }
         let held = open.values().filter(|m| m.verdict.is_none()).count();
-        let mut journal = Self { store, clock, open, held, duty, owed: VecDeque::new() };
+        let mut journal = Self { store, clock, open, held, duty, classes, owed: VecDeque::new() };
         journal.expect_ends();
         Ok((journal, notes))
     }
@@ -101,6 +105,26 @@
         &self.duty
     }
 
+    /// Definitions of classes, by tag, as an earlier process left them.
+    pub fn classes(&self) -> &BTreeMap<String, Class> {
+        &self.classes
+    }
+
+    /// Writes which definitions are kept from now on, as one step. After an error nothing has changed.
+    pub fn keep(&mut self, changes: &[classes::Change]) -> io::Result<()> {
+        let mut batch = Batch::default();
+        for change in changes {
+            match change {
+                classes::Change::Keep { tag, text } => batch.put(CLASSES, tag.as_bytes(), text.as_bytes()),
+                classes::Change::Drop { tag } => batch.delete(CLASSES, tag.as_bytes()),
+            }
+        }
+        if !batch.is_empty() {
+            self.append(&batch, Work::Going)?;
+        }
+        Ok(())
+    }
+
     /// Sets or takes back a mark. After an error nothing has changed.
     pub fn set(&mut self, change: Change) -> io::Result<()> {
         if !self.duty.has(&change) {
@@ -189,6 +213,12 @@
     }
 }
 
+fn read_class(key: &[u8], value: &[u8], classes: &mut BTreeMap<String, Class>) -> Option<()> {
+    let tag = std::str::from_utf8(key).ok()?;
+    classes.insert(tag.to_owned(), serde_json::from_slice(value).ok()?);
+    Some(())
+}
+
 #[cfg(test)]
 pub mod tests {
     use super::*;
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -4,6 +4,7 @@
 mod admin;
 mod calls;
 mod check;
+mod classes;
 pub mod cli;
 pub mod config;
 mod discovery;
@@ -27,3 +28,4 @@
 mod safety;
 pub mod sender;
 mod storage;
+mod terms;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -1,7 +1,7 @@
 //! The one owner of the decision module: hands it what happened, once a tick at most, and does what it says.
 
 use crate::calls::{Calls, Item, Target};
-use crate::config::{Config, Names};
+use crate::config::Config;
 use crate::discovery::Discovery;
 use crate::door::Door;
 use crate::duty::{Change, MOST_OUT};
@@ -12,10 +12,11 @@
 use crate::operations::{No, Word};
 use crate::peers::Peers;
 use crate::reports::Reports;
+use crate::terms::Terms;
 use hyper::StatusCode;
 use notchpoint_policy::*;
 use std::cell::RefCell;
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::future::pending;
 use std::rc::Rc;
 use std::time::Duration;
@@ -24,7 +25,7 @@
 
 pub struct Node {
     sender: Sender,
-    names: Names,
+    terms: Rc<RefCell<Terms>>,
     kinds: Vec<Kind>,
     tick: Duration,
     started: Instant,
@@ -57,6 +58,7 @@
 /// What a node is made of.
 pub struct Parts {
     pub journal: Rc<RefCell<Journal>>,
+    pub terms: Rc<RefCell<Terms>>,
     pub calls: Rc<Calls>,
     pub reports: Rc<Reports>,
     pub discovery: Rc<Discovery>,
@@ -69,10 +71,11 @@
 impl Node {
     /// A node that has the list known before, and all messages that an earlier process left open.
     pub fn new(config: &Config, parts: Parts) -> Result<Self, SettingsError> {
-        let Parts { journal, calls, reports, discovery, peers, flight, door, inputs } = parts;
+        let Parts { journal, terms, calls, reports, discovery, peers, flight, door, inputs } = parts;
+        let sender = Sender::new(terms.borrow().set.clone(), config.seed)?;
         let mut node = Self {
-            sender: Sender::new(config.settings.clone(), config.seed)?,
-            names: config.names.clone(),
+            sender,
+            terms,
             kinds: config.settings.kinds.clone(),
             tick: Duration::from_micros(config.settings.tick),
             started: Instant::now(),
@@ -129,12 +132,12 @@
 
     fn resumed(&self, id: MessageId, open: &Open, attempts: u32) -> Option<Event> {
         let place = |list: &[String], name: &str| list.iter().position(|n| n == name).map(|n| n as u32);
-        let now = self.journal.borrow().unix_now();
+        let (now, terms) = (self.journal.borrow().unix_now(), self.terms.borrow());
         let ran = open.attempts.iter().filter(|a| !a.never_ran).min_by_key(|a| a.at);
         let message = Message {
             id,
-            class: place(&self.names.classes, &open.class)?,
-            tenant: place(&self.names.tenants, &open.tenant),
+            class: terms.classes.place(&open.class)? as u32,
+            tenant: place(&terms.names.tenants, &open.tenant),
             key: None,
             dest: DestinationId(open.dest),
             again: true,
@@ -182,6 +185,31 @@
         }
     }
 
+    /// Takes a new configuration, as one step: what the store does not take is not in force.
+    fn configure(&mut self, config: &Config) -> Option<Event> {
+        let (terms, changes, waits) = {
+            let (terms, journal) = (self.terms.borrow(), self.journal.borrow());
+            // Also what was taken on and the module has not heard of yet.
+            let mut in_use: BTreeSet<usize> = self.sender.classes_in_use();
+            in_use.extend(journal.iter().filter_map(|(_, m)| terms.classes.place(&m.class)));
+            terms.retuned(config, &in_use)
+        };
+        if let Err(why) = self.journal.borrow_mut().keep(&changes) {
+            tracing::warn!("the configuration stays as it was: the store: {why}");
+            return None;
+        }
+        tracing::info!("configuration read anew: discovery at {}", config.discovery);
+        if !waits.is_empty() {
+            tracing::warn!("some of it waits for the next start: {}", waits.join(", "));
+        }
+        self.discovery.relocate(config.discovery);
+        self.reports.relocate(config.discovery);
+        let changed = terms.set != self.terms.borrow().set;
+        let event = changed.then(|| Event::Settings(Box::new(terms.set.clone())));
+        *self.terms.borrow_mut() = terms;
+        event
+    }
+
     /// Takes an operator's word. It is answered once the turn that it belongs to is over.
     fn word(&mut self, word: Word, reply: Reply) {
         let done = match &word {
@@ -231,6 +259,10 @@
 
     fn note(&mut self, input: Input) {
         let event = match input {
+            Input::Configured(config) => match self.configure(&config) {
+                Some(event) => event,
+                None => return,
+            },
             Input::Operator(word, reply) => return self.word(word, reply),
             Input::Event(event) => event,
             Input::Taken(mut message, since) => {
@@ -278,11 +310,12 @@
 
     fn entry(&self, m: &Member) -> Entry {
         let place = |list: &[String], name: &str| list.iter().position(|n| n == name).map(|n| n as u32);
+        let names = &self.terms.borrow().names;
         Entry {
             endpoint: endpoint(&m.id),
             dest: DestinationId(m.cell),
-            zone: place(&self.names.zones, &m.locality).unwrap_or(u32::MAX),
-            kind: place(&self.names.kinds, &m.flavor).unwrap_or(u32::MAX),
+            zone: place(&names.zones, &m.locality).unwrap_or(u32::MAX),
+            kind: place(&names.kinds, &m.flavor).unwrap_or(u32::MAX),
             phase: match m.phase {
                 State::Up => Phase::Live,
                 State::Draining => Phase::Draining,
--- a/crates/daemon/src/record.rs
+++ b/crates/daemon/src/record.rs
@@ -7,6 +7,8 @@
 
 /// Keys are a message's id and what the record is.
 pub const MESSAGES: Table = Table(1);
+/// Keys are the tags of classes, see `classes.rs`.
+pub const CLASSES: Table = Table(3);
 /// How a message that is not delivered ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
@@ -29,6 +31,7 @@
 /// A message from being taken on to its end.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Open {
+    /// By its tag.
     pub class: String,
     pub tenant: String,
     pub dest: u64,
--- a/crates/daemon/src/sender.rs
+++ b/crates/daemon/src/sender.rs
@@ -2,11 +2,11 @@
 
 use crate::admin::{self, Admin};
 use crate::calls::Calls;
-use crate::config::Config;
 use crate::discovery::Discovery;
 use crate::door::{COMING, Door};
 use crate::flight::Flight;
 use crate::inbound::Inbound;
+use crate::input::Input;
 use crate::journal::Journal;
 use crate::node::{Node, Parts};
 use crate::operator::Operator;
@@ -14,13 +14,14 @@
 use crate::reports::Reports;
 use crate::safety::Safety;
 use crate::storage;
+use crate::terms::{self, Terms};
 use notchpoint_seam::{ConfigSource, Signal, World};
 use std::cell::{Cell, RefCell};
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
-use tokio::sync::mpsc::{Receiver, unbounded_channel};
+use tokio::sync::mpsc::{Receiver, UnboundedSender, unbounded_channel};
 use tokio::time::{Instant, sleep, timeout_at};
 
 /// After SIGTERM: until then calls are started: what starts later may not end in time, and may then not be repeated.
@@ -30,6 +31,9 @@
 /// How often it is looked whether all has ended.
 const LOOK: Duration = Duration::from_millis(10);
 
+/// Mistakes in a configuration that are told one by one.
+const MISTAKES: usize = 20;
+
 pub type Failure = Box<dyn std::error::Error>;
 
 /// What a sender needs, from the environment that the platform gives it.
@@ -45,17 +49,14 @@
     Ok(World { admin, ..world })
 }
 
-fn read(source: &ConfigSource) -> Result<Config, Failure> {
-    Ok(crate::config::read(&source()?)?)
-}
-
 /// Runs one sender until it is told to end. It belongs inside a `LocalSet`.
 ///
 /// # Errors
 /// Why it could not start.
 pub async fn run(world: World, operator: Operator) -> Result<(), Failure> {
     let World { net, clock, disk, signals, config: source, admin } = world;
-    let config = read(&source)?;
+    let text = source()?;
+    let config = crate::config::read(&text)?;
     let (inputs, received) = unbounded_channel();
     let door = Rc::new(Door::default());
     let operators = Rc::new(Admin {
@@ -75,6 +76,18 @@
     let (journal, notes) = Journal::open(disk, clock.clone(), options).map_err(storage::explained)?;
     tracing::info!("journal: {notes}");
     let journal = Rc::new(RefCell::new(journal));
+    let terms = {
+        let mut journal = journal.borrow_mut();
+        let (terms, changes) = {
+            let used = journal.iter().map(|(_, m)| m.class.as_str()).collect();
+            Terms::new(&config, journal.classes(), &used)
+        };
+        // Without room for them messages would only lose their class to a change of it and a restart at once.
+        if let Err(why) = journal.keep(&changes) {
+            tracing::warn!("journal: {why}; classes are known for this process only");
+        }
+        Rc::new(RefCell::new(terms))
+    };
     let safety = Safety::new(journal.clone());
     *operators.safety.borrow_mut() = Some(safety.clone());
     let calls = Calls::new(&config, net.clone(), journal.clone(), safety.clone(), inputs.clone());
@@ -84,7 +97,7 @@
     let flight = Flight::open(&operator.recorder, &config, clock)?;
     flight.watch_panics();
     let terminate = Rc::new(Notify::new());
-    let told = Told { discovery: discovery.clone(), reports: reports.clone(), flight: flight.clone() };
+    let told = Told { in_force: text, inputs: inputs.clone(), flight: flight.clone() };
     tokio::task::spawn_local(told.heed(signals, source, terminate.clone()));
     let peers = match config.peer_listen.filter(|_| config.settings.may_note) {
         Some(address) => Some(Peers::bind(address, &config, &*net, inputs.clone())?),
@@ -93,6 +106,7 @@
     let parts = Parts {
         flight,
         journal: journal.clone(),
+        terms: terms.clone(),
         calls: calls.clone(),
         reports: reports.clone(),
         discovery,
@@ -105,8 +119,7 @@
         places: crate::inbound::places(&config),
         most_reading: crate::inbound::most_reading(&config),
         reading: Cell::new(0),
-        set: config.settings,
-        names: config.names,
+        terms,
         journal,
         safety,
         calls: calls.clone(),
@@ -142,13 +155,14 @@
 
 /// What signals are about.
 struct Told {
-    discovery: Rc<Discovery>,
-    reports: Rc<Reports>,
+    /// The configuration's text.
+    in_force: String,
+    inputs: UnboundedSender<Input>,
     flight: Rc<Flight>,
 }
 
 impl Told {
-    async fn heed(self, mut signals: Receiver<Signal>, source: ConfigSource, terminate: Rc<Notify>) {
+    async fn heed(mut self, mut signals: Receiver<Signal>, source: ConfigSource, terminate: Rc<Notify>) {
         while let Some(signal) = signals.recv().await {
             match signal {
                 Signal::Reload => self.reload(&source),
@@ -158,16 +172,22 @@
         }
     }
 
-    /// The configuration is read anew and what may change while the process runs is taken from it: where
-    /// discovery is. One that cannot be read changes nothing.
-    fn reload(&self, source: &ConfigSource) {
-        match read(source) {
+    /// The configuration is read anew, checked whole, and handed to the node as one step. One with a mistake
+    /// changes nothing.
+    fn reload(&mut self, source: &ConfigSource) {
+        let text = match source() {
+            Ok(text) => text,
+            Err(why) => return tracing::warn!("the configuration stays as it was: {why}"),
+        };
+        match terms::read(&text, &self.in_force) {
             Ok(config) => {
-                tracing::info!("configuration read anew: discovery at {}", config.discovery);
-                self.discovery.relocate(config.discovery);
-                self.reports.relocate(config.discovery);
+                self.in_force = text;
+                let _ = self.inputs.send(Input::Configured(Box::new(config)));
+            }
+            Err(wrong) => {
+                tracing::warn!("the configuration stays as it was; mistakes in the new one: {}", wrong.len());
+                wrong.iter().take(MISTAKES).for_each(|w| tracing::warn!("configuration: {w}"));
             }
-            Err(why) => tracing::warn!("the configuration stays as it was: {why}"),
         }
     }
 
--- a/crates/daemon/src/storage.rs
+++ b/crates/daemon/src/storage.rs
@@ -4,7 +4,7 @@
 use crate::duty::DUTY;
 use crate::operator::{Durability, Storage};
 use crate::out::say;
-use crate::record::{self, MESSAGES};
+use crate::record::{self, CLASSES, MESSAGES};
 use clap::Subcommand;
 use notchpoint_seam::real::Folder;
 use notchpoint_store::format::Record;
@@ -90,6 +90,7 @@
 fn table(t: Table) -> String {
     match t {
         MESSAGES => "messages".to_owned(),
+        CLASSES => "classes".to_owned(),
         DUTY => "operators' marks".to_owned(),
         other => format!("table {}", other.0),
     }
--- a/crates/daemon/tests/sockets/operations.rs
+++ b/crates/daemon/tests/sockets/operations.rs
@@ -132,3 +132,41 @@
     assert_eq!(node.say("POST /maintenance/exit?name=s-1").status(), 200);
     until("both at the partner", || endpoint.calls() == 2);
 }
+
+#[test]
+fn new_settings_come_whole_and_messages_keep_the_class_they_came_with() {
+    // The partner breaks off every call that may have run, and serves what comes after.
+    let mut calls = 0;
+    let endpoint = Endpoint::new(move |_| {
+        calls += 1;
+        if calls <= 2 { Reply::Cut } else { answer("200 OK", "", "") }
+    });
+    let members = vec![member("s-1", endpoint.address, "shop", 3, "up")];
+    let mut node = Node::new(&members, |c| c);
+    let sound = node.config();
+    assert_eq!(node.say("POST /maintenance/enter?name=s-1").status(), 200);
+    assert_eq!(node.hand_in("payment", 1, 3, 50_000, b"x").status(), 202);
+    assert_eq!(node.hand_in("express", 2, 3, 9_000, b"x").status(), 404);
+    // Payments may be repeated from now on, under the old name, and a class is new.
+    let express =
+        r#"{"name": "express", "effect": "idempotent", "sloS": 1.0, "deadlineS": 60.0, "worth": 1.0},"#;
+    let new = sound
+        .replace("\"at_most_once\"", "\"idempotent\"")
+        .replace("\"classes\": [", &format!("\"classes\": [{express}"));
+    let wrong = new.replace("\"maxAttempts\": 8", "\"maxAttempts\": 0");
+    for bad in ["", &new[..new.len() / 2], &wrong] {
+        node.reload(bad);
+    }
+    node.reload(&new);
+    until("the new class", || node.hand_in("express", 2, 3, 50_000, b"x").status() == 202);
+    assert_eq!(node.hand_in("payment", 3, 3, 50_000, b"x").status(), 202);
+    // A class that is gone is refused at the door, and its message kept as it was, over a restart.
+    let gone = new.replace("\"name\": \"payment\"", "\"name\": \"order\"");
+    node.reload(&gone);
+    until("the class is gone", || node.hand_in("payment", 4, 3, 50_000, b"x").status() == 404);
+    node.restart();
+    assert_eq!(node.say("POST /maintenance/exit?name=s-1").status(), 200);
+    // The first was taken on as a payment that must not be repeated: cut off, it is given up.
+    assert!(node.platform.notice(1).contains("dead"));
+    until("the others, of which one was cut off and repeated", || endpoint.calls() == 4);
+}
--- a/crates/daemon/tests/sockets/store.rs
+++ b/crates/daemon/tests/sockets/store.rs
@@ -47,7 +47,7 @@
     let sound = command(&["store", "check", text(&state)]);
     assert!(sound.status.success() && said(&sound).contains("messages: 4 keys"), "{}", said(&sound));
     let mut bytes = std::fs::read(node.journal()).expect("a segment");
-    let second = 64 + (bytes.len() - 64) / 4 + 30;
+    let second = bytes.windows(9).position(|w| w == b"\0\0\0\0\0\0\0\x02T").expect("the second's record");
     bytes[second] ^= 1;
     std::fs::write(node.journal(), &bytes).expect("written");
     let refused = Command::new(env!("CARGO_BIN_EXE_notchpoint"))
@@ -72,7 +72,7 @@
     let saved = command(&["store", "salvage", text(&state), "--to", text(&new)]);
     let words = said(&saved);
     assert!(
-        saved.status.code() == Some(1) && words.contains("3 keys saved") && words.contains("in doubt"),
+        saved.status.code() == Some(1) && words.contains("5 keys saved") && words.contains("in doubt"),
         "{words}"
     );
     assert_eq!(std::fs::read(node.journal()).expect("still there"), bytes, "the damaged one is only read");
--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -214,6 +214,7 @@
                 Event::Unused(id) => self.idle(*id, true),
                 Event::Closed(id) => self.idle(*id, false),
                 Event::Service { endpoint, out } => self.service(*endpoint, *out),
+                Event::Settings(set) => self.retune(set),
                 Event::Wake | Event::Probed { .. } => {}
             }
         }
@@ -263,6 +264,13 @@
         }
     }
 
+    /// New settings bind from now on: what has had all its attempts under them waits for nothing.
+    fn retune(&mut self, set: &Settings) {
+        self.set_terms(set);
+        let spent = self.held.iter().filter(|(_, h)| !h.done && h.out == 0 && !self.may(h).0);
+        spent.map(|(&id, _)| id).collect::<Vec<_>>().into_iter().for_each(|id| self.give_up(id));
+    }
+
     /// Operators restart what they take out: it comes back cold, from an outage that no call has seen.
     fn service(&mut self, id: EndpointId, out: bool) {
         let (news, others) = self.set_out(id, out);
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -346,6 +346,9 @@
         /// It is out from now on: nothing is sent to it, whatever the list says, until it is put back.
         out: bool,
     },
+    /// Other settings from now on. Classes keep their places for as long as messages use them; kinds and
+    /// tenants keep theirs.
+    Settings(Box<Settings>),
 }
 
 /// What the caller is to do, in this order.
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -252,6 +252,21 @@
         self.queued.iter().map(|id| (*id, &self.dests[id])).filter(|(_, d)| !d.queue.is_empty())
     }
 
+    /// Enters other settings, unless they do not fit what is held.
+    pub(crate) fn set_terms(&mut self, set: &Settings) {
+        let fits = set.kinds.len() == self.set.kinds.len() && set.tenants.len() == self.set.tenants.len();
+        let known = self.held.values().all(|h| h.class < set.classes.len());
+        if !fits || !known || set.check().is_err() {
+            return;
+        }
+        // A place may stand for another class from now on.
+        let changed = |c: &usize| set.classes.get(*c) != self.set.classes.get(*c);
+        for e in self.endpoints.values_mut() {
+            e.rests.retain(|c, _| !c.as_ref().is_some_and(changed));
+        }
+        self.set = set.clone();
+    }
+
     /// Enters what the list says; gives the routes that it names.
     pub(crate) fn enter(&mut self, news: &ListNews) -> Vec<RouteId> {
         enter(&mut self.endpoints, &mut self.dests, &self.set.kinds, &self.taken_out, news)
--- a/crates/recorder/src/explain.rs
+++ b/crates/recorder/src/explain.rs
@@ -419,6 +419,7 @@
         Event::Unused(_) => "a connection stands idle".into(),
         Event::Closed(_) => "an idle connection ended".into(),
         Event::Probed { .. } => "a probe ended".into(),
+        Event::Settings(_) => "other settings came into force".into(),
         Event::Service { out: true, .. } => "operators took an endpoint out".into(),
         Event::Service { .. } => "operators put an endpoint back".into(),
     }
--- a/crates/recorder/src/fleet.rs
+++ b/crates/recorder/src/fleet.rs
@@ -191,7 +191,8 @@
                 c.entries += entries;
             }
             Event::Note { .. } => self.common.entry(second).or_default().heard += 1,
-            Event::Wake | Event::Unused(_) | Event::Probed { .. } | Event::Service { .. } => {}
+            Event::Wake | Event::Unused(_) | Event::Probed { .. } => {}
+            Event::Service { .. } | Event::Settings(_) => {}
         }
     }
 
