--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -36,12 +36,35 @@
 /// After `accept` failed, and while no place can be had.
 const AGAIN: Duration = Duration::from_millis(10);
 
-/// What the listener needs of the rest.
+/// What the listener needs of the rest: nothing is there while the process starts, and after another has
+/// taken over.
+#[derive(Default)]
 pub struct Admin {
-    pub name: String,
-    pub door: Rc<Door>,
-    pub safety: RefCell<Option<Rc<Safety>>>,
-    pub inputs: UnboundedSender<Input>,
+    desk: RefCell<Option<Rc<Desk>>>,
+}
+
+struct Desk {
+    name: String,
+    door: Rc<Door>,
+    safety: Rc<Safety>,
+    inputs: UnboundedSender<Input>,
+}
+
+impl Admin {
+    /// Calls are answered from now on.
+    pub fn open(&self, name: &str, door: &Rc<Door>, safety: &Rc<Safety>, inputs: &UnboundedSender<Input>) {
+        let (door, safety, inputs) = (door.clone(), safety.clone(), inputs.clone());
+        *self.desk.borrow_mut() = Some(Rc::new(Desk { name: name.to_owned(), door, safety, inputs }));
+    }
+
+    pub fn close(&self) {
+        self.desk.borrow_mut().take();
+    }
+
+    fn desk(&self) -> Result<Rc<Desk>, No> {
+        let no = "not ready for clients: this process starts, or another has taken over";
+        self.desk.borrow().clone().ok_or_else(|| No::new(StatusCode::SERVICE_UNAVAILABLE, no))
+    }
 }
 
 /// A connection that has sent no whole call yet.
@@ -103,10 +126,13 @@
 async fn answer(admin: &Admin, request: &Request<Incoming>) -> Response<Full<Bytes>> {
     let uri = request.uri();
     let said = match operations::read(request.method(), uri.path(), uri.query()) {
-        Ok(Asked::Status) => status(admin),
+        Ok(Asked::Status) => admin.desk().map(|desk| status(&desk)),
         Ok(Asked::Word(word)) => {
             tracing::info!("operators: {word:?}");
-            told(admin, word).await
+            match admin.desk() {
+                Ok(desk) => told(&desk, word).await,
+                Err(no) => Err(no),
+            }
         }
         Err(no) => Err(no),
     };
@@ -125,32 +151,23 @@
     answer
 }
 
-fn status(admin: &Admin) -> Result<serde_json::Value, No> {
-    if !admin.door.is_open() {
-        return Err(No::new(StatusCode::SERVICE_UNAVAILABLE, "starting: not ready for clients yet"));
-    }
-    let state = match (admin.door.ending.get(), admin.door.is_standby()) {
+fn status(desk: &Desk) -> serde_json::Value {
+    let state = match (desk.door.ending.get(), desk.door.is_standby()) {
         (true, _) => "ending",
         (_, true) => "standby",
         _ => "active",
     };
-    Ok(serde_json::json!({ "ok": true, "name": admin.name, "state": state }))
+    serde_json::json!({ "ok": true, "name": desk.name, "state": state })
 }
 
 /// Hands a word to the node. A yes is given once it holds, and lasts as long as the store promises.
-async fn told(admin: &Admin, word: Word) -> Result<serde_json::Value, No> {
+async fn told(desk: &Desk, word: Word) -> Result<serde_json::Value, No> {
     let late =
         || No::new(StatusCode::SERVICE_UNAVAILABLE, "the sender did not come to it in time; ask again");
-    if !admin.door.is_open() {
-        return Err(No::new(StatusCode::SERVICE_UNAVAILABLE, "starting: ask again once /status says yes"));
-    }
     let (reply, answered) = oneshot::channel();
-    let _ = admin.inputs.send(Input::Operator(word, Reply(reply)));
+    let _ = desk.inputs.send(Input::Operator(word, Reply(reply)));
     let done = timeout(NODE_WITHIN, answered).await.map_err(|_| late())?.map_err(|_| late())??;
-    let safety = admin.safety.borrow().clone();
-    if let Some(safety) = safety
-        && !safety.reached(&done.mark, SAFE_WITHIN).await
-    {
+    if !desk.safety.reached(&done.mark, SAFE_WITHIN).await {
         return Err(late());
     }
     Ok(serde_json::json!({ "ok": true, "done": done.what }))
--- a/crates/daemon/src/calls.rs
+++ b/crates/daemon/src/calls.rs
@@ -1,6 +1,7 @@
 //! Connections and calls to endpoints: what a call came to, and whether it can have run.
 
 use crate::config::Config;
+use crate::handover::{Frame, Out, Wait};
 use crate::input::Input;
 use crate::io::{Observed, Observer};
 use crate::journal::Journal;
@@ -79,10 +80,10 @@
 
 /// One outcome, and what came with it.
 #[derive(Clone, Copy, Debug, PartialEq)]
-struct End {
-    outcome: Outcome,
-    over: bool,
-    allowance: Option<Allowance>,
+pub struct End {
+    pub outcome: Outcome,
+    pub over: bool,
+    pub allowance: Option<Allowance>,
 }
 
 impl From<Outcome> for End {
@@ -255,7 +256,13 @@
     named: RefCell<BTreeMap<DestinationId, Option<Instant>>>,
     pool: RefCell<BTreeMap<EndpointId, Vec<Idle>>>,
     waits: RefCell<BTreeMap<Route, Instant>>,
-    cancels: RefCell<BTreeMap<AttemptId, UnboundedSender<AttemptId>>>,
+    cancels: RefCell<BTreeMap<AttemptId, (EndpointId, UnboundedSender<AttemptId>)>>,
+    /// Attempts that are out at the process before this one, which tells of their ends.
+    adopted: RefCell<BTreeMap<AttemptId, EndpointId>>,
+    /// Where to tell it to stop waiting for one.
+    before: RefCell<Option<UnboundedSender<Frame>>>,
+    /// Another process decides: what is out ends here, and connections are not kept.
+    given: Cell<bool>,
     out: Cell<usize>,
     journal: Rc<RefCell<Journal>>,
     safety: Rc<Safety>,
@@ -284,6 +291,9 @@
             pool: RefCell::default(),
             waits: RefCell::default(),
             cancels: RefCell::default(),
+            adopted: RefCell::default(),
+            before: RefCell::default(),
+            given: Cell::new(false),
             out: Cell::new(0),
             journal,
             safety,
@@ -311,7 +321,9 @@
 
     /// An attempt of this message is out.
     pub fn has_out(&self, id: MessageId) -> bool {
-        self.cancels.borrow().keys().any(|k| k.0 == id)
+        let all = (id, 0)..=(id, u32::MAX);
+        let own = self.cancels.borrow().range(all.clone()).next().is_some();
+        own || self.adopted.borrow().range(all).next().is_some()
     }
 
     /// What the list says of an endpoint; connections to one that moved or left are closed.
@@ -380,7 +392,7 @@
 
     /// Attempts that are out.
     pub fn attempts_out(&self) -> usize {
-        self.cancels.borrow().len()
+        self.cancels.borrow().len() + self.adopted.borrow().len()
     }
 
     fn sweep(&self) {
@@ -401,8 +413,12 @@
 
     /// Stops waiting for an attempt.
     pub fn cancel(&self, id: MessageId, attempt: u32) {
-        if let Some(call) = self.cancels.borrow().get(&(id, attempt)) {
+        if let Some((_, call)) = self.cancels.borrow().get(&(id, attempt)) {
             let _ = call.send((id, attempt));
+        } else if self.adopted.borrow().contains_key(&(id, attempt))
+            && let Some(before) = &*self.before.borrow()
+        {
+            let _ = before.send(Frame::Cancel { id, attempt });
         }
     }
 
@@ -415,7 +431,7 @@
                 // One sent again while the call goes on for the others would be a second copy.
                 i.timeout = least;
             }
-            self.cancels.borrow_mut().insert((i.id, i.attempt), cancel.clone());
+            self.cancels.borrow_mut().insert((i.id, i.attempt), (endpoint, cancel.clone()));
         }
         self.out.set(self.out.get() + 1);
         // Chosen now, not when the call gets its turn: what became idle in between the module would count
@@ -513,7 +529,13 @@
     }
 
     fn report(&self, endpoint: EndpointId, item: &Item, end: End) {
-        let (id, attempt, outcome) = (item.id, item.attempt, end.outcome);
+        self.cancels.borrow_mut().remove(&(item.id, item.attempt));
+        self.ended(endpoint, (item.id, item.attempt), end);
+    }
+
+    /// Records how an attempt ended, and tells the node.
+    fn ended(&self, endpoint: EndpointId, (id, attempt): AttemptId, end: End) {
+        let outcome = end.outcome;
         let mut journal = self.journal.borrow_mut();
         if end.over || outcome == Outcome::Served {
             journal.end(id);
@@ -527,11 +549,58 @@
             let w = waits.entry(t.route(endpoint)).or_insert(until);
             *w = until.max(*w);
         }
-        self.cancels.borrow_mut().remove(&(id, attempt));
         let (over, allowance) = (end.over, end.allowance);
         let _ = self.inputs.send(Input::Event(Event::Ended { id, attempt, outcome, over, allowance }));
     }
 
+    /// Everything that is out is given to another process: its ends will be told there. Idle connections end.
+    /// What is out, by attempt, and the waits that are left.
+    pub fn give(&self) -> (Vec<Out>, Vec<Wait>) {
+        self.given.set(true);
+        let pool = std::mem::take(&mut *self.pool.borrow_mut());
+        pool.iter().for_each(|(&id, idle)| self.tell_closed(id, idle.len()));
+        let own = self.cancels.borrow().iter().map(|(&(id, n), (e, _))| (id, n, *e)).collect::<Vec<_>>();
+        let adopted = self.adopted.borrow().iter().map(|(&(id, n), &e)| (id, n, e)).collect::<Vec<_>>();
+        let now = Instant::now();
+        let left = |until: &Instant| until.saturating_duration_since(now).as_micros() as Micros;
+        let waits = self.waits.borrow().iter().map(|(&(d, e), until)| (d, e, left(until))).collect();
+        ([own, adopted].concat(), waits)
+    }
+
+    /// Takes over what another process has out and was told to wait for.
+    pub fn adopt(&self, out: &[Out], waits: &[Wait], before: UnboundedSender<Frame>) {
+        self.adopted.borrow_mut().extend(out.iter().map(|&(id, n, e)| ((id, n), e)));
+        let now = Instant::now();
+        let waits = waits.iter().map(|&(d, e, left)| ((d, e), now + Duration::from_micros(left)));
+        self.waits.borrow_mut().extend(waits);
+        *self.before.borrow_mut() = Some(before);
+    }
+
+    /// An attempt that was taken over has ended. Of one that is not known, since this process began from the
+    /// folder, only that its message is delivered means something.
+    pub fn adopted_ended(&self, id: MessageId, attempt: u32, end: End) {
+        let known = self.adopted.borrow_mut().remove(&(id, attempt));
+        match known {
+            Some(endpoint) => self.ended(endpoint, (id, attempt), end),
+            None => {
+                if end.over || end.outcome == Outcome::Served {
+                    self.journal.borrow_mut().end(id);
+                    let _ = self.inputs.send(Input::Event(Event::Withdrawn(id)));
+                }
+                let _ = self.inputs.send(Input::Home(id));
+            }
+        }
+    }
+
+    /// The process that had them out has ended, and their connections with it.
+    pub fn orphan(&self) {
+        self.before.borrow_mut().take();
+        let all = std::mem::take(&mut *self.adopted.borrow_mut());
+        for (attempt, endpoint) in all {
+            self.ended(endpoint, attempt, Outcome::Reset.into());
+        }
+    }
+
     /// The call itself. An error is a connection that failed; how far the request got tells what that means.
     async fn exchange(
         &self,
@@ -672,7 +741,7 @@
         let wanted =
             self.targets.borrow().get(&id).is_some_and(|t| t.live && t.address == connection.address)
                 && !self.taken_out.borrow().contains(&id);
-        if !room || !wanted || !matches!(ready, Ok(Ok(()))) || !connection.is_fit() {
+        if self.given.get() || !room || !wanted || !matches!(ready, Ok(Ok(()))) || !connection.is_fit() {
             return connection.close().await;
         }
         self.pool.borrow_mut().entry(id).or_default().push(Idle { connection, since: Instant::now() });
@@ -861,7 +930,7 @@
             let journal = Rc::new(RefCell::new(journal(folder.path())));
             let (inputs, received) = unbounded_channel();
             let safety = Safety::new(journal.clone());
-            let calls = Calls::new(&config, Rc::new(Sockets), journal.clone(), safety, inputs);
+            let calls = Calls::new(&config, Rc::new(Sockets::default()), journal.clone(), safety, inputs);
             let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
             let address = listener.local_addr().expect("an address");
             let target = Target { address, dest: DestinationId(3), live: true, apart: false, bundle };
--- a/crates/daemon/src/classes.rs
+++ b/crates/daemon/src/classes.rs
@@ -121,6 +121,21 @@
         self.places.get(place).map_or("", |p| &p.tag)
     }
 
+    /// All places, for another process that takes over: tag, definition, and whether clients may use it.
+    pub fn places(&self) -> Vec<(String, Class, bool)> {
+        self.places.iter().map(|p| (p.tag.clone(), p.class.clone(), p.current)).collect()
+    }
+
+    /// The same places as another process had.
+    pub fn from_places(places: &[(String, Class, bool)]) -> Self {
+        let place = |(tag, class, current): &(String, Class, bool)| Place {
+            tag: tag.clone(),
+            class: class.clone(),
+            current: *current,
+        };
+        Self { places: places.iter().map(place).collect() }
+    }
+
     /// The definitions by place, for the decision module.
     pub fn list(&self) -> Vec<Class> {
         self.places.iter().map(|p| p.class.clone()).collect()
--- a/crates/daemon/src/discovery.rs
+++ b/crates/daemon/src/discovery.rs
@@ -50,6 +50,18 @@
         }
     }
 
+    /// What the list was read up to.
+    pub fn revision(&self) -> u64 {
+        self.revision.get()
+    }
+
+    /// Ends the watch: another process has one.
+    pub fn stop(&self) {
+        if let Some(old) = self.watch.borrow_mut().take() {
+            old.abort();
+        }
+    }
+
     /// Begins a watch in place of the one before.
     pub fn watch(&self) {
         let (address, revision, inputs) = (self.address.get(), self.revision.clone(), self.inputs.clone());
--- a/crates/daemon/src/door.rs
+++ b/crates/daemon/src/door.rs
@@ -18,6 +18,10 @@
     standby: Cell<Option<Instant>>,
     /// The process is about to end: nothing more is taken on.
     pub ending: Cell<bool>,
+    /// Another process takes clients; what was read here is recorded there.
+    pub given: Cell<bool>,
+    /// Connections that there are.
+    pub inside: Cell<usize>,
     /// Asks connections to end between two requests.
     pub close: Closing,
     news: Notify,
@@ -29,10 +33,6 @@
         self.open.set(true);
     }
 
-    pub fn is_open(&self) -> bool {
-        self.open.get()
-    }
-
     /// Clients may be sent here.
     pub fn is_up(&self) -> bool {
         self.open.get() && self.standby.get().is_none() && !self.ending.get()
@@ -40,7 +40,7 @@
 
     /// A connection ends with its next answer.
     pub fn is_closing(&self) -> bool {
-        self.standby.get().is_some() || self.ending.get()
+        self.standby.get().is_some() || self.ending.get() || self.given.get()
     }
 
     pub fn is_standby(&self) -> bool {
--- a/crates/daemon/src/flight.rs
+++ b/crates/daemon/src/flight.rs
@@ -97,6 +97,11 @@
         *recorder = None;
     }
 
+    /// Ends the recording: another process goes on in the same folder.
+    pub fn close(&self) {
+        self.recorder.borrow_mut().take();
+    }
+
     /// Writes all that is recorded to a file of its own; none where it is off.
     pub fn dump(&self) -> io::Result<Option<PathBuf>> {
         // A panic while a turn is recorded finds it in use; the whole records before it are in the store.
--- /dev/null
+++ b/crates/daemon/src/handover.rs
@@ -0,0 +1,191 @@
+//! What passes between two processes of one sender while the new one takes over from the old, and what each
+//! does when the other falls silent. Free of I/O and clocks; `passage.rs` moves the frames.
+//!
+//! One process owns the store and decides at any moment. The old one gives its state and releases the store;
+//! the new one opens the store, says [`Frame::Owned`], and owns from then on. What is still open at the old
+//! one, calls and half-read requests, ends there, and every end is told to the owner.
+
+use crate::input::Input;
+use crate::listing::Member;
+use crate::operations::No;
+use hyper::StatusCode;
+use notchpoint_policy::{
+    Allowance, Class, DestinationId, EndpointId, Event, Message, MessageId, Micros, Outcome, Sender,
+};
+use serde::{Deserialize, Serialize};
+
+/// Raised with every change of the frames; the form of the module's state has a number of its own.
+pub const VERSION: u16 = 1;
+const MAGIC: [u8; 6] = *b"NPHAND";
+/// The first word of both sides, the same in every version.
+pub const HELLO: usize = 16;
+
+/// An attempt that is out: its message, its number, and where.
+pub type Out = (MessageId, u32, EndpointId);
+/// A wait in force on a route, and what is left of it.
+pub type Wait = (DestinationId, Option<EndpointId>, Micros);
+
+/// The state that a process gives away.
+#[derive(Clone, Serialize, Deserialize)]
+pub struct State {
+    /// The configuration in force.
+    pub text: String,
+    /// The module's clock, and the wall clock at that moment (microseconds).
+    pub at: Micros,
+    pub unix: u64,
+    pub sender: Sender,
+    /// What the module has not heard of yet.
+    pub events: Vec<Event>,
+    /// When the module asked to be called.
+    pub wake: Option<Micros>,
+    /// For each message that is open or has one out: attempts made, and out.
+    pub attempts: Vec<(MessageId, u32, u32)>,
+    /// Attempts that are out.
+    pub out: Vec<Out>,
+    /// Waits in force: what is left of each.
+    pub waits: Vec<Wait>,
+    pub members: Vec<Member>,
+    pub revision: u64,
+    /// Classes by place: tag, definition, and whether clients may use it.
+    pub classes: Vec<(String, Class, bool)>,
+}
+
+/// A request that the old process has read and the owner is to record.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Handed {
+    pub id: MessageId,
+    pub tag: String,
+    pub tenant: String,
+    pub dest: DestinationId,
+    /// What is left of its time, in microseconds.
+    pub left: Micros,
+    pub body: Vec<u8>,
+}
+
+/// What the owner says of such a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Taken {
+    /// Recorded, in this place of classes, with so much time left.
+    Yes { class: u32, left: Micros },
+    /// No room: the client is told when to come back.
+    ComeBack,
+    /// An id that is in use.
+    Conflict,
+}
+
+#[derive(Clone, Serialize, Deserialize)]
+pub enum Frame {
+    /// Old: nothing is given away, for this reason. It goes on serving.
+    No(String),
+    /// Old: this is all; the store is free.
+    State(Box<State>),
+    /// New: the store is mine.
+    Owned,
+    /// Old: an attempt ended.
+    Ended { id: MessageId, attempt: u32, outcome: Outcome, over: bool, allowance: Option<Allowance> },
+    /// New: stop waiting for an attempt.
+    Cancel { id: MessageId, attempt: u32 },
+    /// Old: a request was read whole.
+    Handed { number: u64, handed: Handed },
+    /// New: what became of it.
+    Answer { number: u64, taken: Taken },
+    /// Old: a client can have heard that its message was taken on, so long ago.
+    Heard { message: Message, ago: Micros },
+    /// Old: a client did not hear it, and its message is withdrawn.
+    Unheard(MessageId),
+}
+
+impl std::fmt::Debug for Frame {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(match self {
+            Self::No(_) => "No",
+            Self::State(_) => "State",
+            Self::Owned => "Owned",
+            Self::Ended { .. } => "Ended",
+            Self::Cancel { .. } => "Cancel",
+            Self::Handed { .. } => "Handed",
+            Self::Answer { .. } => "Answer",
+            Self::Heard { .. } => "Heard",
+            Self::Unheard(_) => "Unheard",
+        })
+    }
+}
+
+/// This build's first word.
+pub fn hello() -> [u8; HELLO] {
+    let mut word = [0; HELLO];
+    word[..6].copy_from_slice(&MAGIC);
+    word[6..8].copy_from_slice(&VERSION.to_le_bytes());
+    word[8..].copy_from_slice(&notchpoint_policy::STATE_FORM.to_le_bytes());
+    word
+}
+
+/// Whether the other side's first word is one to go on with.
+///
+/// # Errors
+/// Why it is not.
+pub fn greeted(word: &[u8; HELLO]) -> Result<(), String> {
+    let ours = hello();
+    if word[..6] != ours[..6] {
+        return Err("what speaks there is no notchpoint".into());
+    }
+    if word[6..8] != ours[6..8] {
+        let theirs = u16::from_le_bytes([word[6], word[7]]);
+        return Err(format!("the other process hands over in version {theirs}, this one in {VERSION}"));
+    }
+    if word[8..] != ours[8..] {
+        return Err("the other process's build keeps its decisions in another form".into());
+    }
+    Ok(())
+}
+
+/// What the old process tells the owner of something that happened at it.
+pub fn told(input: Input) -> Option<Frame> {
+    match input {
+        Input::Event(Event::Ended { id, attempt, outcome, over, allowance }) => {
+            Some(Frame::Ended { id, attempt, outcome, over, allowance })
+        }
+        Input::Taken(message, since) => {
+            Some(Frame::Heard { message, ago: since.elapsed().as_micros() as Micros })
+        }
+        Input::Unheard(id) => Some(Frame::Unheard(id)),
+        Input::Operator(_, reply) => {
+            let why = "another process has taken over: ask at its address";
+            reply.give(Err(No::new(StatusCode::SERVICE_UNAVAILABLE, why)));
+            None
+        }
+        // Its list, its connections and its configuration are the owner's matter now.
+        _ => None,
+    }
+}
+
+/// What the old process does when the new one falls silent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Next {
+    /// Nothing has changed hands: it goes on with the state that it wrote, and what ended meanwhile.
+    GoOn,
+    /// The new one may have decided: what the folder holds counts.
+    FromFolder,
+    /// It has been told to end.
+    Leave,
+}
+
+pub fn after_silence(owned: bool, ending: bool) -> Next {
+    match (owned, ending) {
+        (_, true) => Next::Leave,
+        (true, _) => Next::FromFolder,
+        (false, _) => Next::GoOn,
+    }
+}
+
+impl State {
+    /// What was to last for a time counted from the moment of the state has so much less of it now.
+    pub fn grow_older(&mut self, by: Micros) {
+        for event in &mut self.events {
+            if let Event::Taken(message) = event {
+                message.expires_in = message.expires_in.saturating_sub(by);
+            }
+        }
+        self.waits.iter_mut().for_each(|w| w.2 = w.2.saturating_sub(by));
+    }
+}
--- a/crates/daemon/src/inbound.rs
+++ b/crates/daemon/src/inbound.rs
@@ -3,10 +3,12 @@
 use crate::calls::Calls;
 use crate::config::Config;
 use crate::door::Door;
+use crate::handover::{Handed as Passed, Taken};
 use crate::input::Input;
 use crate::io::{Observed, Observer};
 use crate::journal::{Journal, Open};
 use crate::safety::Safety;
+use crate::successor::Successor;
 use crate::terms::Terms;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
@@ -44,6 +46,8 @@
 const UNUSED: Duration = Duration::from_millis(500);
 /// How often it is looked for a place while there is none.
 const LOOK: Duration = Duration::from_millis(20);
+/// How often a connection that is to end is looked at for the gap between two requests.
+const CLOSING_LOOK: Duration = Duration::from_millis(5);
 /// What a connection takes of the memory: hyper's two buffers, its task and its state.
 const PLACE: u64 = 32 << 10;
 /// The shares of the memory for connections and for the bodies that are being read on them.
@@ -64,6 +68,8 @@
     pub inputs: UnboundedSender<Input>,
     /// Whether clients may come in, and when connections end.
     pub door: Rc<Door>,
+    /// Once another process owns the store.
+    pub successor: RefCell<Option<Rc<Successor>>>,
     /// Connections at once.
     pub places: usize,
     /// Bytes of the bodies that are being read, and how many there may be.
@@ -229,6 +235,7 @@
     fn drop(&mut self) {
         for due in self.due.take() {
             self.inbound.journal.borrow_mut().end(due.message.id);
+            let _ = self.inbound.inputs.send(Input::Unheard(due.message.id));
         }
     }
 }
@@ -250,7 +257,10 @@
         let (inbound, seats, seat) = (inbound.clone(), seats.clone(), Rc::new(Seat::new(stream)));
         let number = seats.take(&seat);
         tokio::task::spawn_local(async move {
-            connection(inbound, seat).await;
+            let inside = &inbound.door.inside;
+            inside.set(inside.get() + 1);
+            connection(inbound.clone(), seat).await;
+            inside.set(inside.get() - 1);
             seats.leave(number);
         });
     }
@@ -285,14 +295,19 @@
         .max_buf_size(HEAD)
         .serve_connection(Observed::new(seat.stream.clone(), receipt), service);
     tokio::pin!(served);
-    let mut closing = false;
+    let (mut closing, mut told) = (false, false);
     loop {
         tokio::select! {
             biased;
             _ = &mut served => return,
-            () = inbound.door.close.wait(), if !closing => {
-                closing = true;
-                served.as_mut().graceful_shutdown();
+            () = inbound.door.close.wait(), if !closing => closing = true,
+            // A request that is being read or answered ends the connection itself; what has come in part is
+            // never dropped. hyper would, between two requests.
+            () = tokio::time::sleep(CLOSING_LOOK), if closing && !told => {
+                if seat.is_unused() {
+                    told = true;
+                    served.as_mut().graceful_shutdown();
+                }
             }
             // Dropping it ends the connection. What happened meanwhile may have moved the end.
             () = sleep_until(seat.ends_at()) => {
@@ -367,6 +382,10 @@
     if inbound.door.ending.get() || !inbound.calls.knows(handed.dest) {
         return Ok(come_back(inbound));
     }
+    let successor = inbound.successor.borrow().clone();
+    if let Some(successor) = successor {
+        return pass_on(inbound, &successor, handed, tag, body, since, receipt).await;
+    }
     let Some(left) = record(inbound, &handed, &tag, body, since)? else { return Ok(come_back(inbound)) };
     let (mark, since, mut record) =
         (inbound.safety.mark(), Instant::now(), Record { inbound, id: Some(handed.id) });
@@ -388,6 +407,55 @@
     Ok(plain(StatusCode::ACCEPTED))
 }
 
+/// Has a message recorded by the process that has taken over, and answers as it says.
+async fn pass_on(
+    inbound: &Inbound,
+    successor: &Successor,
+    handed: Handed,
+    tag: String,
+    body: Bytes,
+    since: Instant,
+    receipt: &Receipt,
+) -> Result<Response<Full<Bytes>>, StatusCode> {
+    let left = handed.time.saturating_sub(since.elapsed()).as_micros() as Micros;
+    let (id, tenant, dest) = (handed.id, handed.tenant_name, handed.dest);
+    let passed = Passed { id, tag, tenant, dest, left, body: body.to_vec() };
+    let (class, left) = match successor.take(passed).await {
+        Taken::Yes { class, left } => (class, left),
+        Taken::ComeBack => return Ok(come_back(inbound)),
+        Taken::Conflict => return Err(StatusCode::CONFLICT),
+    };
+    let (tenant, again) = (handed.tenant, handed.again);
+    let message = Message { id, class, tenant, key: None, dest, again, expires_in: left };
+    receipt.due.borrow_mut().push(Due { message, since: Instant::now(), begun: false });
+    Ok(plain(StatusCode::ACCEPTED))
+}
+
+/// Records what the process before this one has read, under the same conditions.
+pub async fn take_over(inbound: &Inbound, passed: Passed) -> Taken {
+    let place = inbound.terms.borrow().classes.place(&passed.tag);
+    let Some(class) = place.filter(|_| inbound.calls.knows(passed.dest)) else { return Taken::ComeBack };
+    let handed = Handed {
+        id: passed.id,
+        tenant: None,
+        tenant_name: passed.tenant,
+        dest: passed.dest,
+        again: false,
+        time: Duration::from_micros(passed.left),
+    };
+    let left = match record(inbound, &handed, &passed.tag, passed.body.into(), Instant::now()) {
+        Ok(Some(left)) => left,
+        Ok(None) => return Taken::ComeBack,
+        Err(_) => return Taken::Conflict,
+    };
+    let (mark, mut record) = (inbound.safety.mark(), Record { inbound, id: Some(handed.id) });
+    if !inbound.safety.reached(&mark, SAFE_WITHIN).await {
+        return Taken::ComeBack;
+    }
+    record.id = None;
+    Taken::Yes { class: class as u32, left }
+}
+
 /// Records a message and gives the time that it has left; nothing where there is no room for it.
 fn record(
     inbound: &Inbound,
@@ -612,7 +680,7 @@
                 reading: Cell::new(0),
                 calls: Calls::new(
                     &config,
-                    Rc::new(Sockets),
+                    Rc::new(Sockets::default()),
                     journal.clone(),
                     Safety::new(journal.clone()),
                     inputs.clone(),
@@ -622,6 +690,7 @@
                 journal: journal.clone(),
                 inputs,
                 door: Rc::default(),
+                successor: RefCell::default(),
             });
             let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
             let address = listener.local_addr().expect("an address");
@@ -647,7 +716,8 @@
                     receipt.wrote(b"HTTP/1.1 2");
                 }
                 drop(receipt);
-                assert!(journal.borrow().get(MessageId(1)).is_none() && received.try_recv().is_err());
+                assert!(journal.borrow().get(MessageId(1)).is_none());
+                assert!(matches!(received.try_recv(), Ok(Input::Unheard(MessageId(1)))));
             }
             // Two requests sent without waiting, and both answers flushed at once: neither is forgotten.
             let receipt = receive();
--- a/crates/daemon/src/input.rs
+++ b/crates/daemon/src/input.rs
@@ -3,8 +3,9 @@
 use crate::config::Config;
 use crate::listing::Listing;
 use crate::operations::{No, Word};
-use notchpoint_policy::{Event, Message, Micros};
+use notchpoint_policy::{Event, Message, MessageId, Micros};
 use notchpoint_store::Mark;
+use std::collections::BTreeSet;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
@@ -20,8 +21,14 @@
     Listed(Listing),
     /// The watch failed or ended.
     Unlisted,
-    /// A new configuration, checked whole.
-    Configured(Box<Config>),
+    /// A new configuration, checked whole, and its text.
+    Configured(Box<Config>, String),
+    /// The client of a message that was recorded did not hear of it; the record is gone.
+    Unheard(MessageId),
+    /// A call of this message that was out in an earlier life has ended.
+    Home(MessageId),
+    /// The process before this one has ended: what it had recorded and not told of is taken up.
+    Orphaned(BTreeSet<MessageId>),
     /// An operator's word, and where it is answered once it holds.
     Operator(Word, Reply),
 }
--- a/crates/daemon/src/journal.rs
+++ b/crates/daemon/src/journal.rs
@@ -21,7 +21,9 @@
 const ENDS: u64 = 96;
 
 pub struct Journal {
-    store: Store,
+    /// None once another process owns it: then what is known here only helps calls to their end.
+    store: Option<Store>,
+    last: Mark,
     clock: Rc<dyn Clock>,
     open: BTreeMap<MessageId, Open>,
     /// Messages without an end or a verdict.
@@ -62,13 +64,17 @@
             m.attempts.sort_by_key(|a| a.number);
         }
         let held = open.values().filter(|m| m.verdict.is_none()).count();
-        let mut journal = Self { store, clock, open, held, duty, classes, owed: VecDeque::new() };
+        let last = store.mark();
+        let mut journal =
+            Self { store: Some(store), last, clock, open, held, duty, classes, owed: VecDeque::new() };
         journal.expect_ends();
         Ok((journal, notes))
     }
 
     fn expect_ends(&mut self) {
-        self.store.expect_ends(self.open.len() as u64 * ENDS);
+        if let Some(store) = &mut self.store {
+            store.expect_ends(self.open.len() as u64 * ENDS);
+        }
     }
 
     /// Unix time in microseconds, by the clock that its deadlines are written in.
@@ -188,28 +194,47 @@
     }
 
     fn append(&mut self, batch: &Batch, work: Work) -> Result<(), Error> {
+        let Some(store) = &mut self.store else {
+            // The owner records ends; nothing new is begun here.
+            let gone = || io::Error::other("another process owns the store");
+            return if work == Work::End { Ok(()) } else { Err(gone().into()) };
+        };
+        while let Some(first) = self.owed.front() {
+            store.apply(first, Work::End)?;
+            self.owed.pop_front();
+        }
+        store.apply(batch, work).map(drop)
+    }
+
+    /// Writes all that was kept back and gives the store up, lock included. After an error it is kept.
+    pub fn release(&mut self) -> Result<(), Error> {
+        let Some(store) = &mut self.store else { return Ok(()) };
         while let Some(first) = self.owed.front() {
-            self.store.apply(first, Work::End)?;
+            store.apply(first, Work::End)?;
             self.owed.pop_front();
         }
-        self.store.apply(batch, work).map(drop)
+        store.flush()?;
+        store.sync_now()?;
+        self.last = store.mark();
+        self.store = None;
+        Ok(())
     }
 
     /// The end of all that was written, and whether a loss of power would leave all up to there.
     pub fn mark(&self) -> Mark {
-        self.store.mark()
+        self.store.as_ref().map_or(self.last, Store::mark)
     }
 
     pub fn is_firm(&self, mark: &Mark) -> bool {
-        self.store.is_firm(mark)
+        self.store.as_ref().is_none_or(|s| s.is_firm(mark))
     }
 
     pub fn sync_begin(&mut self) -> Result<Option<Sync>, Error> {
-        self.store.sync_begin()
+        self.store.as_mut().map_or(Ok(None), Store::sync_begin)
     }
 
     pub fn sync_end(&mut self, sync: &Sync, result: io::Result<()>) -> Result<(), Error> {
-        self.store.sync_end(sync, result)
+        self.store.as_mut().map_or(Ok(()), |s| s.sync_end(sync, result))
     }
 }
 
--- a/crates/daemon/src/listing.rs
+++ b/crates/daemon/src/listing.rs
@@ -1,7 +1,7 @@
 //! The list of endpoints in discovery's form.
 
 use notchpoint_policy::EndpointId;
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
 /// The list, or what changed in it.
@@ -41,7 +41,7 @@
 }
 
 /// An endpoint's line.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Member {
     pub id: String,
     pub host_port: SocketAddr,
@@ -53,7 +53,7 @@
     pub phase: State,
 }
 
-#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Deserialize, Serialize, PartialEq, Eq)]
 #[serde(rename_all = "lowercase")]
 pub enum State {
     Up,
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -6,6 +6,7 @@
 use crate::door::Door;
 use crate::duty::{Change, MOST_OUT};
 use crate::flight::Flight;
+use crate::handover::State as Given;
 use crate::input::{Answer, CLOCK_START, Done, Input, Reply};
 use crate::journal::{Journal, Open, Verdict};
 use crate::listing::{Listing, Member, State, endpoint};
@@ -16,7 +17,7 @@
 use hyper::StatusCode;
 use notchpoint_policy::*;
 use std::cell::RefCell;
-use std::collections::{BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::future::pending;
 use std::rc::Rc;
 use std::time::Duration;
@@ -29,6 +30,15 @@
     kinds: Vec<Kind>,
     tick: Duration,
     started: Instant,
+    /// The module's clock when this process started it: where it took over, the clock goes on.
+    origin: Micros,
+    /// The configuration in force, and the list as it was last told.
+    text: String,
+    members: BTreeMap<EndpointId, Member>,
+    /// Messages with a call out that began in an earlier life: what becomes of them is seen at its end.
+    elsewhere: BTreeSet<MessageId>,
+    /// Messages that the process before this one recorded and whose clients have not heard yet.
+    unheard: BTreeSet<MessageId>,
     journal: Rc<RefCell<Journal>>,
     calls: Rc<Calls>,
     reports: Rc<Reports>,
@@ -70,15 +80,89 @@
 
 impl Node {
     /// A node that has the list known before, and all messages that an earlier process left open.
-    pub fn new(config: &Config, parts: Parts) -> Result<Self, SettingsError> {
+    pub fn new(
+        config: &Config,
+        text: &str,
+        elsewhere: BTreeSet<MessageId>,
+        parts: Parts,
+    ) -> Result<Self, SettingsError> {
+        let sender = Sender::new(parts.terms.borrow().set.clone(), config.seed)?;
+        let mut node = Self::build(sender, config, text, parts);
+        node.elsewhere = elsewhere;
+        node.restore_marks();
+        let entries = node.entries(&config.known, true);
+        node.events.push(Event::List(ListNews::Restored(entries)));
+        node.resume(None);
+        Ok(node)
+    }
+
+    /// A node that goes on where another process's was. What the journal holds is that process's as well:
+    /// only notices are told again, since who was told is not known.
+    pub fn continued(config: &Config, given: Given, parts: Parts) -> Self {
+        let unix = parts.journal.borrow().unix_now();
+        let gap = unix.saturating_sub(given.unix);
+        let mut node = Self::build(given.sender, config, &given.text, parts);
+        node.origin = given.at + gap;
+        let duty = node.journal.borrow().duty().clone();
+        node.door.stand_by(duty.standby);
+        duty.out.keys().for_each(|&id| node.calls.set_out(id, true));
+        let list = Listing { revision: given.revision, complete: true, members: given.members };
+        node.entries(&list, true);
+        node.events = given.events;
+        node.events.push(Event::Wake);
+        node.wake = given.wake;
+        node.attempts = given.attempts.iter().map(|&(id, made, out)| (id, Attempts { made, out })).collect();
+        for (id, open) in node.journal.clone().borrow().iter() {
+            if let Some(verdict) = open.verdict {
+                node.reports.push(id, verdict);
+            } else if !node.attempts.contains_key(&id) {
+                node.unheard.insert(id);
+            }
+        }
+        node
+    }
+
+    /// Gives all that is known away; after that this process decides nothing. What comes in from now on is
+    /// for who took it.
+    pub fn give(mut self) -> (Given, UnboundedReceiver<Input>) {
+        self.discovery.stop();
+        self.flight.close();
+        let (out, waits) = self.calls.give();
+        // What has happened and was not told yet, in its order, and what the give-away itself brought.
+        while let Ok(input) = self.inputs.try_recv() {
+            self.note(input);
+        }
+        self.replies.drain(..).for_each(|(reply, answer)| reply.give(answer));
+        let given = Given {
+            text: self.text.clone(),
+            at: self.now(),
+            unix: self.journal.borrow().unix_now(),
+            events: std::mem::take(&mut self.events),
+            wake: self.wake,
+            attempts: self.attempts.iter().map(|(&id, a)| (id, a.made, a.out)).collect(),
+            out,
+            waits,
+            members: self.members.values().cloned().collect(),
+            revision: self.discovery.revision(),
+            classes: self.terms.borrow().classes.places(),
+            sender: self.sender,
+        };
+        (given, self.inputs)
+    }
+
+    fn build(sender: Sender, config: &Config, text: &str, parts: Parts) -> Self {
         let Parts { journal, terms, calls, reports, discovery, peers, flight, door, inputs } = parts;
-        let sender = Sender::new(terms.borrow().set.clone(), config.seed)?;
-        let mut node = Self {
+        Self {
             sender,
             terms,
             kinds: config.settings.kinds.clone(),
             tick: Duration::from_micros(config.settings.tick),
             started: Instant::now(),
+            origin: CLOCK_START,
+            text: text.to_owned(),
+            members: BTreeMap::new(),
+            elsewhere: BTreeSet::new(),
+            unheard: BTreeSet::new(),
             journal,
             calls,
             reports,
@@ -92,12 +176,7 @@
             wake: None,
             last_turn: None,
             events: Vec::new(),
-        };
-        node.restore_marks();
-        let entries = node.entries(&config.known, true);
-        node.events.push(Event::List(ListNews::Restored(entries)));
-        node.resume();
-        Ok(node)
+        }
     }
 
     /// What operators had set holds before anything is taken up or sent.
@@ -111,10 +190,17 @@
         }
     }
 
-    /// Takes up what the journal holds open. What becomes of each is the module's decision.
-    fn resume(&mut self) {
+    /// Takes up what the journal holds open, or of that only these, as far as they are not known yet. What becomes of each is the
+    /// module's decision.
+    fn resume(&mut self, only: Option<&BTreeSet<MessageId>>) {
         let journal = self.journal.clone();
         for (id, open) in journal.borrow().iter() {
+            let known = |ids: &BTreeSet<MessageId>| {
+                !ids.contains(&id) || open.verdict.is_some() || self.attempts.contains_key(&id)
+            };
+            if only.is_some_and(known) || self.elsewhere.contains(&id) {
+                continue;
+            }
             if let Some(verdict) = open.verdict {
                 self.reports.push(id, verdict);
                 continue;
@@ -148,14 +234,15 @@
     }
 
     fn now(&self) -> Micros {
-        CLOCK_START + self.started.elapsed().as_micros() as Micros
+        self.origin + self.started.elapsed().as_micros() as Micros
     }
 
     /// Runs for as long as it is polled. Dropping it between two polls stops all decisions; calls that are
     /// out go on, and their ends still reach the journal.
     pub async fn run(&mut self) {
         loop {
-            let wake = self.wake.map(|at| self.started + Duration::from_micros(at - CLOCK_START));
+            let wake =
+                self.wake.map(|at| self.started + Duration::from_micros(at.saturating_sub(self.origin)));
             let alarm = async {
                 match wake {
                     Some(at) => sleep_until(at).await,
@@ -186,7 +273,7 @@
     }
 
     /// Takes a new configuration, as one step: what the store does not take is not in force.
-    fn configure(&mut self, config: &Config) -> Option<Event> {
+    fn configure(&mut self, config: &Config, text: String) -> Option<Event> {
         let (terms, changes, waits) = {
             let (terms, journal) = (self.terms.borrow(), self.journal.borrow());
             // Also what was taken on and the module has not heard of yet.
@@ -198,6 +285,7 @@
             tracing::warn!("the configuration stays as it was: the store: {why}");
             return None;
         }
+        self.text = text;
         tracing::info!("configuration read anew: discovery at {}", config.discovery);
         if !waits.is_empty() {
             tracing::warn!("some of it waits for the next start: {}", waits.join(", "));
@@ -259,7 +347,18 @@
 
     fn note(&mut self, input: Input) {
         let event = match input {
-            Input::Configured(config) => match self.configure(&config) {
+            // Nothing is owed for it, and the record is gone.
+            Input::Unheard(_) => return,
+            Input::Home(id) => {
+                let home = self.elsewhere.remove(&id);
+                return self.resume(Some(&home.then_some(id).into_iter().collect()));
+            }
+            Input::Orphaned(mut taken) => {
+                taken.append(&mut self.elsewhere);
+                taken.append(&mut self.unheard);
+                return self.resume(Some(&taken));
+            }
+            Input::Configured(config, text) => match self.configure(&config, text) {
                 Some(event) => event,
                 None => return,
             },
@@ -289,8 +388,18 @@
     }
 
     /// Enters a list where calls are made from, and turns it into the module's form.
-    fn entries(&self, news: &Listing, whole: bool) -> Vec<Entry> {
+    fn entries(&mut self, news: &Listing, whole: bool) -> Vec<Entry> {
         let entries: Vec<Entry> = news.members.iter().map(|m| self.entry(m)).collect();
+        if whole {
+            self.members.clear();
+        }
+        for (e, m) in entries.iter().zip(&news.members) {
+            if m.phase == State::Removed {
+                self.members.remove(&e.endpoint);
+            } else {
+                self.members.insert(e.endpoint, m.clone());
+            }
+        }
         if whole {
             let named: HashSet<_> = entries.iter().map(|e| e.endpoint).collect();
             let left = self.calls.listed().into_iter().filter(|id| !named.contains(id));
@@ -343,7 +452,7 @@
                 Action::Refuse { id, after } => self.end(id, Verdict::Bounced(after.div_ceil(1_000))),
                 Action::Fail { id } => self.end(id, Verdict::Dead),
                 Action::WakeAt(at) => {
-                    let at = at.max(CLOCK_START);
+                    let at = at.max(self.origin);
                     self.wake = Some(self.wake.map_or(at, |w| w.min(at)));
                 }
                 Action::Watch => self.discovery.watch(),
--- /dev/null
+++ b/crates/daemon/src/passage.rs
@@ -0,0 +1,167 @@
+//! Moves the frames of a hand-over between two processes. What they mean is in `handover.rs`.
+
+use crate::handover::{Frame, HELLO, State, greeted, hello};
+use notchpoint_seam::{Listener, Network, Stream, net::accept};
+use std::future::poll_fn;
+use std::io::{self, ErrorKind};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tokio::task::JoinHandle;
+use tokio::time::{sleep, timeout};
+
+/// The private place where a process that serves is asked to hand over.
+pub const PLACE: &str = "notchpoint.handover";
+/// Whoever asks says its first word within this.
+const GREETING: Duration = Duration::from_millis(500);
+/// The state comes within this, or the folder has to do. A process that is stopped or starved gives nothing.
+const GIVING: Duration = Duration::from_secs(2);
+/// A state holds no bodies; messages and attempts are some hundred bytes each.
+const LONGEST: usize = 64 << 20;
+/// Read at a time, so that a length that is a lie takes no memory.
+const BLOCK: usize = 64 << 10;
+
+/// Both directions to the other process. Where it has gone, `from` ends.
+pub struct Ends {
+    pub to: UnboundedSender<Frame>,
+    pub from: UnboundedReceiver<Frame>,
+}
+
+/// Two ends of one way, within a process.
+pub fn pair() -> (Ends, Ends) {
+    let ((a, from_a), (b, from_b)) = (unbounded_channel(), unbounded_channel());
+    (Ends { to: a, from: from_b }, Ends { to: b, from: from_a })
+}
+
+async fn read(stream: &dyn Stream, mut len: usize) -> io::Result<Vec<u8>> {
+    let (mut all, mut block) = (Vec::new(), vec![0; BLOCK.min(len)]);
+    while len > 0 {
+        poll_fn(|cx| stream.poll_read_ready(cx)).await?;
+        let most = BLOCK.min(len);
+        match stream.try_read(&mut block[..most]) {
+            Ok(0) => return Err(ErrorKind::UnexpectedEof.into()),
+            Ok(n) => {
+                all.extend_from_slice(&block[..n]);
+                len -= n;
+            }
+            Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+            Err(e) => return Err(e),
+        }
+    }
+    Ok(all)
+}
+
+async fn write(stream: &dyn Stream, mut bytes: &[u8]) -> io::Result<()> {
+    while !bytes.is_empty() {
+        poll_fn(|cx| stream.poll_write_ready(cx)).await?;
+        match stream.try_write(bytes) {
+            Ok(n) => bytes = &bytes[n..],
+            Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+            Err(e) => return Err(e),
+        }
+    }
+    Ok(())
+}
+
+async fn read_frame(stream: &dyn Stream) -> io::Result<Frame> {
+    let head = read(stream, 4).await?;
+    let len = head.first_chunk().map_or(usize::MAX, |b| u32::from_le_bytes(*b) as usize);
+    if len > LONGEST {
+        return Err(io::Error::new(ErrorKind::InvalidData, format!("a frame of {len} bytes")));
+    }
+    let bytes = read(stream, len).await?;
+    postcard::from_bytes(&bytes).map_err(|e| io::Error::new(ErrorKind::InvalidData, e))
+}
+
+async fn write_frame(stream: &dyn Stream, frame: &Frame) -> io::Result<()> {
+    let bytes = postcard::to_allocvec(frame).map_err(|e| io::Error::new(ErrorKind::InvalidData, e))?;
+    let mut all = (bytes.len() as u32).to_le_bytes().to_vec();
+    all.extend(bytes);
+    write(stream, &all).await
+}
+
+/// Frames go both ways from now on, until either side ends. The task ends once all that was sent is written.
+fn pump(stream: Rc<dyn Stream>) -> (Ends, JoinHandle<()>) {
+    let (near, mut far) = pair();
+    let (reader, to) = (stream.clone(), far.to.clone());
+    let reading = tokio::task::spawn_local(async move {
+        while let Ok(frame) = read_frame(&*reader).await {
+            if to.send(frame).is_err() {
+                return;
+            }
+        }
+    });
+    drop(far.to);
+    let writing = tokio::task::spawn_local(async move {
+        while let Some(frame) = far.from.recv().await {
+            if write_frame(&*stream, &frame).await.is_err() {
+                break;
+            }
+        }
+        reading.abort();
+    });
+    (near, writing)
+}
+
+/// Waits until a process asks that may take over. Others are told why not.
+pub async fn asked(listener: &dyn Listener) -> Rc<dyn Stream> {
+    loop {
+        let Ok(stream) = accept(listener).await else {
+            sleep(Duration::from_millis(10)).await;
+            continue;
+        };
+        let word = async {
+            let word = read(&*stream, HELLO).await?;
+            write(&*stream, &hello()).await?;
+            word.first_chunk().copied().ok_or(io::Error::from(ErrorKind::UnexpectedEof))
+        };
+        match timeout(GREETING, word).await {
+            Ok(Ok(word)) => match greeted(&word) {
+                Ok(()) => return stream,
+                Err(why) => tracing::warn!("hand-over: {why}; this one goes on serving"),
+            },
+            _ => tracing::warn!("hand-over: somebody asked and said nothing"),
+        }
+    }
+}
+
+/// Gives the state away.
+pub fn give(stream: Rc<dyn Stream>, state: State) -> (Ends, JoinHandle<()>) {
+    let (ends, written) = pump(stream);
+    let _ = ends.to.send(Frame::State(Box::new(state)));
+    (ends, written)
+}
+
+/// Tells who asked that nothing is given.
+pub async fn refuse(stream: &dyn Stream, why: &str) {
+    let _ = timeout(GREETING, write_frame(stream, &Frame::No(why.to_owned()))).await;
+}
+
+/// What a process that starts finds.
+pub enum Found {
+    /// Nobody serves, or nobody who speaks.
+    Nobody,
+    /// One that goes on serving.
+    Refused(String),
+    /// All that the other had.
+    State(Box<State>, Ends),
+}
+
+/// Asks who serves to hand over.
+pub async fn ask(net: &dyn Network) -> Found {
+    let Ok(Ok(stream)) = timeout(GREETING, net.connect_within(PLACE)).await else { return Found::Nobody };
+    let state = async {
+        write(&*stream, &hello()).await?;
+        let word = read(&*stream, HELLO).await?;
+        let word = word.first_chunk().copied().ok_or(io::Error::from(ErrorKind::UnexpectedEof))?;
+        greeted(&word).map_err(io::Error::other)?;
+        read_frame(&*stream).await
+    };
+    match timeout(GIVING, state).await {
+        Ok(Ok(Frame::State(state))) => Found::State(state, pump(stream.clone()).0),
+        Ok(Ok(Frame::No(why))) => Found::Refused(why),
+        Ok(Ok(frame)) => Found::Refused(format!("{frame:?} came in place of the state")),
+        Ok(Err(e)) => Found::Refused(e.to_string()),
+        Err(_) => Found::Refused("no state came in time".into()),
+    }
+}
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -10,6 +10,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::mpsc::UnboundedSender;
+use tokio::task::AbortHandle;
 use tokio::time::sleep;
 
 /// A longer datagram is not allowed.
@@ -20,6 +21,14 @@
     socket: Rc<dyn Datagrams>,
     peers: Vec<SocketAddr>,
     all: Option<SocketAddr>,
+    /// Hears for as long as this lives; then the address is free for another process.
+    hears: AbortHandle,
+}
+
+impl Drop for Peers {
+    fn drop(&mut self) {
+        self.hears.abort();
+    }
 }
 
 impl Peers {
@@ -32,7 +41,7 @@
         let socket = net.datagrams(address)?;
         let (peers, all) = (config.peers.clone(), config.peers_all);
         let (heard, known) = (socket.clone(), peers.clone());
-        tokio::task::spawn_local(async move {
+        let hears = tokio::task::spawn_local(async move {
             let mut buffer = [0; LONGEST + 1];
             loop {
                 // An error tells of an earlier datagram that found nobody. A lasting one must not spin.
@@ -47,7 +56,7 @@
                 }
             }
         });
-        Ok(Self { socket, peers, all })
+        Ok(Self { socket, peers, all, hears: hears.abort_handle() })
     }
 
     /// A note may be lost, so failing to send one is no matter.
--- a/crates/daemon/src/sender.rs
+++ b/crates/daemon/src/sender.rs
@@ -1,28 +1,38 @@
 //! One real sender: its parts, its start and its end.
 
 use crate::admin::{self, Admin};
-use crate::calls::Calls;
+use crate::calls::{Calls, End};
+use crate::config::Config;
 use crate::discovery::Discovery;
 use crate::door::{COMING, Door};
 use crate::flight::Flight;
+use crate::handover::{Frame, Next, State, Taken, after_silence, told};
 use crate::inbound::Inbound;
 use crate::input::Input;
 use crate::journal::Journal;
 use crate::node::{Node, Parts};
 use crate::operator::Operator;
+use crate::passage::{self, Ends, Found};
 use crate::peers::Peers;
 use crate::reports::Reports;
 use crate::safety::Safety;
 use crate::storage;
+use crate::successor::Successor;
 use crate::terms::{self, Terms};
-use notchpoint_seam::{ConfigSource, Signal, World};
+use notchpoint_policy::MessageId;
+use notchpoint_seam::{Clock, ConfigSource, Disk, Listener, Network, Signal, World};
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
+use std::future::pending;
+use std::io::ErrorKind;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
-use tokio::sync::mpsc::{Receiver, UnboundedSender, unbounded_channel};
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::sync::mpsc::{Receiver, UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 /// After SIGTERM: until then calls are started: what starts later may not end in time, and may then not be repeated.
 const SENDING: Duration = Duration::from_millis(2_200);
@@ -31,6 +41,10 @@
 /// How often it is looked whether all has ended.
 const LOOK: Duration = Duration::from_millis(10);
 
+/// How often a process that starts looks whether the store is free, and asks its owner to hand over.
+const WAITING: Duration = Duration::from_millis(50);
+/// The last word to the new process is written within this.
+const WRITTEN: Duration = Duration::from_millis(200);
 /// Mistakes in a configuration that are told one by one.
 const MISTAKES: usize = 20;
 
@@ -43,10 +57,21 @@
 pub fn surroundings() -> Result<World, Failure> {
     let variable =
         |name: &str| std::env::var_os(name).map(PathBuf::from).ok_or_else(|| format!("{name} is not set"));
-    let world = notchpoint_seam::real::world(&variable("BALANCER_STATE")?, variable("BALANCER_CONFIG")?)?;
+    let within = std::env::var_os("TMPDIR").map(PathBuf::from);
+    let (state, config) = (variable("BALANCER_STATE")?, variable("BALANCER_CONFIG")?);
+    // Before anything else is opened: a number that is free by mistake is not taken for the socket.
+    let accept = match std::env::var("BALANCER_ACCEPT_FD").ok().filter(|n| !n.is_empty()) {
+        Some(number) => Some(
+            (number.parse().map_err(|e: std::num::ParseIntError| e.to_string()))
+                .and_then(|n| notchpoint_seam::real::inherited(n).map_err(|e| e.to_string()))
+                .map_err(|e| format!("BALANCER_ACCEPT_FD: {number} is no listening socket: {e}"))?,
+        ),
+        None => None,
+    };
+    let world = notchpoint_seam::real::world(&state, config, within)?;
     let admin = std::env::var("BALANCER_ADMIN_ADDR").ok().filter(|a| !a.is_empty());
     let admin = admin.map(|a| a.parse().map_err(|e| format!("BALANCER_ADMIN_ADDR: {a}: {e}"))).transpose()?;
-    Ok(World { admin, ..world })
+    Ok(World { admin, accept, ..world })
 }
 
 /// Runs one sender until it is told to end. It belongs inside a `LocalSet`.
@@ -54,107 +79,441 @@
 /// # Errors
 /// Why it could not start.
 pub async fn run(world: World, operator: Operator) -> Result<(), Failure> {
-    let World { net, clock, disk, signals, config: source, admin } = world;
-    let text = source()?;
-    let config = crate::config::read(&text)?;
-    let (inputs, received) = unbounded_channel();
-    let door = Rc::new(Door::default());
-    let operators = Rc::new(Admin {
-        name: config.name.clone(),
-        door: door.clone(),
-        safety: RefCell::default(),
-        inputs: inputs.clone(),
-    });
+    let World { net, clock, disk, signals, config: source, admin, accept } = world;
+    let own = source().map_err(Failure::from).and_then(|text| Ok((crate::config::read(&text)?, text)));
+    let operators = Rc::new(Admin::default());
     // First of all: operators are told that it starts while it does.
-    if let Some(address) = admin.or(config.admin) {
-        let listener =
-            net.listen(address).map_err(|e| format!("operators' address (admin_addr) {address}: {e}"))?;
-        tracing::info!("operators at {}", listener.local_addr()?);
-        tokio::task::spawn_local(admin::serve(operators.clone(), listener));
-    }
-    let options = storage::options(&config, &operator.store);
-    let (journal, notes) = Journal::open(disk, clock.clone(), options).map_err(storage::explained)?;
-    tracing::info!("journal: {notes}");
-    let journal = Rc::new(RefCell::new(journal));
-    let terms = {
-        let mut journal = journal.borrow_mut();
-        let (terms, changes) = {
-            let used = journal.iter().map(|(_, m)| m.class.as_str()).collect();
-            Terms::new(&config, journal.classes(), &used)
+    let mut admin = admin.or(own.as_ref().ok().and_then(|(config, _)| config.admin));
+    let known = admin.is_some();
+    if let Some(address) = admin {
+        listen_for_operators(&*net, address, &operators)?;
+    }
+    let told = Rc::new(Told::default());
+    let source = Rc::new(source);
+    tokio::task::spawn_local(told.clone().heed(signals, source.clone()));
+    let fixed = Fixed { net, clock, disk, accept, operator, operators, told };
+    let mut before = Before::Nobody;
+    if fixed.accept.is_some() {
+        before = fixed.ask().await;
+    }
+    let mut own = Some(own);
+    loop {
+        let (config, text) = match (&before, own.take()) {
+            // What is in force there; whether the file says something else is looked at afterwards.
+            (Before::Given(state, _), _) => (crate::config::read(&state.text)?, state.text.clone()),
+            (_, Some(own)) => own?,
+            (_, None) => {
+                let text = fixed.told.text();
+                (crate::config::read(&text)?, text)
+            }
         };
-        // Without room for them messages would only lose their class to a change of it and a restart at once.
-        if let Err(why) = journal.keep(&changes) {
-            tracing::warn!("journal: {why}; classes are known for this process only");
+        // Where the file cannot be read just now, the address stands in what the other process had in force.
+        if let Some(address) = config.admin.filter(|_| !known && admin.is_none()) {
+            admin = Some(address);
+            listen_for_operators(&*fixed.net, address, &fixed.operators)?;
+        }
+        match fixed.live(config, text, before, &source).await? {
+            Some(next) => before = next,
+            None => return Ok(()),
         }
-        Rc::new(RefCell::new(terms))
-    };
-    let safety = Safety::new(journal.clone());
-    *operators.safety.borrow_mut() = Some(safety.clone());
-    let calls = Calls::new(&config, net.clone(), journal.clone(), safety.clone(), inputs.clone());
-    let reports = Reports::new(config.discovery, net.clone(), journal.clone());
-    let discovery = Discovery::new(config.discovery, config.known.revision, net.clone(), inputs.clone());
-    let discovery = Rc::new(discovery);
-    let flight = Flight::open(&operator.recorder, &config, clock)?;
-    flight.watch_panics();
-    let terminate = Rc::new(Notify::new());
-    let told = Told { in_force: text, inputs: inputs.clone(), flight: flight.clone() };
-    tokio::task::spawn_local(told.heed(signals, source, terminate.clone()));
-    let peers = match config.peer_listen.filter(|_| config.settings.may_note) {
-        Some(address) => Some(Peers::bind(address, &config, &*net, inputs.clone())?),
-        None => None,
-    };
-    let parts = Parts {
-        flight,
-        journal: journal.clone(),
-        terms: terms.clone(),
-        calls: calls.clone(),
-        reports: reports.clone(),
-        discovery,
-        peers,
-        door: door.clone(),
-        inputs: received,
-    };
-    let mut node = Node::new(&config, parts)?;
-    let inbound = Rc::new(Inbound {
-        places: crate::inbound::places(&config),
-        most_reading: crate::inbound::most_reading(&config),
-        reading: Cell::new(0),
-        terms,
-        journal,
-        safety,
-        calls: calls.clone(),
-        inputs,
-        door: door.clone(),
-    });
-    // What was left open is taken up: only now is the sender ready.
-    let listener = net.listen(config.listen)?;
-    tracing::info!("listening on {}", listener.local_addr()?);
-    tokio::task::spawn_local(crate::inbound::serve(inbound, listener));
-    let watched = door.clone();
-    tokio::task::spawn_local(async move { watched.watch().await });
-    door.open();
-    tokio::select! {
-        biased;
-        () = node.run() => {}
-        () = terminate.notified() => {}
-    }
-    let told = Instant::now();
-    door.ending.set(true);
-    let _ = timeout_at(told + COMING, node.run()).await;
-    // Idle connections end between two requests; one that crosses this comes again on a new connection.
-    door.close.say();
-    while told.elapsed() < SENDING && !node.is_done() {
-        let _ = timeout_at(Instant::now() + LOOK, node.run()).await;
-    }
-    // No decision is made any more. What ends from here on is recorded, and the rest is for the next process.
-    while told.elapsed() < LAST && (calls.out() > 0 || !reports.is_empty()) {
-        sleep(LOOK).await;
     }
+}
+
+fn listen_for_operators(
+    net: &dyn Network,
+    address: SocketAddr,
+    operators: &Rc<Admin>,
+) -> Result<(), Failure> {
+    let listener =
+        net.listen(address).map_err(|e| format!("operators' address (admin_addr) {address}: {e}"))?;
+    tracing::info!("operators at {}", listener.local_addr()?);
+    tokio::task::spawn_local(admin::serve(operators.clone(), listener));
     Ok(())
 }
 
+/// Who served before.
+enum Before {
+    Nobody,
+    /// Another process, which gave its state.
+    Given(Box<State>, Ends),
+    /// What is left of this process's own earlier life, beside the folder: messages with a call out there.
+    Rest(Ends, BTreeSet<MessageId>),
+}
+
+/// What lasts as long as the process, however often it takes over.
+struct Fixed {
+    net: Rc<dyn Network>,
+    clock: Rc<dyn Clock>,
+    disk: Rc<dyn Disk>,
+    accept: Option<Rc<dyn Listener>>,
+    operator: Operator,
+    operators: Rc<Admin>,
+    told: Rc<Told>,
+}
+
+impl Fixed {
+    /// Asks who serves to hand over.
+    async fn ask(&self) -> Before {
+        match passage::ask(&*self.net).await {
+            Found::Nobody => Before::Nobody,
+            Found::Refused(why) => {
+                tracing::warn!("hand-over: {why}; waiting for the store");
+                Before::Nobody
+            }
+            Found::State(state, ends) => {
+                tracing::info!("hand-over: {} attempts are out there", state.out.len());
+                Before::Given(state, ends)
+            }
+        }
+    }
+
+    /// Opens the store. Where processes may take turns it waits for the one that has it, and goes on asking
+    /// that one to hand over; none where this one was told to end meanwhile.
+    async fn open(
+        &self,
+        options: notchpoint_store::Options,
+        before: &mut Before,
+    ) -> Result<Option<(Journal, notchpoint_store::Notes)>, Failure> {
+        let mut said = false;
+        loop {
+            match Journal::open(self.disk.clone(), self.clock.clone(), options.clone()) {
+                Ok(opened) => return Ok(Some(opened)),
+                Err(notchpoint_store::Error::Io(e))
+                    if e.kind() == ErrorKind::WouldBlock && self.accept.is_some() =>
+                {
+                    if !std::mem::replace(&mut said, true) {
+                        tracing::info!("waiting: {e}");
+                    }
+                }
+                Err(e) => return Err(storage::explained(e)),
+            }
+            tokio::select! {
+                biased;
+                () = self.told.terminate.notified() => return Ok(None),
+                () = sleep(WAITING) => {}
+            }
+            // One that had given its store away and finds yet another owner asks for nothing: it would take
+            // the store from a process that is newer.
+            if matches!(before, Before::Nobody) {
+                *before = self.ask().await;
+            }
+        }
+    }
+
+    /// One life: from the store's opening until the end, or until another process that had taken over falls
+    /// silent.
+    async fn live(
+        &self,
+        mut config: Config,
+        mut text: String,
+        mut before: Before,
+        source: &ConfigSource,
+    ) -> Result<Option<Before>, Failure> {
+        let options = storage::options(&config, &self.operator.store);
+        let Some((journal, notes)) = self.open(options, &mut before).await? else { return Ok(None) };
+        tracing::info!("journal: {notes}");
+        if let Before::Given(state, ends) = &before {
+            let _ = ends.to.send(Frame::Owned);
+            (config, text) = (crate::config::read(&state.text)?, state.text.clone());
+        }
+        let journal = Rc::new(RefCell::new(journal));
+        let terms = Rc::new(RefCell::new(terms(&config, &before, &mut journal.borrow_mut())));
+        let safety = Safety::new(journal.clone());
+        let (inputs, received) = unbounded_channel();
+        let calls = Calls::new(&config, self.net.clone(), journal.clone(), safety.clone(), inputs.clone());
+        let reports = Reports::new(config.discovery, self.net.clone(), journal.clone());
+        let revision = match &before {
+            Before::Given(state, _) => state.revision,
+            _ => config.known.revision,
+        };
+        let discovery = Discovery::new(config.discovery, revision, self.net.clone(), inputs.clone());
+        let discovery = Rc::new(discovery);
+        let flight = Flight::open(&self.operator.recorder, &config, self.clock.clone())?;
+        flight.watch_panics();
+        self.told.begin(&text, &inputs, &flight);
+        let door = Rc::new(Door::default());
+        let peers = match config.peer_listen.filter(|_| config.settings.may_note) {
+            Some(address) => Some(Peers::bind(address, &config, &*self.net, inputs.clone())?),
+            None => None,
+        };
+        let parts = Parts {
+            flight,
+            journal: journal.clone(),
+            terms: terms.clone(),
+            calls: calls.clone(),
+            reports: reports.clone(),
+            discovery: discovery.clone(),
+            peers,
+            door: door.clone(),
+            inputs: received,
+        };
+        let inbound = Rc::new(Inbound {
+            places: crate::inbound::places(&config),
+            most_reading: crate::inbound::most_reading(&config),
+            reading: Cell::new(0),
+            terms,
+            journal: journal.clone(),
+            safety: safety.clone(),
+            calls: calls.clone(),
+            inputs: inputs.clone(),
+            door: door.clone(),
+            successor: RefCell::default(),
+        });
+        let mut node = match before {
+            Before::Given(mut state, ends) => {
+                let gap = journal.borrow().unix_now().saturating_sub(state.unix);
+                state.grow_older(gap);
+                calls.adopt(&state.out, &state.waits, ends.to.clone());
+                tokio::task::spawn_local(inherit(inbound.clone(), ends));
+                // One that is silent: the watch is begun anew, from where the other's had come.
+                discovery.watch();
+                Node::continued(&config, *state, parts)
+            }
+            Before::Rest(ends, out) => {
+                tokio::task::spawn_local(inherit(inbound.clone(), ends));
+                Node::new(&config, &text, out, parts)?
+            }
+            Before::Nobody => Node::new(&config, &text, BTreeSet::new(), parts)?,
+        };
+        // What was left open is taken up: only now is the sender ready.
+        let listener = match &self.accept {
+            Some(listener) => listener.clone(),
+            None => self.net.listen(config.listen)?,
+        };
+        tracing::info!("listening on {}", listener.local_addr()?);
+        let accepting = tokio::task::spawn_local(crate::inbound::serve(inbound.clone(), listener));
+        let watched = door.clone();
+        let watching = tokio::task::spawn_local(async move { watched.watch().await });
+        door.open();
+        self.operators.open(&config.name, &door, &safety, &inputs);
+        self.told.look_again(source);
+        let asked = self.accept.as_ref().and_then(|_| {
+            let place = self.net.listen_within(passage::PLACE);
+            place.inspect_err(|e| tracing::warn!("no hand-over will be possible: {e}")).ok()
+        });
+        loop {
+            let asking = async {
+                match &asked {
+                    Some(listener) => passage::asked(&**listener).await,
+                    None => pending().await,
+                }
+            };
+            let stream = tokio::select! {
+                biased;
+                () = node.run() => break,
+                () = self.told.terminate.notified() => break,
+                stream = asking => stream,
+            };
+            // From here to the frames nothing waits: no event falls between the two owners.
+            let released = journal.borrow_mut().release();
+            if let Err(why) = released {
+                tracing::warn!("hand-over: the store cannot be given up: {why}");
+                passage::refuse(&*stream, &why.to_string()).await;
+                continue;
+            }
+            accepting.abort();
+            watching.abort();
+            drop(asked);
+            door.given.set(true);
+            let (state, received) = node.give();
+            let (ends, written) = passage::give(stream, state.clone());
+            *inbound.successor.borrow_mut() = Some(Rc::new(Successor::new(ends.to.clone())));
+            door.close.say();
+            self.operators.close();
+            tracing::info!("handed over; {} calls end here", calls.out());
+            let rest = Rest { inbound, received, told: Vec::new() };
+            return Ok(rest.end(&self.told.terminate, state, ends, written).await);
+        }
+        let told = Instant::now();
+        door.ending.set(true);
+        let _ = timeout_at(told + COMING, node.run()).await;
+        // Idle connections end between two requests; one that crosses this comes again on a new connection.
+        door.close.say();
+        while told.elapsed() < SENDING && !node.is_done() {
+            let _ = timeout_at(Instant::now() + LOOK, node.run()).await;
+        }
+        // No decision is made any more. What ends from here on is recorded, and the rest is for the next
+        // process.
+        while told.elapsed() < LAST && (calls.out() > 0 || !reports.is_empty()) {
+            sleep(LOOK).await;
+        }
+        Ok(None)
+    }
+}
+
+/// The terms that a life begins with.
+fn terms(config: &Config, before: &Before, journal: &mut Journal) -> Terms {
+    if let Before::Given(state, _) = before {
+        return Terms::continued(config, state.sender.settings(), &state.classes);
+    }
+    let (terms, changes) = {
+        let used = journal.iter().map(|(_, m)| m.class.as_str()).collect();
+        Terms::new(config, journal.classes(), &used)
+    };
+    // Without room for them messages would only lose their class to a change of it and a restart at once.
+    if let Err(why) = journal.keep(&changes) {
+        tracing::warn!("journal: {why}; classes are known for this process only");
+    }
+    terms
+}
+
+/// Hears what the process before this one still tells, until it has ended.
+async fn inherit(inbound: Rc<Inbound>, ends: Ends) {
+    let Ends { to, mut from } = ends;
+    // What was recorded here for clients that have not heard yet.
+    let taken: Rc<RefCell<BTreeSet<MessageId>>> = Rc::default();
+    while let Some(frame) = from.recv().await {
+        match frame {
+            Frame::Ended { id, attempt, outcome, over, allowance } => {
+                inbound.calls.adopted_ended(id, attempt, End { outcome, over, allowance });
+            }
+            Frame::Handed { number, handed } => {
+                let (inbound, to, recorded, id) = (inbound.clone(), to.clone(), taken.clone(), handed.id);
+                tokio::task::spawn_local(async move {
+                    let taken = crate::inbound::take_over(&inbound, handed).await;
+                    if matches!(taken, Taken::Yes { .. }) {
+                        recorded.borrow_mut().insert(id);
+                    }
+                    let _ = to.send(Frame::Answer { number, taken });
+                });
+            }
+            Frame::Heard { message, ago } => {
+                taken.borrow_mut().remove(&message.id);
+                let since = Instant::now();
+                let since = since.checked_sub(Duration::from_micros(ago)).unwrap_or(since);
+                let _ = inbound.inputs.send(Input::Taken(message, since));
+            }
+            Frame::Unheard(id) => {
+                taken.borrow_mut().remove(&id);
+                inbound.journal.borrow_mut().end(id);
+            }
+            other => tracing::warn!("hand-over: {other:?} came from the process before"),
+        }
+    }
+    tracing::info!("hand-over: the process before has ended");
+    inbound.calls.orphan();
+    let taken = taken.take();
+    let _ = inbound.inputs.send(Input::Orphaned(taken));
+}
+
+/// What is left of a life whose store and decisions another process has.
+struct Rest {
+    inbound: Rc<Inbound>,
+    received: UnboundedReceiver<Input>,
+    /// What was told to an owner that has not said yet that it is one.
+    told: Vec<Frame>,
+}
+
+impl Rest {
+    /// Nothing is open here any more, nor at a process before this one, whose word passes through here.
+    fn is_done(&self) -> bool {
+        let calls = &self.inbound.calls;
+        calls.out() == 0 && calls.attempts_out() == 0 && self.inbound.door.inside.get() == 0
+    }
+
+    /// Tells the new process how things end here. Gives who served before for a next life, where the new
+    /// process falls silent.
+    async fn end(
+        mut self,
+        terminate: &Notify,
+        state: State,
+        ends: Ends,
+        written: JoinHandle<()>,
+    ) -> Option<Before> {
+        let Ends { to, mut from } = ends;
+        let (mut owned, mut ending) = (false, None::<Instant>);
+        let next = loop {
+            if ending.is_some_and(|since| since.elapsed() >= LAST) || (owned && self.is_done()) {
+                break Next::Leave;
+            }
+            tokio::select! {
+                biased;
+                frame = from.recv() => match frame {
+                    Some(Frame::Owned) => {
+                        owned = true;
+                        self.told.clear();
+                    }
+                    Some(frame) => self.heed(frame),
+                    None => break after_silence(owned, ending.is_some()),
+                },
+                Some(input) = self.received.recv() => {
+                    if let Some(frame) = told(input) {
+                        if !owned {
+                            self.told.push(frame.clone());
+                        }
+                        let _ = to.send(frame);
+                    }
+                }
+                () = terminate.notified(), if ending.is_none() => ending = Some(Instant::now()),
+                () = sleep(LOOK) => {}
+            }
+        };
+        if next == Next::Leave {
+            while let Ok(input) = self.received.try_recv() {
+                told(input).into_iter().for_each(|frame| drop(to.send(frame)));
+            }
+            // Nothing is told any more: the writer ends once all of it is written.
+            self.inbound.successor.borrow_mut().take().inspect(|s| s.gone());
+            drop((to, self));
+            let _ = timeout(WRITTEN, written).await;
+            return None;
+        }
+        tracing::warn!("hand-over: the new process has ended; this one serves again ({next:?})");
+        let (near, far) = passage::pair();
+        self.told.drain(..).for_each(|frame| drop(near.to.send(frame)));
+        let successor = Rc::new(Successor::new(near.to.clone()));
+        if let Some(old) = self.inbound.successor.borrow_mut().replace(successor) {
+            old.gone();
+        }
+        tokio::task::spawn_local(self.linger(near));
+        Some(if next == Next::GoOn {
+            Before::Given(Box::new(state), far)
+        } else {
+            Before::Rest(far, state.out.iter().map(|o| o.0).collect())
+        })
+    }
+
+    /// The same towards a next life of this process.
+    async fn linger(mut self, ends: Ends) {
+        let Ends { to, mut from } = ends;
+        while !self.is_done() {
+            tokio::select! {
+                biased;
+                Some(frame) = from.recv() => self.heed(frame),
+                Some(input) = self.received.recv() => {
+                    told(input).into_iter().for_each(|frame| drop(to.send(frame)));
+                }
+                () = sleep(LOOK) => {}
+            }
+        }
+        while let Ok(input) = self.received.try_recv() {
+            told(input).into_iter().for_each(|frame| drop(to.send(frame)));
+        }
+        self.inbound.successor.borrow_mut().take();
+    }
+
+    fn heed(&self, frame: Frame) {
+        match frame {
+            Frame::Cancel { id, attempt } => self.inbound.calls.cancel(id, attempt),
+            Frame::Answer { number, taken } => {
+                if let Some(successor) = &*self.inbound.successor.borrow() {
+                    successor.answered(number, taken);
+                }
+            }
+            _ => {}
+        }
+    }
+}
+
 /// What signals are about.
+#[derive(Default)]
 struct Told {
+    terminate: Notify,
+    life: RefCell<Option<Life>>,
+}
+
+/// What signals change in a life of this process.
+struct Life {
     /// The configuration's text.
     in_force: String,
     inputs: UnboundedSender<Input>,
@@ -162,27 +521,48 @@
 }
 
 impl Told {
-    async fn heed(mut self, mut signals: Receiver<Signal>, source: ConfigSource, terminate: Rc<Notify>) {
+    fn begin(&self, text: &str, inputs: &UnboundedSender<Input>, flight: &Rc<Flight>) {
+        let life = Life { in_force: text.to_owned(), inputs: inputs.clone(), flight: flight.clone() };
+        *self.life.borrow_mut() = Some(life);
+    }
+
+    /// The configuration in force.
+    fn text(&self) -> String {
+        self.life.borrow().as_ref().map_or(String::new(), |l| l.in_force.clone())
+    }
+
+    async fn heed(self: Rc<Self>, mut signals: Receiver<Signal>, source: Rc<ConfigSource>) {
         while let Some(signal) = signals.recv().await {
             match signal {
                 Signal::Reload => self.reload(&source),
-                Signal::Terminate => terminate.notify_one(),
+                Signal::Terminate => self.terminate.notify_one(),
                 Signal::Dump => self.dump(),
             }
         }
     }
 
+    /// What was in force where this process took over may not be what the file says by now.
+    fn look_again(&self, source: &ConfigSource) {
+        let same = source().is_ok_and(|text| text == self.text());
+        if !same {
+            self.reload(source);
+        }
+    }
+
     /// The configuration is read anew, checked whole, and handed to the node as one step. One with a mistake
     /// changes nothing.
-    fn reload(&mut self, source: &ConfigSource) {
+    fn reload(&self, source: &ConfigSource) {
+        let mut life = self.life.borrow_mut();
+        // While this process starts: it reads the file itself.
+        let Some(life) = life.as_mut() else { return };
         let text = match source() {
             Ok(text) => text,
             Err(why) => return tracing::warn!("the configuration stays as it was: {why}"),
         };
-        match terms::read(&text, &self.in_force) {
+        match terms::read(&text, &life.in_force) {
             Ok(config) => {
-                self.in_force = text;
-                let _ = self.inputs.send(Input::Configured(Box::new(config)));
+                life.in_force.clone_from(&text);
+                let _ = life.inputs.send(Input::Configured(Box::new(config), text));
             }
             Err(wrong) => {
                 tracing::warn!("the configuration stays as it was; mistakes in the new one: {}", wrong.len());
@@ -193,7 +573,9 @@
 
     /// What is recorded is written to a file of its own.
     fn dump(&self) {
-        match self.flight.dump() {
+        let life = self.life.borrow();
+        let Some(life) = life.as_ref() else { return };
+        match life.flight.dump() {
             Ok(Some(path)) => tracing::info!("recording written to {}", path.display()),
             Ok(None) => tracing::warn!("nothing is recorded: the recorder is off"),
             Err(why) => tracing::warn!("the recording could not be written: {why}"),
--- a/crates/daemon/src/terms.rs
+++ b/crates/daemon/src/terms.rs
@@ -34,6 +34,11 @@
         (Self { set, classes, names: config.names.clone() }, changes)
     }
 
+    /// Those of another process that this one takes over from.
+    pub fn continued(config: &Config, set: &Settings, places: &[(String, Class, bool)]) -> Self {
+        Self { set: set.clone(), classes: Classes::from_places(places), names: config.names.clone() }
+    }
+
     /// What a new configuration makes of them, what the store is to hold, and which keys of it have to wait
     /// for the next start. Nothing is changed: that is done once the store has it.
     pub fn retuned(
--- a/crates/daemon/tests/sockets/main.rs
+++ b/crates/daemon/tests/sockets/main.rs
@@ -3,6 +3,7 @@
 mod flight;
 mod operations;
 mod store;
+mod upgrade;
 mod world;
 
 use std::net::TcpListener;
--- /dev/null
+++ b/crates/daemon/tests/sockets/upgrade.rs
@@ -0,0 +1,182 @@
+//! A new process takes over from the old one while it serves.
+
+use crate::world::*;
+use std::io::{Read, Write};
+use std::os::unix::net::UnixListener;
+use std::process::Command;
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::time::Duration;
+
+const LONG: u64 = 50_000;
+
+/// A partner that answers each call only when the test says how.
+fn slow() -> (Endpoint, Vec<String>, Sender<Reply>) {
+    let (say, said): (Sender<Reply>, Receiver<Reply>) = channel();
+    let endpoint = Endpoint::new(move |_| said.recv().unwrap_or(Reply::Cut));
+    let members = vec![member("s-1", endpoint.address, "shop", 3, "up")];
+    (endpoint, members, say)
+}
+
+fn ok() -> Reply {
+    answer("200 OK", "", "")
+}
+
+#[test]
+fn a_call_that_is_out_ends_at_the_old_process_and_is_recorded_by_the_new_one() {
+    let (endpoint, members, say) = slow();
+    let mut node = Node::held(&members);
+    assert_eq!(node.hand_in("payment", 1, 3, LONG, b"x").status(), 202);
+    endpoint.call(0);
+    let mut old = node.upgrade();
+    // The new one serves, and the old one waits for its call.
+    assert_eq!(node.ask("GET /up", &[], b"").status(), 200);
+    assert_eq!(Client::new(old.1).ask("GET /status", &[], b"").status(), 503);
+    assert!(!old.has_left());
+    say.send(ok()).expect("it waits");
+    assert!(old.left(), "nothing is open there any more");
+    assert_eq!(node.hand_in("payment", 2, 3, LONG, b"x").status(), 202);
+    say.send(ok()).expect("it waits");
+    until("the second call", || endpoint.calls() == 2);
+    // Delivered means that nothing is owed: a restart finds nothing to end or to send.
+    node.restart();
+    assert_eq!(node.hand_in("payment", 3, 3, 1, b"x").status(), 202);
+    node.platform.notice(3);
+    assert!(!node.platform.has_notice(1) && !node.platform.has_notice(2));
+    assert_eq!(endpoint.calls(), 2);
+}
+
+#[test]
+fn a_request_read_in_part_by_the_old_process_is_taken_on_by_the_new_one() {
+    let (endpoint, members, say) = slow();
+    let mut node = Node::held(&members);
+    let (id, ms, dest) = (format!("{:016x}", 7), LONG.to_string(), "dest=3".to_owned());
+    let lines: String =
+        headers(&id, "update", &ms, &dest).iter().map(|(n, v)| format!("{n}: {v}\r\n")).collect();
+    let head = format!("POST /update HTTP/1.1\r\nHost: api\r\nContent-Length: 4\r\n{lines}\r\n");
+    let whole = [head.as_bytes(), b"body"].concat();
+    // One is cut in its head on a connection that has served, one in its body on a new one.
+    let mut clients = [Client::new(node.address), Client::new(node.address)];
+    assert_eq!(clients[0].ask("GET /up", &[], b"").status(), 200);
+    clients[0].raw(&whole[..40]);
+    let second = String::from_utf8_lossy(&whole).replace(&id, &format!("{:016x}", 8));
+    clients[1].raw(&second.as_bytes()[..second.len() - 2]);
+    // Both were read: the old process answers another request after them.
+    std::thread::sleep(Duration::from_millis(50));
+    let mut old = node.upgrade();
+    clients[0].raw(&whole[40..]);
+    clients[1].raw(&second.as_bytes()[second.len() - 2..]);
+    for client in &mut clients {
+        assert!(client.until_end().starts_with("HTTP/1.1 202"), "it is taken on");
+    }
+    assert!(old.left());
+    [ok(), ok()].into_iter().for_each(|r| say.send(r).expect("it waits"));
+    until("both at the partner", || endpoint.calls() == 2);
+}
+
+#[test]
+fn an_old_process_that_is_killed_leaves_its_calls_as_reset() {
+    let (endpoint, members, say) = slow();
+    let mut node = Node::held(&members);
+    node.hand_in("payment", 1, 3, LONG, b"x");
+    endpoint.call(0);
+    node.hand_in("update", 2, 3, LONG, b"x");
+    let mut old = node.upgrade();
+    old.signal("-KILL");
+    assert!(!old.left());
+    // The payment may have run: it is given up, and never sent again.
+    assert!(node.platform.notice(1).contains("dead"));
+    [ok(), ok()].into_iter().for_each(|r| say.send(r).expect("it waits"));
+    until("the update at the partner", || endpoint.calls() == 2);
+    let ids: Vec<String> = (0..2).map(|n| endpoint.call(n).header("x-request-id").to_owned()).collect();
+    assert_eq!(ids, [format!("{:016x}", 1), format!("{:016x}", 2)]);
+}
+
+#[test]
+fn an_old_process_serves_again_when_the_new_one_dies() {
+    let (endpoint, members, say) = slow();
+    let mut node = Node::held(&members);
+    node.hand_in("payment", 1, 3, LONG, b"x");
+    endpoint.call(0);
+    let old = node.upgrade();
+    node.hand_in("update", 2, 3, LONG, b"x");
+    node.kill();
+    let again = || Client::new(old.1).ask("GET /status", &[], b"").status() == 200;
+    until("the old one serves again", again);
+    assert_eq!(node.hand_in("update", 3, 3, LONG, b"x").status(), 202);
+    // Its own call is still out there, and its answer counts.
+    say.send(ok()).expect("it waits");
+    [ok(), ok()].into_iter().for_each(|r| say.send(r).expect("it waits"));
+    until("what both had taken on", || endpoint.calls() == 3);
+    assert!(!node.platform.has_notice(1), "delivered");
+}
+
+#[test]
+fn upgrades_follow_one_another_and_what_operators_set_goes_along() {
+    let (endpoint, members, say) = slow();
+    let mut node = Node::held(&members);
+    node.hand_in("payment", 1, 3, LONG, b"x");
+    endpoint.call(0);
+    assert_eq!(node.say("POST /standby").status(), 200);
+    assert_eq!(node.say("POST /maintenance/enter?name=s-1").status(), 200);
+    // The file is wrong meanwhile: what is in force goes along with the rest.
+    let sound = node.config();
+    node.reload("{");
+    let mut first = node.upgrade();
+    let mut second = node.upgrade();
+    assert_eq!(node.ask("GET /up", &[], b"").status(), 503);
+    assert_eq!(node.hand_in("update", 2, 3, LONG, b"x").status(), 202);
+    node.reload(&sound);
+    // The call is two processes away.
+    say.send(ok()).expect("it waits");
+    assert!(first.left() && second.left());
+    assert_eq!(endpoint.calls(), 1);
+    assert_eq!(node.say("POST /active").status(), 200);
+    assert_eq!(node.say("POST /maintenance/exit?name=s-1").status(), 200);
+    say.send(ok()).expect("it waits");
+    until("the update", || endpoint.calls() == 2);
+    assert!(!node.platform.has_notice(1));
+}
+
+#[test]
+fn one_that_hands_over_in_another_version_is_said_and_the_folder_does() {
+    let (_endpoint, members, _say) = slow();
+    let mut node = Node::held(&members);
+    node.kill();
+    let place = node.folder.path().join("notchpoint.handover");
+    std::fs::remove_file(&place).expect("the last one's");
+    let listener = UnixListener::bind(&place).expect("a place");
+    let other = std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("it asks");
+        stream.read_exact(&mut [0; 16]).expect("its word");
+        stream.write_all(b"NPHAND\x63\0........").expect("ours");
+        let mut rest = Vec::new();
+        stream.read_to_end(&mut rest).expect("its end");
+        rest.is_empty()
+    });
+    node.start_again();
+    assert!(other.join().expect("asked"), "it goes no further");
+    assert_eq!(node.ask("GET /up", &[], b"").status(), 200);
+}
+
+#[test]
+fn a_descriptor_that_is_no_listening_socket_is_said() {
+    let (_endpoint, members, _say) = slow();
+    let node = Node::held(&members);
+    for (number, stdin) in [
+        ("0", std::process::Stdio::null()),
+        ("77", std::process::Stdio::null()),
+        ("four", std::process::Stdio::null()),
+    ] {
+        let tried = Command::new(env!("CARGO_BIN_EXE_notchpoint"))
+            .env("BALANCER_CONFIG", node.folder.path().join("config.json"))
+            .env("BALANCER_STATE", node.folder.path().join("other"))
+            .env("BALANCER_ACCEPT_FD", number)
+            .stdin(stdin)
+            .output()
+            .expect("the program");
+        let said = [tried.stdout, tried.stderr].concat();
+        let said = String::from_utf8_lossy(&said).into_owned();
+        assert!(tried.status.code() == Some(2), "{number}: {said}");
+        assert!(said.contains(&format!("BALANCER_ACCEPT_FD: {number} is no listening socket")), "{said}");
+    }
+}
--- a/crates/daemon/tests/sockets/world.rs
+++ b/crates/daemon/tests/sockets/world.rs
@@ -248,6 +248,8 @@
     pub address: SocketAddr,
     /// Where operators call.
     pub admin: SocketAddr,
+    /// The clients' socket, where the test holds it.
+    held: Option<TcpListener>,
     child: Child,
 }
 
@@ -257,11 +259,25 @@
         Self::with_operator(members, change, None)
     }
 
+    /// One whose clients' socket the test holds, so that processes may take over from one another.
+    pub fn held(members: &[String]) -> Self {
+        Self::build(members, |c| c, None, true)
+    }
+
     /// With an operator's file; in it FOLDER stands for a folder beside the state.
     pub fn with_operator(
         members: &[String],
         change: impl Fn(String) -> String,
         operator: Option<&str>,
+    ) -> Self {
+        Self::build(members, change, operator, false)
+    }
+
+    fn build(
+        members: &[String],
+        change: impl Fn(String) -> String,
+        operator: Option<&str>,
+        holds: bool,
     ) -> Self {
         let platform = Platform::new();
         let folder = tempfile::tempdir().expect("a folder");
@@ -274,8 +290,9 @@
             let text = text.replace("FOLDER", &folder.path().join("recording").display().to_string());
             std::fs::write(folder.path().join("operator.toml"), text).expect("a file");
         }
-        let (child, address, admin) = start(&folder);
-        let node = Self { folder, platform, address, admin, child };
+        let held = holds.then(|| TcpListener::bind("127.0.0.1:0").expect("a port"));
+        let (child, address, admin) = start(&folder, held.as_ref());
+        let node = Self { folder, platform, address, admin, held, child };
         assert_eq!(node.ask("GET /up", &[], b"").status(), 200);
         node
     }
@@ -289,7 +306,16 @@
     }
 
     pub fn start_again(&mut self) {
-        (self.child, self.address, self.admin) = start(&self.folder);
+        (self.child, self.address, self.admin) = start(&self.folder, self.held.as_ref());
+    }
+
+    /// Starts the next process beside this one, and gives the old one once the new one is ready.
+    pub fn upgrade(&mut self) -> Old {
+        let (child, address, admin) = start(&self.folder, self.held.as_ref());
+        assert_eq!(address, self.address, "one socket for both");
+        let old = Old(std::mem::replace(&mut self.child, child), std::mem::replace(&mut self.admin, admin));
+        until("a yes", || self.say("GET /status").status() == 200);
+        old
     }
 
     pub fn kill(&mut self) {
@@ -340,6 +366,33 @@
     }
 }
 
+/// A process that another has taken over from, and where operators called it.
+pub struct Old(pub Child, pub SocketAddr);
+
+impl Old {
+    pub fn signal(&self, name: &str) {
+        let pid = self.0.id().to_string();
+        assert!(Command::new("kill").args([name, &pid]).status().expect("kill").success());
+    }
+
+    /// Whether it ended as it should, once it has.
+    pub fn left(&mut self) -> bool {
+        until("its exit", || self.0.try_wait().expect("a child").is_some());
+        self.0.wait().expect("a child").success()
+    }
+
+    pub fn has_left(&mut self) -> bool {
+        self.0.try_wait().expect("a child").is_some()
+    }
+}
+
+impl Drop for Old {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
 impl Drop for Node {
     fn drop(&mut self) {
         let _ = self.child.kill();
@@ -347,13 +400,19 @@
     }
 }
 
-fn start(folder: &tempfile::TempDir) -> (Child, SocketAddr, SocketAddr) {
+fn start(folder: &tempfile::TempDir, held: Option<&TcpListener>) -> (Child, SocketAddr, SocketAddr) {
     let mut command = Command::new(env!("CARGO_BIN_EXE_notchpoint"));
     let operator = folder.path().join("operator.toml");
     if operator.exists() {
         command.arg("--operator").arg(operator);
     }
+    if let Some(held) = held {
+        // The platform names descriptor 4; a test can hand on the standard input without unsafe code.
+        let socket: std::os::fd::OwnedFd = held.try_clone().expect("a descriptor").into();
+        command.stdin(Stdio::from(socket)).env("BALANCER_ACCEPT_FD", "0");
+    }
     let mut child = command
+        .env("TMPDIR", folder.path())
         .env("BALANCER_CONFIG", folder.path().join("config.json"))
         .env("BALANCER_STATE", folder.path().join("state"))
         .stdout(Stdio::piped())
--- a/crates/policy/src/choice/view.rs
+++ b/crates/policy/src/choice/view.rs
@@ -29,6 +29,11 @@
         open.map(|(&id, h)| (id, h.class as u32, h.dest, h.out > 0)).collect()
     }
 
+    /// The settings in force.
+    pub fn settings(&self) -> &Settings {
+        &self.set
+    }
+
     /// The places of the classes that messages have, of those as well that are over and have a call out.
     pub fn classes_in_use(&self) -> BTreeSet<usize> {
         self.held.values().map(|h| h.class).collect()
--- a/crates/rehearsal/src/live.rs
+++ b/crates/rehearsal/src/live.rs
@@ -72,7 +72,7 @@
     }
 
     fn network(&self, _: Who) -> Rc<dyn Network> {
-        Rc::new(Sockets)
+        Rc::new(Sockets::default())
     }
 
     fn peers(&self, _: usize) -> Option<(SocketAddr, Vec<SocketAddr>, SocketAddr)> {
--- a/crates/rehearsal/src/virt/mod.rs
+++ b/crates/rehearsal/src/virt/mod.rs
@@ -141,6 +141,7 @@
             signals: told,
             config: Box::new(move || Ok(config.borrow().clone())),
             admin: None,
+            accept: None,
         };
         let world = match &self.around {
             Some(around) => around(sender, world),
--- a/crates/rehearsal/src/virt/net.rs
+++ b/crates/rehearsal/src/virt/net.rs
@@ -384,6 +384,11 @@
     }
 }
 
+/// A port for a private place: below those that anybody else listens at.
+fn within(name: &str) -> u16 {
+    1 + name.bytes().fold(0u16, |h, b| h.wrapping_mul(31).wrapping_add(b.into())) % 1_000
+}
+
 impl Network for Host {
     fn connect(&self, to: SocketAddr) -> Connecting {
         let (net, ip, owner) = (self.net.clone(), self.ip, self.dead.clone());
@@ -416,6 +421,16 @@
         })
     }
 
+    fn listen_within(&self, name: &str) -> io::Result<Rc<dyn Listener>> {
+        let at = SocketAddr::new(self.ip, within(name));
+        self.net.listeners.borrow_mut().remove(&at);
+        self.listen(at)
+    }
+
+    fn connect_within(&self, name: &str) -> Connecting {
+        self.connect(SocketAddr::new(self.ip, within(name)))
+    }
+
     fn listen(&self, at: SocketAddr) -> io::Result<Rc<dyn Listener>> {
         let mut listeners = self.net.listeners.borrow_mut();
         if listeners.contains_key(&at) {
--- a/crates/rehearsal/tests/world/blind.rs
+++ b/crates/rehearsal/tests/world/blind.rs
@@ -184,6 +184,14 @@
         self.inner.listen(at)
     }
 
+    fn listen_within(&self, name: &str) -> io::Result<Rc<dyn Listener>> {
+        self.inner.listen_within(name)
+    }
+
+    fn connect_within(&self, name: &str) -> Connecting {
+        self.inner.connect_within(name)
+    }
+
     fn datagrams(&self, at: SocketAddr) -> io::Result<Rc<dyn Datagrams>> {
         self.inner.datagrams(at)
     }
--- a/crates/seam/src/lib.rs
+++ b/crates/seam/src/lib.rs
@@ -52,4 +52,7 @@
     pub config: ConfigSource,
     /// Where operators call, if it was told beside the configuration.
     pub admin: Option<SocketAddr>,
+    /// The clients' listening socket, where the platform holds it: processes then take turns at it, and may
+    /// hand over to one another.
+    pub accept: Option<Rc<dyn Listener>>,
 }
--- a/crates/seam/src/net.rs
+++ b/crates/seam/src/net.rs
@@ -24,6 +24,16 @@
     /// The address cannot be had.
     fn listen(&self, at: SocketAddr) -> io::Result<Rc<dyn Listener>>;
 
+    /// Listens for connections of this machine's own processes, at a private place of that name; who listened
+    /// there before no longer hears of new ones.
+    ///
+    /// # Errors
+    /// The place cannot be had.
+    fn listen_within(&self, name: &str) -> io::Result<Rc<dyn Listener>>;
+
+    /// Connects to who listens at that private place.
+    fn connect_within(&self, name: &str) -> Connecting;
+
     /// Opens a socket for datagrams.
     ///
     /// # Errors
--- a/crates/seam/src/real.rs
+++ b/crates/seam/src/real.rs
@@ -3,26 +3,29 @@
 use crate::net::Connecting;
 use crate::{Clock, ConfigSource, Datagrams, Disk, File, Listener, Network, Signal, Stream, Syncing, World};
 use rustix::fs::FlockOperation;
+use rustix::process::{PidfdFlags, PidfdGetfdFlags, getpid, pidfd_getfd, pidfd_open};
 use socket2::SockRef;
 use std::any::Any;
-use std::fs::{self, OpenOptions};
+use std::fs::{self, OpenOptions, Permissions};
 use std::io::{self, ErrorKind, Read, Seek, SeekFrom, Write};
 use std::mem::MaybeUninit;
 use std::net::{Shutdown, SocketAddr};
+use std::os::unix::fs::PermissionsExt;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::{SystemTime, UNIX_EPOCH};
 use tokio::io::ReadBuf;
-use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::net::{TcpListener, TcpStream, UdpSocket, UnixListener, UnixStream};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::mpsc::{Receiver, channel};
 
-/// The system as it is, for a sender with this folder and this configuration. It belongs inside a `LocalSet`.
+/// The system as it is, for a sender with this folder, this configuration and this private place for sockets
+/// between processes. It belongs inside a `LocalSet`.
 ///
 /// # Errors
 /// Signals cannot be watched.
-pub fn world(state: &Path, config: PathBuf) -> io::Result<World> {
+pub fn world(state: &Path, config: PathBuf, within: Option<PathBuf>) -> io::Result<World> {
     // First of all: without a handler a signal would end the process.
     let signals = signals()?;
     let config: ConfigSource = Box::new(move || {
@@ -30,7 +33,15 @@
             .map_err(|e| io::Error::new(e.kind(), format!("{}: {e}", config.display())))
     });
     let disk = Rc::new(Folder(state.to_owned()));
-    Ok(World { net: Rc::new(Sockets), clock: Rc::new(SystemClock), disk, signals, config, admin: None })
+    Ok(World {
+        net: Rc::new(Sockets { within }),
+        clock: Rc::new(SystemClock),
+        disk,
+        signals,
+        config,
+        admin: None,
+        accept: None,
+    })
 }
 
 /// Signals that wait to be heeded. Those after them wait in the system, where equal ones are one.
@@ -146,8 +157,36 @@
     }
 }
 
+/// A listening socket that was inherited under this descriptor. It is duplicated, so that the number stays
+/// what it is for who looks at it later, and made non-blocking for all who share it.
+///
+/// # Errors
+/// There is no such descriptor, it is no socket, or it does not listen.
+pub fn inherited(descriptor: i32) -> io::Result<Rc<dyn Listener>> {
+    // The safe way to one's own descriptor by its number: as any process gets at another's.
+    let own = pidfd_open(getpid(), PidfdFlags::empty())?;
+    let socket = pidfd_getfd(&own, descriptor, PidfdGetfdFlags::empty())?;
+    if !rustix::net::sockopt::socket_acceptconn(&socket)? {
+        return Err(io::Error::new(ErrorKind::InvalidInput, "it is a socket that does not listen"));
+    }
+    let listener = std::net::TcpListener::from(socket);
+    listener.set_nonblocking(true)?;
+    Ok(Rc::new(TcpListener::from_std(listener)?))
+}
+
 /// The system's sockets.
-pub struct Sockets;
+#[derive(Default)]
+pub struct Sockets {
+    /// Where sockets between processes of this machine lie, if anywhere.
+    pub within: Option<PathBuf>,
+}
+
+impl Sockets {
+    fn place(&self, name: &str) -> io::Result<PathBuf> {
+        let none = || io::Error::new(ErrorKind::NotFound, "there is no private folder for sockets (TMPDIR)");
+        self.within.as_ref().map(|folder| folder.join(name)).ok_or_else(none)
+    }
+}
 
 impl Network for Sockets {
     fn connect(&self, to: SocketAddr) -> Connecting {
@@ -158,6 +197,22 @@
         Ok(Rc::new(TcpListener::from_std(bound(at)?)?))
     }
 
+    fn listen_within(&self, name: &str) -> io::Result<Rc<dyn Listener>> {
+        let place = self.place(name)?;
+        match fs::remove_file(&place) {
+            Err(e) if e.kind() != ErrorKind::NotFound => return Err(e),
+            _ => {}
+        }
+        let listener = UnixListener::bind(&place)?;
+        fs::set_permissions(&place, Permissions::from_mode(0o600))?;
+        Ok(Rc::new(listener))
+    }
+
+    fn connect_within(&self, name: &str) -> Connecting {
+        let place = self.place(name);
+        Box::pin(async move { Ok(Rc::new(UnixStream::connect(place?).await?) as Rc<dyn Stream>) })
+    }
+
     fn datagrams(&self, at: SocketAddr) -> io::Result<Rc<dyn Datagrams>> {
         let socket = std::net::UdpSocket::bind(at)?;
         socket.set_nonblocking(true)?;
@@ -219,6 +274,47 @@
     }
 }
 
+impl Stream for UnixStream {
+    fn poll_read_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        UnixStream::poll_read_ready(self, cx)
+    }
+
+    fn try_read(&self, buf: &mut [u8]) -> io::Result<usize> {
+        UnixStream::try_read(self, buf)
+    }
+
+    fn poll_write_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        UnixStream::poll_write_ready(self, cx)
+    }
+
+    fn try_write(&self, buf: &[u8]) -> io::Result<usize> {
+        UnixStream::try_write(self, buf)
+    }
+
+    fn is_quiet(&self) -> bool {
+        let peeked = SockRef::from(self).peek(&mut [MaybeUninit::uninit()]);
+        peeked.is_err_and(|e| e.kind() == ErrorKind::WouldBlock)
+    }
+
+    fn shutdown(&self, how: Shutdown) -> io::Result<()> {
+        SockRef::from(self).shutdown(how)
+    }
+
+    fn set_nodelay(&self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+impl Listener for UnixListener {
+    fn poll_accept(&self, cx: &mut Context<'_>) -> Poll<io::Result<Rc<dyn Stream>>> {
+        UnixListener::poll_accept(self, cx).map_ok(|(stream, _)| Rc::new(stream) as Rc<dyn Stream>)
+    }
+
+    fn local_addr(&self) -> io::Result<SocketAddr> {
+        Err(io::Error::new(ErrorKind::Unsupported, "a socket within a machine has no address"))
+    }
+}
+
 impl Datagrams for UdpSocket {
     fn poll_recv_from(&self, cx: &mut Context<'_>, buf: &mut [u8]) -> Poll<io::Result<(usize, SocketAddr)>> {
         let mut buf = ReadBuf::new(buf);
