--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -190,8 +190,8 @@
         }
     }
 
-    /// Takes up what the journal holds open, or of that only these, as far as they are not known yet. What becomes of each is the
-    /// module's decision.
+    /// Takes up what the journal holds open, or of that only these, as far as they are not known yet. What
+    /// becomes of each is the module's decision.
     fn resume(&mut self, only: Option<&BTreeSet<MessageId>>) {
         let journal = self.journal.clone();
         for (id, open) in journal.borrow().iter() {
