--- a/crates/daemon/src/inbound.rs
+++ b/crates/daemon/src/inbound.rs
@@ -32,8 +32,8 @@
 const BODY: usize = 64 << 10;
 /// A head is a few hundred bytes; the rest is room for what fronts add.
 const HEAD: usize = 16 << 10;
-/// A request may come in pieces over more than 2 s; who takes longer than this from its first byte to its last,
-/// or to read the answer, has given up.
+/// A request may come in pieces over more than 2 s; who takes longer than this from its first byte to its
+/// last, or to read the answer, has given up.
 const SLOW: Duration = Duration::from_millis(2_500);
 /// A new connection that says nothing for so long is closed, since a client that opens one has a message.
 const SILENT: Duration = Duration::from_secs(2);
@@ -317,8 +317,8 @@
             // Dropping it ends the connection. What happened meanwhile may have moved the end.
             () = sleep_until(seat.ends_at()) => {
                 let due = seat.ends_at() <= Instant::now();
-                // What has come is read first, also of a request that is late: a last byte unread is a request
-                // lost. Who never falls silent ends all the same.
+                // What has come is read first, also of a request that is late: a last byte unread is a
+                // request lost. Who never falls silent ends all the same.
                 if due && (seat.stream.is_quiet() || seat.ends_at() + GRACE <= Instant::now()) {
                     return;
                 }
--- a/crates/daemon/tests/sockets/operations.rs
+++ b/crates/daemon/tests/sockets/operations.rs
@@ -173,7 +173,7 @@
 
 #[test]
 fn a_request_that_is_still_coming_at_sigterm_is_answered_before_the_end() {
-    // Guard: the process stays while somebody is inside. Without it an idle sender ends 0.6 s after the signal.
+    // Guard: the process stays while somebody is inside. Without it an idle sender ends 0.6 s after SIGTERM.
     let (_endpoint, members) = served();
     let mut node = Node::new(&members, |c| c);
     let mut client = Client::new(node.address);
