--- a/crates/daemon/src/passage.rs
+++ b/crates/daemon/src/passage.rs
@@ -63,6 +63,11 @@
     Ok(())
 }
 
+async fn read_hello(stream: &dyn Stream) -> io::Result<[u8; HELLO]> {
+    let word = read(stream, HELLO).await?;
+    word.first_chunk().copied().ok_or(ErrorKind::UnexpectedEof.into())
+}
+
 async fn read_frame(stream: &dyn Stream) -> io::Result<Frame> {
     let head = read(stream, 4).await?;
     let len = head.first_chunk().map_or(usize::MAX, |b| u32::from_le_bytes(*b) as usize);
@@ -111,9 +116,8 @@
             continue;
         };
         let word = async {
-            let word = read(&*stream, HELLO).await?;
-            write(&*stream, &hello()).await?;
-            word.first_chunk().copied().ok_or(io::Error::from(ErrorKind::UnexpectedEof))
+            let word = read_hello(&*stream).await?;
+            write(&*stream, &hello()).await.map(|()| word)
         };
         match timeout(GREETING, word).await {
             Ok(Ok(word)) => match greeted(&word) {
@@ -152,9 +156,7 @@
     let Ok(Ok(stream)) = timeout(GREETING, net.connect_within(PLACE)).await else { return Found::Nobody };
     let state = async {
         write(&*stream, &hello()).await?;
-        let word = read(&*stream, HELLO).await?;
-        let word = word.first_chunk().copied().ok_or(io::Error::from(ErrorKind::UnexpectedEof))?;
-        greeted(&word).map_err(io::Error::other)?;
+        greeted(&read_hello(&*stream).await?).map_err(io::Error::other)?;
         read_frame(&*stream).await
     };
     match timeout(GIVING, state).await {
--- a/crates/daemon/tests/sockets/upgrade.rs
+++ b/crates/daemon/tests/sockets/upgrade.rs
@@ -17,16 +17,22 @@
     (endpoint, members, say)
 }
 
+/// A node whose payment, message 1, is out at a slow partner.
+fn with_a_payment_out() -> (Endpoint, Node, Sender<Reply>) {
+    let (endpoint, members, say) = slow();
+    let node = Node::held(&members);
+    assert_eq!(node.hand_in("payment", 1, 3, LONG, b"x").status(), 202);
+    endpoint.call(0);
+    (endpoint, node, say)
+}
+
 fn ok() -> Reply {
     answer("200 OK", "", "")
 }
 
 #[test]
 fn a_call_that_is_out_ends_at_the_old_process_and_is_recorded_by_the_new_one() {
-    let (endpoint, members, say) = slow();
-    let mut node = Node::held(&members);
-    assert_eq!(node.hand_in("payment", 1, 3, LONG, b"x").status(), 202);
-    endpoint.call(0);
+    let (endpoint, mut node, say) = with_a_payment_out();
     let mut old = node.upgrade();
     // The new one serves, and the old one waits for its call.
     assert_eq!(node.ask("GET /up", &[], b"").status(), 200);
@@ -75,10 +81,7 @@
 
 #[test]
 fn an_old_process_that_is_killed_leaves_its_calls_as_reset() {
-    let (endpoint, members, say) = slow();
-    let mut node = Node::held(&members);
-    node.hand_in("payment", 1, 3, LONG, b"x");
-    endpoint.call(0);
+    let (endpoint, mut node, say) = with_a_payment_out();
     node.hand_in("update", 2, 3, LONG, b"x");
     let mut old = node.upgrade();
     old.signal("-KILL");
@@ -93,10 +96,7 @@
 
 #[test]
 fn an_old_process_serves_again_when_the_new_one_dies() {
-    let (endpoint, members, say) = slow();
-    let mut node = Node::held(&members);
-    node.hand_in("payment", 1, 3, LONG, b"x");
-    endpoint.call(0);
+    let (endpoint, mut node, say) = with_a_payment_out();
     let old = node.upgrade();
     node.hand_in("update", 2, 3, LONG, b"x");
     node.kill();
@@ -112,10 +112,7 @@
 
 #[test]
 fn upgrades_follow_one_another_and_what_operators_set_goes_along() {
-    let (endpoint, members, say) = slow();
-    let mut node = Node::held(&members);
-    node.hand_in("payment", 1, 3, LONG, b"x");
-    endpoint.call(0);
+    let (endpoint, mut node, say) = with_a_payment_out();
     assert_eq!(node.say("POST /standby").status(), 200);
     assert_eq!(node.say("POST /maintenance/enter?name=s-1").status(), 200);
     // The file is wrong meanwhile: what is in force goes along with the rest.
--- a/crates/seam/src/real.rs
+++ b/crates/seam/src/real.rs
@@ -233,37 +233,46 @@
     Ok(socket.into())
 }
 
-impl Stream for TcpStream {
-    fn poll_read_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        TcpStream::poll_read_ready(self, cx)
-    }
+/// Connections by TCP and within the machine are alike but for one option.
+macro_rules! stream {
+    ($socket:ty, $set_nodelay:expr) => {
+        impl Stream for $socket {
+            fn poll_read_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+                <$socket>::poll_read_ready(self, cx)
+            }
 
-    fn try_read(&self, buf: &mut [u8]) -> io::Result<usize> {
-        TcpStream::try_read(self, buf)
-    }
+            fn try_read(&self, buf: &mut [u8]) -> io::Result<usize> {
+                <$socket>::try_read(self, buf)
+            }
 
-    fn poll_write_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        TcpStream::poll_write_ready(self, cx)
-    }
+            fn poll_write_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+                <$socket>::poll_write_ready(self, cx)
+            }
 
-    fn try_write(&self, buf: &[u8]) -> io::Result<usize> {
-        TcpStream::try_write(self, buf)
-    }
+            fn try_write(&self, buf: &[u8]) -> io::Result<usize> {
+                <$socket>::try_write(self, buf)
+            }
 
-    fn is_quiet(&self) -> bool {
-        let peeked = SockRef::from(self).peek(&mut [MaybeUninit::uninit()]);
-        peeked.is_err_and(|e| e.kind() == ErrorKind::WouldBlock)
-    }
+            fn is_quiet(&self) -> bool {
+                let peeked = SockRef::from(self).peek(&mut [MaybeUninit::uninit()]);
+                peeked.is_err_and(|e| e.kind() == ErrorKind::WouldBlock)
+            }
 
-    fn shutdown(&self, how: Shutdown) -> io::Result<()> {
-        SockRef::from(self).shutdown(how)
-    }
+            fn shutdown(&self, how: Shutdown) -> io::Result<()> {
+                SockRef::from(self).shutdown(how)
+            }
 
-    fn set_nodelay(&self) -> io::Result<()> {
-        TcpStream::set_nodelay(self, true)
-    }
+            fn set_nodelay(&self) -> io::Result<()> {
+                let set: fn(&$socket) -> io::Result<()> = $set_nodelay;
+                set(self)
+            }
+        }
+    };
 }
 
+stream!(TcpStream, |socket| socket.set_nodelay(true));
+stream!(UnixStream, |_| Ok(()));
+
 impl Listener for TcpListener {
     fn poll_accept(&self, cx: &mut Context<'_>) -> Poll<io::Result<Rc<dyn Stream>>> {
         TcpListener::poll_accept(self, cx).map_ok(|(stream, _)| Rc::new(stream) as Rc<dyn Stream>)
@@ -274,37 +283,6 @@
     }
 }
 
-impl Stream for UnixStream {
-    fn poll_read_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        UnixStream::poll_read_ready(self, cx)
-    }
-
-    fn try_read(&self, buf: &mut [u8]) -> io::Result<usize> {
-        UnixStream::try_read(self, buf)
-    }
-
-    fn poll_write_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        UnixStream::poll_write_ready(self, cx)
-    }
-
-    fn try_write(&self, buf: &[u8]) -> io::Result<usize> {
-        UnixStream::try_write(self, buf)
-    }
-
-    fn is_quiet(&self) -> bool {
-        let peeked = SockRef::from(self).peek(&mut [MaybeUninit::uninit()]);
-        peeked.is_err_and(|e| e.kind() == ErrorKind::WouldBlock)
-    }
-
-    fn shutdown(&self, how: Shutdown) -> io::Result<()> {
-        SockRef::from(self).shutdown(how)
-    }
-
-    fn set_nodelay(&self) -> io::Result<()> {
-        Ok(())
-    }
-}
-
 impl Listener for UnixListener {
     fn poll_accept(&self, cx: &mut Context<'_>) -> Poll<io::Result<Rc<dyn Stream>>> {
         UnixListener::poll_accept(self, cx).map_ok(|(stream, _)| Rc::new(stream) as Rc<dyn Stream>)
