Hand-over: greeting and silence have tests of their own

Both are plain functions that the socket tests only reach in part: every byte range of the first word, and all four cases of who owned and who was told to end.

--- a/crates/daemon/src/handover.rs
+++ b/crates/daemon/src/handover.rs
@@ -189,3 +189,26 @@
         self.waits.iter_mut().for_each(|w| w.2 = w.2.saturating_sub(by));
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn only_the_same_version_and_form_is_gone_on_with() {
+        assert_eq!(greeted(&hello()), Ok(()));
+        for (byte, said) in [(0, "no notchpoint"), (6, "in version"), (8, "another form")] {
+            let mut word = hello();
+            word[byte] ^= 1;
+            let why = greeted(&word).expect_err(said);
+            assert!(why.contains(said), "byte {byte}: {why}");
+        }
+    }
+
+    #[test]
+    fn who_owned_last_says_what_the_old_process_does_in_silence() {
+        assert_eq!(after_silence(false, false), Next::GoOn);
+        assert_eq!(after_silence(true, false), Next::FromFolder);
+        assert_eq!([after_silence(false, true), after_silence(true, true)], [Next::Leave; 2]);
+    }
+}
