Places of clients' connections in a module of their own; design for crowds at the door

Seen with a probe that logs each read, each answer and the age of connections at accept: the lost ones were taken on 14 to 76 ms before their client's 400 ms were over, so they had waited 324 to 386 ms in the listen queue, and their end was told at their time counted from when they were read (X-Timeout-Ms 3742 read at 247505, bounced at 251246; the rule allows 300 ms). Lines at fault: inbound.rs, answer (since = now) and Seats::free (UNUSED).

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -28,6 +28,7 @@
 mod record;
 mod reports;
 mod safety;
+mod seats;
 pub mod sender;
 mod storage;
 mod successor;
--- /dev/null
+++ b/crates/daemon/src/seats.rs
@@ -0,0 +1,173 @@
+//! The places that clients' connections take: how long each may be held, and who gives way where all are taken.
+
+use notchpoint_seam::Stream;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::Shutdown;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::time::{Instant, timeout};
+
+/// A request may come in pieces over more than 2 s; who takes longer than this from its first byte to its
+/// last, or to read the answer, has given up.
+const SLOW: Duration = Duration::from_millis(2_500);
+/// A new connection that says nothing for so long is closed, since a client that opens one has a message.
+const SILENT: Duration = Duration::from_secs(2);
+/// So long after connecting the first request has come whole, or the connection ends.
+const FIRST: Duration = Duration::from_millis(2_750);
+/// Clients keep connections, so that the next message needs no new one; forgotten ones end after this.
+const IDLE: Duration = Duration::from_secs(10);
+/// Where all places are taken, a connection idle for so long gives up its own: nobody waits on it for an
+/// answer.
+const UNUSED: Duration = Duration::from_millis(500);
+/// The same while connections are to end anyway: who waits in the queue may have sent its request already.
+const UNUSED_CLOSING: Duration = Duration::from_millis(50);
+/// Beyond its end a connection is read for so long at most, while something comes.
+pub const GRACE: Duration = Duration::from_millis(100);
+/// How often it is looked for a place while there is none.
+pub const LOOK: Duration = Duration::from_millis(20);
+
+/// What a connection is at.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    /// No request is open.
+    Idle,
+    /// A request's first byte has come.
+    Reading,
+    /// Its head has come, and the body is read.
+    Serving,
+    /// The answer is written.
+    Answering,
+}
+
+/// The place that a connection takes.
+pub struct Seat {
+    pub stream: Rc<dyn Stream>,
+    opened: Instant,
+    /// It has had an answer.
+    pub asked: Cell<bool>,
+    pub stage: Cell<Stage>,
+    /// Since when nothing was open on it, or a request is.
+    since: Cell<Instant>,
+}
+
+impl Seat {
+    pub fn new(stream: Rc<dyn Stream>) -> Self {
+        let opened = Instant::now();
+        let (asked, stage, since) = (Cell::new(false), Cell::new(Stage::Idle), Cell::new(opened));
+        Self { stream, opened, asked, stage, since }
+    }
+
+    pub fn enter(&self, stage: Stage) {
+        if (self.stage.get() == Stage::Idle) != (stage == Stage::Idle) {
+            self.since.set(Instant::now());
+        }
+        self.stage.set(stage);
+    }
+
+    /// When the request that is being read must have come whole.
+    pub fn whole_by(&self) -> Instant {
+        let by = self.since.get() + SLOW;
+        if self.asked.get() { by } else { by.min(self.opened + FIRST) }
+    }
+
+    /// When the connection ends, if nothing happens on it.
+    pub fn ends_at(&self) -> Instant {
+        match self.stage.get() {
+            Stage::Idle if self.asked.get() => self.since.get() + IDLE,
+            Stage::Idle => self.since.get() + SILENT,
+            Stage::Reading => self.whole_by(),
+            Stage::Serving | Stage::Answering => self.whole_by() + SLOW,
+        }
+    }
+
+    /// No request is open on it, nor waits unread.
+    pub fn is_unused(&self) -> bool {
+        self.stage.get() == Stage::Idle && self.stream.is_quiet()
+    }
+}
+
+/// The connections that there are, by their number.
+#[derive(Default)]
+pub struct Seats {
+    next: Cell<u64>,
+    taken: RefCell<BTreeMap<u64, Rc<Seat>>>,
+    freed: Notify,
+}
+
+impl Seats {
+    /// Waits for a place. Where all are taken, the connection that has been idle longest loses its own; one
+    /// with a request that is being read or answered never does.
+    pub async fn free(&self, most: usize, closing: impl Fn() -> bool) {
+        while self.taken.borrow().len() >= most {
+            let unused = if closing() { UNUSED_CLOSING } else { UNUSED };
+            if let Some((number, seat)) = self.unused(unused) {
+                // Ended here and now: between the look and the end nothing can come in.
+                let _ = seat.stream.shutdown(Shutdown::Both);
+                self.taken.borrow_mut().remove(&number);
+                return;
+            }
+            let _ = timeout(LOOK, self.freed.notified()).await;
+        }
+    }
+
+    fn unused(&self, since: Duration) -> Option<(u64, Rc<Seat>)> {
+        let taken = self.taken.borrow();
+        let mut idle: Vec<_> = taken
+            .iter()
+            .filter(|(_, s)| s.stage.get() == Stage::Idle && s.since.get().elapsed() >= since)
+            .collect();
+        idle.sort_by_key(|(_, s)| s.since.get());
+        idle.into_iter().find(|(_, s)| s.is_unused()).map(|(&n, s)| (n, s.clone()))
+    }
+
+    pub fn take(&self, seat: &Rc<Seat>) -> u64 {
+        let number = self.next.replace(self.next.get() + 1);
+        self.taken.borrow_mut().insert(number, seat.clone());
+        number
+    }
+
+    pub fn leave(&self, number: u64) {
+        if self.taken.borrow_mut().remove(&number).is_some() {
+            self.freed.notify_one();
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use tokio::net::{TcpListener, TcpStream};
+
+    #[test]
+    fn a_place_is_taken_from_who_is_idle_longest_and_never_across_a_request() {
+        // Guards against ending a connection on which a request has come that was not read yet.
+        let local = tokio::task::LocalSet::new();
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        local.block_on(&runtime, async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+            let address = listener.local_addr().expect("an address");
+            let seats = Seats::default();
+            let mut clients = Vec::new();
+            let long_ago = Instant::now() - 3 * UNUSED;
+            for age in [0, 1, 2, 3] {
+                clients.push(TcpStream::connect(address).await.expect("a connection"));
+                let (stream, _) = listener.accept().await.expect("a connection");
+                let seat = Rc::new(Seat::new(Rc::new(stream)));
+                seat.since.set(long_ago + Duration::from_millis(age));
+                seats.take(&seat);
+            }
+            // The oldest has a request that was not read, the next one whose answer is under way.
+            clients[0].writable().await.expect("open");
+            clients[0].try_write(b"P").expect("written");
+            let first = seats.taken.borrow()[&0].clone();
+            std::future::poll_fn(|cx| first.stream.poll_read_ready(cx)).await.expect("it comes");
+            seats.taken.borrow()[&1].stage.set(Stage::Answering);
+            seats.free(4, || false).await;
+            assert_eq!(seats.taken.borrow().keys().copied().collect::<Vec<_>>(), [0, 1, 3]);
+            clients[2].readable().await.expect("its end");
+            assert_eq!(clients[2].try_read(&mut [0; 1]).expect("its end"), 0);
+        });
+    }
+}
