Messages' time counts from sending; idle connections give way to the queue after 50 ms

A message's time was counted from when its head was read (inbound.rs, answer), so one that waited in the listen queue, or came slowly, had its end told as much too late; and the queue was long because connections that had been answered kept their places for 500 ms whatever waited (UNUSED). Change: queue.rs bounds how long a connection can have waited; the time of a request runs from its first byte less that wait. Idle connections give way after 50 ms where all places are taken, longest idle first, as they did at SIGTERM.

--- a/crates/daemon/src/inbound.rs
+++ b/crates/daemon/src/inbound.rs
@@ -7,6 +7,7 @@
 use crate::input::Input;
 use crate::io::{Observed, Observer};
 use crate::journal::{Journal, Open};
+use crate::queue::Queue;
 use crate::safety::Safety;
 use crate::seats::{GRACE, LOOK, Seat, Seats, Stage};
 use crate::successor::Successor;
@@ -19,9 +20,10 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use notchpoint_policy::*;
-use notchpoint_seam::{Listener, net::accept};
+use notchpoint_seam::Listener;
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
+use std::future::poll_fn;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::mpsc::UnboundedSender;
@@ -121,9 +123,17 @@
 /// Accepts connections, so many at once. Those that find no place wait in the system's queue.
 pub async fn serve(inbound: Rc<Inbound>, listener: Rc<dyn Listener>) {
     let seats = Rc::new(Seats::default());
+    let (mut queue, begun) = (Queue::default(), Instant::now());
     loop {
-        seats.free(inbound.places, || inbound.door.is_closing()).await;
-        let stream = match accept(&*listener).await {
+        seats.free(inbound.places).await;
+        let next = poll_fn(|cx| {
+            let polled = listener.poll_accept(cx);
+            if polled.is_pending() {
+                queue.is_empty(begun.elapsed());
+            }
+            polled
+        });
+        let stream = match next.await {
             Ok(stream) => stream,
             Err(e) => {
                 // Out of descriptors, or a client that left: neither is mended by asking again at once.
@@ -132,7 +142,8 @@
                 continue;
             }
         };
-        let (inbound, seats, seat) = (inbound.clone(), seats.clone(), Rc::new(Seat::new(stream)));
+        let seat = Rc::new(Seat::new(stream, queue.taken(begun.elapsed())));
+        let (inbound, seats) = (inbound.clone(), seats.clone());
         let number = seats.take(&seat);
         tokio::task::spawn_local(async move {
             let inside = &inbound.door.inside;
@@ -215,9 +226,11 @@
     request: Request<Incoming>,
     receipt: Option<&Receipt>,
 ) -> Result<Response<Full<Bytes>>, StatusCode> {
-    let since = Instant::now();
     let Some(receipt) = receipt else { return Err(StatusCode::SERVICE_UNAVAILABLE) };
     receipt.seat.enter(Stage::Serving);
+    // The client's time runs from when it sent the request, also while that waited to be read.
+    let now = Instant::now();
+    let since = now.checked_sub(receipt.seat.sent_ago()).unwrap_or(now);
     let path = request.uri().path();
     if path == "/up" {
         return match (request.method(), !inbound.door.is_up()) {
@@ -508,11 +521,71 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::calls::Target;
     use notchpoint_seam::Stream;
     use notchpoint_seam::real::Sockets;
     use std::collections::{BTreeMap, BTreeSet};
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
     use tokio::net::{TcpListener, TcpStream};
-    use tokio::sync::mpsc::unbounded_channel;
+    use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
+
+    /// What connections share, with a folder and nothing else behind it.
+    fn behind(folder: &std::path::Path) -> (Rc<Inbound>, UnboundedReceiver<Input>) {
+        let config = crate::config::read(crate::config::tests::TEXT).expect("sound");
+        let journal = Rc::new(RefCell::new(crate::journal::tests::journal(folder)));
+        let (inputs, received) = unbounded_channel();
+        let safety = Safety::new(journal.clone());
+        let net = Rc::new(Sockets::default());
+        let inbound = Inbound {
+            places: places(&config),
+            most_reading: most_reading(&config),
+            reading: Cell::new(0),
+            calls: Calls::new(&config, net, journal.clone(), safety.clone(), inputs.clone()),
+            safety,
+            terms: Rc::new(RefCell::new(Terms::new(&config, &BTreeMap::new(), &BTreeSet::new()).0)),
+            journal,
+            inputs,
+            door: Rc::default(),
+            successor: RefCell::default(),
+        };
+        (Rc::new(inbound), received)
+    }
+
+    #[test]
+    fn the_time_of_a_message_that_waited_in_the_queue_ran_meanwhile() {
+        // Guards against telling its end as much too late. The wait is as long as the message's time, so that
+        // no speed matters: the first of the connection has no time left, and the next one did not wait.
+        let local = tokio::task::LocalSet::new();
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        local.block_on(&runtime, async {
+            let folder = tempfile::tempdir().expect("a folder");
+            let (inbound, _received) = behind(folder.path());
+            let address = "127.0.0.1:4".parse().expect("an address");
+            let target = Target { address, dest: DestinationId(3), live: true, apart: false, bundle: 1 };
+            inbound.calls.list(EndpointId(1), Some(target));
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+            let mut client =
+                TcpStream::connect(listener.local_addr().expect("its address")).await.expect("a connection");
+            let (stream, _) = listener.accept().await.expect("a connection");
+            let seat = Rc::new(Seat::new(Rc::new(stream), Duration::from_secs(6)));
+            tokio::task::spawn_local(connection(inbound.clone(), seat));
+            for (id, status) in [("00000000000000a1", "503"), ("00000000000000a2", "202")] {
+                let request = format!(
+                    "POST /update HTTP/1.1\r\nX-Request-ID: {id}\r\nX-Priority-Class: update\r\n\
+                     X-Tenant-Id: acme\r\nX-Timeout-Ms: 6000\r\nX-Envelope: dest=3\r\n\
+                     Content-Length: 1\r\n\r\nb"
+                );
+                client.write_all(request.as_bytes()).await.expect("written");
+                let (mut answer, mut block) = (String::new(), [0; 256]);
+                while !answer.ends_with("\r\n\r\n") {
+                    let n = client.read(&mut block).await.expect("an answer");
+                    assert!(n > 0, "no answer");
+                    answer.push_str(std::str::from_utf8(&block[..n]).expect("text"));
+                }
+                assert!(answer.starts_with(&format!("HTTP/1.1 {status} ")), "{id}: {answer}");
+            }
+        });
+    }
 
     #[test]
     fn a_message_counts_only_once_its_client_can_have_heard() {
@@ -521,32 +594,13 @@
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
         local.block_on(&runtime, async {
             let folder = tempfile::tempdir().expect("a folder");
-            let config = crate::config::read(crate::config::tests::TEXT).expect("sound");
-            let journal = Rc::new(RefCell::new(crate::journal::tests::journal(folder.path())));
-            let (inputs, mut received) = unbounded_channel();
-            let inbound = Rc::new(Inbound {
-                places: places(&config),
-                most_reading: most_reading(&config),
-                reading: Cell::new(0),
-                calls: Calls::new(
-                    &config,
-                    Rc::new(Sockets::default()),
-                    journal.clone(),
-                    Safety::new(journal.clone()),
-                    inputs.clone(),
-                ),
-                safety: Safety::new(journal.clone()),
-                terms: Rc::new(RefCell::new(Terms::new(&config, &BTreeMap::new(), &BTreeSet::new()).0)),
-                journal: journal.clone(),
-                inputs,
-                door: Rc::default(),
-                successor: RefCell::default(),
-            });
+            let (inbound, mut received) = behind(folder.path());
+            let journal = inbound.journal.clone();
             let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
             let address = listener.local_addr().expect("an address");
             let stream: Rc<dyn Stream> = Rc::new(TcpStream::connect(address).await.expect("a connection"));
             let receive = || {
-                let seat = Rc::new(Seat::new(stream.clone()));
+                let seat = Rc::new(Seat::new(stream.clone(), Duration::ZERO));
                 Rc::new(Receipt { due: RefCell::default(), seat, inbound: inbound.clone() })
             };
             let take = |receipt: &Receipt, id: u64| {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -25,6 +25,7 @@
 mod out;
 mod passage;
 mod peers;
+mod queue;
 mod record;
 mod reports;
 mod safety;
--- a/crates/daemon/src/seats.rs
+++ b/crates/daemon/src/seats.rs
@@ -1,4 +1,5 @@
-//! The places that clients' connections take: how long each may be held, and who gives way where all are taken.
+//! The places that clients' connections take: how long each may be held, and who gives way where all are
+//! taken.
 
 use notchpoint_seam::Stream;
 use std::cell::{Cell, RefCell};
@@ -18,11 +19,10 @@
 const FIRST: Duration = Duration::from_millis(2_750);
 /// Clients keep connections, so that the next message needs no new one; forgotten ones end after this.
 const IDLE: Duration = Duration::from_secs(10);
-/// Where all places are taken, a connection idle for so long gives up its own: nobody waits on it for an
-/// answer.
-const UNUSED: Duration = Duration::from_millis(500);
-/// The same while connections are to end anyway: who waits in the queue may have sent its request already.
-const UNUSED_CLOSING: Duration = Duration::from_millis(50);
+/// Where all places are taken, the connection idle longest gives up its own, once its client has had so long
+/// to send what it had ready: those in the queue wait for 400 ms at most, and a request that crosses the end
+/// of an idle connection comes again on a new one.
+const UNUSED: Duration = Duration::from_millis(50);
 /// Beyond its end a connection is read for so long at most, while something comes.
 pub const GRACE: Duration = Duration::from_millis(100);
 /// How often it is looked for a place while there is none.
@@ -45,6 +45,8 @@
 pub struct Seat {
     pub stream: Rc<dyn Stream>,
     opened: Instant,
+    /// How long its client may have waited before: at most.
+    waited: Duration,
     /// It has had an answer.
     pub asked: Cell<bool>,
     pub stage: Cell<Stage>,
@@ -53,10 +55,10 @@
 }
 
 impl Seat {
-    pub fn new(stream: Rc<dyn Stream>) -> Self {
+    pub fn new(stream: Rc<dyn Stream>, waited: Duration) -> Self {
         let opened = Instant::now();
         let (asked, stage, since) = (Cell::new(false), Cell::new(Stage::Idle), Cell::new(opened));
-        Self { stream, opened, asked, stage, since }
+        Self { stream, opened, waited, asked, stage, since }
     }
 
     pub fn enter(&self, stage: Stage) {
@@ -66,6 +68,13 @@
         self.stage.set(stage);
     }
 
+    /// How long ago the client may have sent the first byte of the request that is open. The first one may
+    /// have waited with its connection.
+    pub fn sent_ago(&self) -> Duration {
+        let waited = if self.asked.get() { Duration::ZERO } else { self.waited };
+        self.since.get().elapsed() + waited
+    }
+
     /// When the request that is being read must have come whole.
     pub fn whole_by(&self) -> Instant {
         let by = self.since.get() + SLOW;
@@ -99,10 +108,9 @@
 impl Seats {
     /// Waits for a place. Where all are taken, the connection that has been idle longest loses its own; one
     /// with a request that is being read or answered never does.
-    pub async fn free(&self, most: usize, closing: impl Fn() -> bool) {
+    pub async fn free(&self, most: usize) {
         while self.taken.borrow().len() >= most {
-            let unused = if closing() { UNUSED_CLOSING } else { UNUSED };
-            if let Some((number, seat)) = self.unused(unused) {
+            if let Some((number, seat)) = self.unused(UNUSED) {
                 // Ended here and now: between the look and the end nothing can come in.
                 let _ = seat.stream.shutdown(Shutdown::Both);
                 self.taken.borrow_mut().remove(&number);
@@ -154,7 +162,7 @@
             for age in [0, 1, 2, 3] {
                 clients.push(TcpStream::connect(address).await.expect("a connection"));
                 let (stream, _) = listener.accept().await.expect("a connection");
-                let seat = Rc::new(Seat::new(Rc::new(stream)));
+                let seat = Rc::new(Seat::new(Rc::new(stream), Duration::ZERO));
                 seat.since.set(long_ago + Duration::from_millis(age));
                 seats.take(&seat);
             }
@@ -164,7 +172,7 @@
             let first = seats.taken.borrow()[&0].clone();
             std::future::poll_fn(|cx| first.stream.poll_read_ready(cx)).await.expect("it comes");
             seats.taken.borrow()[&1].stage.set(Stage::Answering);
-            seats.free(4, || false).await;
+            seats.free(4).await;
             assert_eq!(seats.taken.borrow().keys().copied().collect::<Vec<_>>(), [0, 1, 3]);
             clients[2].readable().await.expect("its end");
             assert_eq!(clients[2].try_read(&mut [0; 1]).expect("its end"), 0);
