--- a/crates/daemon/src/queue.rs
+++ b/crates/daemon/src/queue.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 /// A client waits so long for its answer: one that has waited longer is not there any more.
-pub const PATIENCE: Duration = Duration::from_millis(400);
+const PATIENCE: Duration = Duration::from_millis(400);
 
 /// What is known of the queue. Moments are counted from one that the owner chooses.
 #[derive(Debug, Default)]
--- a/crates/daemon/src/seats.rs
+++ b/crates/daemon/src/seats.rs
@@ -110,7 +110,7 @@
     /// with a request that is being read or answered never does.
     pub async fn free(&self, most: usize) {
         while self.taken.borrow().len() >= most {
-            if let Some((number, seat)) = self.unused(UNUSED) {
+            if let Some((number, seat)) = self.unused() {
                 // Ended here and now: between the look and the end nothing can come in.
                 let _ = seat.stream.shutdown(Shutdown::Both);
                 self.taken.borrow_mut().remove(&number);
@@ -120,11 +120,11 @@
         }
     }
 
-    fn unused(&self, since: Duration) -> Option<(u64, Rc<Seat>)> {
+    fn unused(&self) -> Option<(u64, Rc<Seat>)> {
         let taken = self.taken.borrow();
         let mut idle: Vec<_> = taken
             .iter()
-            .filter(|(_, s)| s.stage.get() == Stage::Idle && s.since.get().elapsed() >= since)
+            .filter(|(_, s)| s.stage.get() == Stage::Idle && s.since.get().elapsed() >= UNUSED)
             .collect();
         idle.sort_by_key(|(_, s)| s.since.get());
         idle.into_iter().find(|(_, s)| s.is_unused()).map(|(&n, s)| (n, s.clone()))
