--- a/crates/copies/src/ledger.rs
+++ b/crates/copies/src/ledger.rs
@@ -48,6 +48,8 @@
     pub epoch: u32,
     /// Where the epoch was made known, and to which life of each.
     pub registered: BTreeMap<Peer, Reign>,
+    /// Who the witnesses are in this epoch.
+    pub witnesses: Vec<Peer>,
     /// Who has said that it witnesses for the epoch.
     pub known: BTreeSet<Peer>,
 }
--- a/crates/daemon/tests/fleet/fleet.rs
+++ b/crates/daemon/tests/fleet/fleet.rs
@@ -7,7 +7,7 @@
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -31,6 +31,7 @@
     at: SocketAddr,
     way: Arc<Mutex<Way>>,
     standing: Arc<Mutex<Vec<TcpStream>>>,
+    passed: Arc<AtomicU64>,
 }
 
 impl Link {
@@ -38,14 +39,15 @@
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let at = listener.local_addr().expect("an address");
         let (way, standing) = (Arc::new(Mutex::new(OPEN)), Arc::<Mutex<Vec<TcpStream>>>::default());
-        let (shared, streams) = (way.clone(), standing.clone());
+        let passed = Arc::<AtomicU64>::default();
+        let (shared, streams, count) = (way.clone(), standing.clone(), passed.clone());
         thread::spawn(move || {
             for near in listener.incoming().flatten() {
-                let (way, streams) = (shared.clone(), streams.clone());
-                thread::spawn(move || pass(near, to, &way, &streams));
+                let (way, streams, count) = (shared.clone(), streams.clone(), count.clone());
+                thread::spawn(move || pass(near, to, &way, &streams, &count));
             }
         });
-        Self { at, way, standing }
+        Self { at, way, standing, passed }
     }
 
     fn break_all(&self) {
@@ -56,18 +58,30 @@
 }
 
 /// Moves bytes both ways while both ends stand.
-fn pass(near: TcpStream, to: SocketAddr, way: &Arc<Mutex<Way>>, streams: &Mutex<Vec<TcpStream>>) {
+fn pass(
+    near: TcpStream,
+    to: SocketAddr,
+    way: &Arc<Mutex<Way>>,
+    streams: &Mutex<Vec<TcpStream>>,
+    count: &Arc<AtomicU64>,
+) {
     // Over a cut nobody answers: the connection comes up once that is over, if it still stands.
     let Ok(far) = TcpStream::connect(to) else { return };
     let pair = |s: &TcpStream| s.try_clone().expect("a handle");
     streams.lock().expect("sound").extend([pair(&near), pair(&far)]);
-    let (back_from, back_to, shared) = (pair(&far), pair(&near), way.clone());
-    let back = thread::spawn(move || one_way(&back_from, &back_to, &shared, |w| w.back));
-    one_way(&near, &far, way, |w| w.there);
+    let (back_from, back_to, shared, counted) = (pair(&far), pair(&near), way.clone(), count.clone());
+    let back = thread::spawn(move || one_way(&back_from, &back_to, &shared, &counted, |w| w.back));
+    one_way(&near, &far, way, count, |w| w.there);
     let _ = back.join();
 }
 
-fn one_way(from: &TcpStream, to: &TcpStream, way: &Mutex<Way>, open: impl Fn(&Way) -> bool) {
+fn one_way(
+    from: &TcpStream,
+    to: &TcpStream,
+    way: &Mutex<Way>,
+    count: &AtomicU64,
+    open: impl Fn(&Way) -> bool,
+) {
     let _ = from.set_read_timeout(Some(Duration::from_millis(20)));
     let _ = to.set_nodelay(true);
     let mut block = [0; 4096];
@@ -89,6 +103,7 @@
                 thread::sleep(now.delay);
                 let most = now.reset_after.map_or(n, |m| m.saturating_sub(passed).min(n));
                 passed += n;
+                count.fetch_add(most as u64, Ordering::Relaxed);
                 if (&*to).write_all(&block[..most]).is_err() || most < n {
                     return end();
                 }
@@ -153,11 +168,13 @@
     pub more: &'a str,
     /// A sender with a folder of so many megabytes.
     pub small: Option<(usize, f64)>,
+    /// Senders reach each other without a link of the test's between them.
+    pub direct: bool,
 }
 
 impl Fleet {
     pub fn new(senders: usize, count: usize) -> Self {
-        Self::with(&Wanted { senders, count, more: "", small: None })
+        Self::with(&Wanted { senders, count, more: "", small: None, direct: false })
     }
 
     pub fn with(wanted: &Wanted<'_>) -> Self {
@@ -203,13 +220,16 @@
                 wanted.more
             );
             for j in (0..n).filter(|&j| j != i) {
-                let at = fleet.links[&(i, j)].at;
+                let at = if wanted.direct { listens(j) } else { fleet.links[&(i, j)].at };
                 operator += &format!(
                     "[[copies.senders]]\nname = \"n{j}\"\naddress = \"{at}\"\nzone = \"{}\"\n",
                     zone(j)
                 );
             }
-            std::fs::write(folder.path().join("operator.toml"), operator).expect("a file");
+            // Without copies no file at all: earlier builds know nothing of them.
+            if wanted.count > 0 {
+                std::fs::write(folder.path().join("operator.toml"), operator).expect("a file");
+            }
             fleet.senders.push(Sender {
                 name: format!("n{i}"),
                 folder,
@@ -242,9 +262,12 @@
             })
             .collect();
         std::fs::write(path.join("config.json"), config).expect("a file");
-        let mut child = Command::new(env!("CARGO_BIN_EXE_notchpoint"))
-            .arg("--operator")
-            .arg(path.join("operator.toml"))
+        let program = std::env::var_os("PROGRAM");
+        let mut command = Command::new(program.unwrap_or_else(|| env!("CARGO_BIN_EXE_notchpoint").into()));
+        if path.join("operator.toml").exists() {
+            command.arg("--operator").arg(path.join("operator.toml"));
+        }
+        let mut child = command
             .env("TMPDIR", path)
             .env("BALANCER_CONFIG", path.join("config.json"))
             .env("BALANCER_STATE", path.join("state"))
@@ -391,6 +414,11 @@
         }
     }
 
+    /// Bytes that have passed on all links.
+    pub fn passed(&self) -> u64 {
+        self.links.values().map(|l| l.passed.load(Ordering::Relaxed)).sum()
+    }
+
     /// How often a sender has said this.
     pub fn said(&self, i: usize, what: &str) -> usize {
         self.senders[i].log.lock().expect("sound").iter().filter(|l| l.contains(what)).count()
--- a/crates/daemon/tests/fleet/main.rs
+++ b/crates/daemon/tests/fleet/main.rs
@@ -1,5 +1,6 @@
 //! Several processes of the program that keep copies for one another, and what fails between them.
 
+mod cost;
 mod fleet;
 #[allow(dead_code)]
 #[path = "../sockets/world.rs"]
@@ -48,7 +49,7 @@
 #[test]
 fn short_of_keepers_messages_are_taken_on_where_operators_want_that() {
     let more = "when_short = \"accept\"";
-    let fleet = Fleet::with(&Wanted { senders: 3, count: 1, more, small: None });
+    let fleet = Fleet::with(&Wanted { senders: 3, count: 1, more, small: None, direct: false });
     fleet.cut_off(0);
     assert_eq!(fleet.hand_in(0, "update", 1, LONG).status(), 202);
     fleet.says(0, "short of keepers: 1 messages taken on all the same");
@@ -204,7 +205,8 @@
 
 #[test]
 fn a_keeper_whose_disk_is_full_is_passed_over() {
-    let fleet = Fleet::with(&Wanted { senders: 3, count: 1, more: "", small: Some((1, 0.15)) });
+    let fleet =
+        Fleet::with(&Wanted { senders: 3, count: 1, more: "", small: Some((1, 0.15)), direct: false });
     fleet.do_all(Does::Busy);
     // Far more than it has room for.
     let mut client = Client::new(fleet.senders[0].address);
