Faults among senders in rehearsals; a record that was not promised is not sent again

Also: a link on which 15 beats are not answered is given up and dialed anew (over a healed cut TCP may be silent for minutes).

--- a/crates/copies/src/copies.rs
+++ b/crates/copies/src/copies.rs
@@ -26,6 +26,8 @@
 const SLOW: Micros = 2 * BEAT;
 /// A keeper is given this long at least, and at most, before the next one is asked as well.
 const USUAL: std::ops::RangeInclusive<Micros> = 20_000..=100_000;
+/// So many, and its link is given up.
+const MUTE: Micros = 15 * BEAT;
 /// Ends are told together, so much later at most.
 const FLUSH: Micros = 5_000;
 /// Copies whose owner is there are asked after so long behind their time.
@@ -161,6 +163,9 @@
 pub enum Output {
     /// A link to this peer is wanted from now on.
     Dial(Peer),
+    /// Nothing was answered on the link to this peer for long: it is to end, and another one be dialed. Over
+    /// a cut that has healed a connection may be silent for minutes yet.
+    Hang(Peer),
     /// Ask, on the link to a peer.
     Ask(Peer, Frame),
     /// Answer, on the link from a peer.
@@ -257,6 +262,10 @@
     witness: Witness,
     /// Ends to be told, by peer.
     ends: BTreeMap<Peer, Vec<(Key, Term)>>,
+    /// Promises to be told, by peer.
+    promises: BTreeMap<Peer, Vec<(Key, Term)>>,
+    /// Rows of promised copies, while rows are read: they come in any order.
+    sure: Vec<Key>,
     /// What former owners are to be told.
     taken: BTreeMap<Holder, Vec<(Key, Term)>>,
     /// Messages of which it is not known yet whether they were claimed, by witness: not asked after a return.
@@ -305,6 +314,8 @@
             keeper: Keeper::new(keep),
             witness: Witness::new(seats),
             ends: BTreeMap::new(),
+            promises: BTreeMap::new(),
+            sure: Vec::new(),
             taken: BTreeMap::new(),
             returns: BTreeSet::new(),
             places: BTreeMap::new(),
@@ -322,6 +333,9 @@
             known |=
                 all.restore(&key, &value).ok_or_else(|| format!("copies: row {key:02x?} cannot be read"))?;
         }
+        for key in std::mem::take(&mut all.sure) {
+            all.keeper.restore_sure(&key);
+        }
         if known && all.me.holder.peer != all.view.me() {
             return Err("copies: the folder belongs to a sender of another name".into());
         }
@@ -341,6 +355,7 @@
             Row::Peer(peer) => drop(self.lives.insert(peer, read(value)?)),
             Row::Own(id) => drop(self.places.insert(id, read(value)?)),
             Row::Copy(key) => self.keeper.restore(key, read(value)?),
+            Row::Sure(key) => self.sure.push(key),
             Row::Home(home) => self.witness.restore_home(home, read(value)?),
             Row::Seat(key) => self.witness.restore_seat(key, read(value)?),
         }
@@ -468,7 +483,7 @@
             Input::Take { id, record } => self.take(id, record, out),
             Input::Accept { id } => {
                 if let Some(own) = self.owner.own.get_mut(&id) {
-                    own.promised = true;
+                    (own.promised, own.record.sure) = (true, true);
                 }
             }
             Input::Resume { id, record } => self.resume(id, record),
--- a/crates/copies/src/copies/asked.rs
+++ b/crates/copies/src/copies/asked.rs
@@ -49,6 +49,9 @@
                 self.witness.never_ran((key, term, from), &tried, ledger);
                 self.keeper.progress((key, term, from), &tried, verdict, ledger);
             }
+            Frame::Sure { keys } => {
+                keys.into_iter().for_each(|(key, term)| self.keeper.sure(key, term, from, ledger));
+            }
             Frame::Over { keys } => {
                 let mut heard = Vec::new();
                 for (key, term) in keys {
--- a/crates/copies/src/copies/looking.rs
+++ b/crates/copies/src/copies/looking.rs
@@ -13,6 +13,11 @@
         self.looked = now;
         if self.flush.is_some_and(|at| at <= now) {
             self.flush = None;
+            for (peer, keys) in std::mem::take(&mut self.promises) {
+                for keys in keys.chunks(MOST) {
+                    self.ask(peer, Frame::Sure { keys: keys.to_vec() }, out);
+                }
+            }
             for (peer, keys) in std::mem::take(&mut self.ends) {
                 for keys in keys.chunks(MOST) {
                     self.ask(peer, Frame::Over { keys: keys.to_vec() }, out);
@@ -48,6 +53,9 @@
             wanted.extend(self.view.witnesses(home.holder.peer));
         }
         wanted.into_iter().for_each(|peer| self.dial(peer, out));
+        let mute =
+            |l: &Link| l.up.is_some() && l.since.is_some_and(|s| self.at.now.saturating_sub(s.1) > MUTE);
+        out.extend(self.links.iter().filter(|(_, l)| mute(l)).map(|(&p, _)| Output::Hang(p)));
         let up: Vec<Peer> = self.links.iter().filter(|(_, l)| l.up.is_some()).map(|(&p, _)| p).collect();
         up.into_iter().for_each(|peer| self.send_beat(peer, out));
         // A witness whose disk took nothing, or which was away when the epoch began.
--- a/crates/copies/src/copies/owning.rs
+++ b/crates/copies/src/copies/owning.rs
@@ -85,8 +85,15 @@
             return;
         }
         if let Some(own) = self.owner.own.get_mut(&id) {
-            own.promised = true;
+            (own.promised, own.record.sure) = (true, true);
             out.push(Output::Promised(id));
+            if own.record.careful {
+                let (key, term) = (own.key(id), own.term);
+                for &peer in own.asked.keys() {
+                    self.promises.entry(peer).or_default().push((key, term));
+                }
+                self.flush.get_or_insert(self.at.now + FLUSH);
+            }
         }
     }
 
--- a/crates/copies/src/copies/taking.rs
+++ b/crates/copies/src/copies/taking.rs
@@ -61,7 +61,9 @@
         let Some(held) = self.keeper.get(&key) else { return };
         let (from, mut record) = (held.owner, held.record.clone());
         tried.into_iter().for_each(|t| record.enter(t));
-        if doubt {
+        // Whoever handed it in may not have heard 202, and may have handed it in again: it is ended, which
+        // harms neither.
+        if doubt || record.careful && !record.sure {
             record.enter(DOUBT);
         }
         // Its first owner may have made these without a word.
@@ -70,12 +72,13 @@
             record.enter(Tried { number: free - 1, endpoint: 0, at: self.at.unix, never_ran: true });
         }
         let place = Place { home: key.home, term };
-        let rows: [Change; 2] = [put(Row::Own(key.id), &place), gone(Row::Copy(key))];
+        let rows = [put(Row::Own(key.id), &place), gone(Row::Copy(key)), gone(Row::Sure(key))];
         if !ledger.adopt(key.id, &record, &rows) {
             out.push(Output::Say(Event::Unwritten));
             return;
         }
         self.keeper.let_go(key);
+        record.sure = true;
         self.places.insert(key.id, place);
         let mut own = Own::new(key.home, term, record);
         own.promised = true;
--- a/crates/copies/src/frame.rs
+++ b/crates/copies/src/frame.rs
@@ -106,6 +106,8 @@
     Keep { key: Key, term: Term, record: Box<Record> },
     /// What became of attempts of a message that you keep, and what was decided.
     Progress { key: Key, term: Term, tried: Vec<Tried>, verdict: Option<crate::Verdict> },
+    /// These, which you keep, are promised.
+    Sure { keys: Vec<(Key, Term)> },
     /// These are over.
     Over { keys: Vec<(Key, Term)> },
     /// Nobody has a copy of these any more.
@@ -164,6 +166,7 @@
                 | Self::Register { .. }
                 | Self::Keep { .. }
                 | Self::Progress { .. }
+                | Self::Sure { .. }
                 | Self::Over { .. }
                 | Self::Forget { .. }
                 | Self::Intend { .. }
@@ -179,7 +182,7 @@
     /// Entries of its longest list.
     fn entries(&self) -> usize {
         match self {
-            Self::Over { keys } => keys.len(),
+            Self::Over { keys } | Self::Sure { keys } => keys.len(),
             Self::Forget { keys } | Self::Check { keys } | Self::Heard { keys } | Self::NotMine { keys } => {
                 keys.len()
             }
@@ -268,6 +271,7 @@
             deadline: 1_000,
             body: Bytes::from_static(b"hello"),
             careful: true,
+            sure: false,
             tried: vec![tried],
             verdict: None,
         };
--- a/crates/copies/src/keeper.rs
+++ b/crates/copies/src/keeper.rs
@@ -76,6 +76,12 @@
         self.held.insert(key, held);
     }
 
+    pub fn restore_sure(&mut self, key: &Key) {
+        if let Some(h) = self.held.get_mut(key) {
+            h.record.sure = true;
+        }
+    }
+
     pub fn len(&self) -> usize {
         self.held.len()
     }
@@ -131,6 +137,15 @@
         Ok(())
     }
 
+    /// Its owner has promised it.
+    pub fn sure(&mut self, key: Key, term: Term, owner: Holder, ledger: &mut dyn Ledger) {
+        let same = |h: &&mut Held| (h.term, h.owner) == (term, owner) && !h.record.sure;
+        if let Some(h) = self.held.get_mut(&key).filter(same) {
+            // A row of its own: the copy's holds the body.
+            h.record.sure = ledger.write(&[put(Row::Sure(key), &())]);
+        }
+    }
+
     /// What its owner tells of attempts, and of what it decided.
     pub fn progress(
         &mut self,
@@ -160,7 +175,7 @@
     }
 
     pub fn drop_copy(&mut self, key: Key, ledger: &mut dyn Ledger) -> bool {
-        if self.held.contains_key(&key) && !ledger.write(&[gone(Row::Copy(key))]) {
+        if self.held.contains_key(&key) && !ledger.write(&[gone(Row::Copy(key)), gone(Row::Sure(key))]) {
             return false;
         }
         self.let_go(key);
@@ -299,7 +314,7 @@
         }
         let Some(held) = self.held.get(&key) else { return };
         let there = Key { home: to, ..key };
-        let mut rows = vec![gone(Row::Copy(key))];
+        let mut rows = vec![gone(Row::Copy(key)), gone(Row::Sure(key))];
         let mut news = None;
         if !self.held.contains_key(&there) {
             let mut moved = Held { owner: to.holder, term: FIRST, record: held.record.clone() };
--- a/crates/copies/src/ledger.rs
+++ b/crates/copies/src/ledger.rs
@@ -35,6 +35,8 @@
     Own(Id),
     /// A copy, as the keeper has it.
     Copy(Key),
+    /// A copy's message was promised.
+    Sure(Key),
     /// A home that this sender witnesses for: whether it is closed.
     Home(Home),
     /// What a witness knows of a message.
--- a/crates/copies/src/record.rs
+++ b/crates/copies/src/record.rs
@@ -48,6 +48,9 @@
     pub body: Bytes,
     /// It must not be repeated: each of its attempts needs consent.
     pub careful: bool,
+    /// Its client may have heard 202. Of one that has not the client hands the message in again under another
+    /// name, and what must not be repeated is then not sent under this one.
+    pub sure: bool,
     /// Attempts that are known of.
     pub tried: Vec<Tried>,
     /// What was decided, and may not have been told.
--- a/crates/daemon/src/clients/inbound.rs
+++ b/crates/daemon/src/clients/inbound.rs
@@ -353,14 +353,20 @@
     Taken::Yes { class: class as u32, left }
 }
 
+/// Whether messages of a class must not be repeated.
+fn is_careful(inbound: &Inbound, class: usize) -> bool {
+    inbound.terms.borrow().set.classes.get(class).is_none_or(|c| c.effect != Effect::Safe)
+}
+
 /// Whether a record is on all that it is to outlast, once it is.
 async fn is_safe(inbound: &Inbound, id: MessageId, class: usize, mark: &Mark) -> bool {
     let Some(copies) = &inbound.copies else { return inbound.safety.reached(mark, SAFE_WITHIN).await };
-    let careful = inbound.terms.borrow().set.classes.get(class).is_none_or(|c| c.effect != Effect::Safe);
+    let careful = is_careful(inbound, class);
     // Both at once: the keepers' disks are no faster than this one.
     let (kept, firm) =
         tokio::join!(copies.promise(id, careful, SAFE_WITHIN), inbound.safety.reached(mark, SAFE_WITHIN));
-    kept && firm
+    // What is not written is not promised, and after a restart nobody takes it for promised.
+    kept && firm && (!careful || inbound.journal.borrow_mut().promise(id).is_ok())
 }
 
 /// Records a message and gives the time that it has left; nothing where there is no room for it.
@@ -381,7 +387,10 @@
         return Ok(None);
     }
     let left = left.as_micros() as Micros;
-    let open = Open::new(tag, &handed.tenant_name, handed.dest.0, journal.unix_now() + left, body);
+    let mut open = Open::new(tag, &handed.tenant_name, handed.dest.0, journal.unix_now() + left, body);
+    // Until others have it, a process that ends here has promised nothing.
+    let class = inbound.terms.borrow().classes.place(tag);
+    open.sure = inbound.copies.is_none() || class.is_some_and(|n| !is_careful(inbound, n));
     // The record comes before the answer. Without a record there is no promise.
     Ok(journal.take(handed.id, open).is_ok().then_some(left))
 }
--- a/crates/daemon/src/copies/copying.rs
+++ b/crates/daemon/src/copies/copying.rs
@@ -242,6 +242,11 @@
                         self.spawn(self.clone().dial(peer, address));
                     }
                 }
+                Output::Hang(peer) => {
+                    if let Some(queue) = self.asks.borrow().get(&peer) {
+                        queue.end();
+                    }
+                }
                 Output::Ask(peer, frame) => self.push(&self.asks, peer, &frame),
                 Output::Answer(peer, frame) => self.push(&self.answers, peer, &frame),
                 Output::Promised(id) => self.promised(id, true),
--- a/crates/daemon/src/copies/link.rs
+++ b/crates/daemon/src/copies/link.rs
@@ -153,7 +153,7 @@
     let writing = async {
         loop {
             let Some((bytes, mark)) = queue.next().await else {
-                return io::Error::new(io::ErrorKind::TimedOut, "what was said to it was not read");
+                return io::Error::new(io::ErrorKind::TimedOut, "it neither reads nor answers");
             };
             // An answer says that something is kept: on whatever it is to outlast.
             if !safe(&mark).await {
--- a/crates/daemon/src/copies/rows.rs
+++ b/crates/daemon/src/copies/rows.rs
@@ -16,6 +16,7 @@
         deadline: open.deadline,
         body: open.body.clone(),
         careful,
+        sure: open.sure,
         tried: open.attempts.iter().map(tried).collect(),
         verdict: open.verdict.map(told),
     }
@@ -36,7 +37,13 @@
         notchpoint_copies::Verdict::Bounced(wait) => Verdict::Bounced(wait),
     });
     let (deadline, body) = (record.deadline, record.body.clone());
-    Open { attempts, verdict, ..Open::new(&record.class, &record.tenant, record.dest, deadline, body) }
+    // It was promised by whoever kept copies of it.
+    Open {
+        attempts,
+        verdict,
+        sure: true,
+        ..Open::new(&record.class, &record.tenant, record.dest, deadline, body)
+    }
 }
 
 pub fn told(verdict: Verdict) -> notchpoint_copies::Verdict {
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -218,7 +218,7 @@
             let made = open.made();
             self.attempts.insert(id, Attempts { made, out: 0 });
             let Some(event) = self.resumed(id, open, made) else {
-                // Its class left the settings: nothing but its end can come of it.
+                // Its class left the settings, or it was not promised: nothing but its end can come of it.
                 self.reports.push(id, Verdict::Dead);
                 continue;
             };
@@ -239,6 +239,11 @@
             again: true,
             expires_in: open.deadline.saturating_sub(now),
         };
+        // Its client may not have heard 202, and have handed it in again.
+        let unsure = self.copies.is_some() && !open.sure && self.is_careful_class(&open.class);
+        if unsure {
+            return None;
+        }
         let ran = ran.map(|a| (now.saturating_sub(a.at), a.endpoint));
         Some(Event::Resumed { message, attempts, ran })
     }
@@ -607,8 +612,12 @@
 
     /// Whether a message must not be repeated.
     fn is_careful(&self, id: MessageId) -> bool {
-        let (journal, terms) = (self.journal.borrow(), self.terms.borrow());
-        let class = journal.get(id).and_then(|open| terms.classes.place(&open.class));
+        self.journal.borrow().get(id).is_none_or(|open| self.is_careful_class(&open.class))
+    }
+
+    fn is_careful_class(&self, tag: &str) -> bool {
+        let terms = self.terms.borrow();
+        let class = terms.classes.place(tag);
         class.and_then(|n| terms.set.classes.get(n)).is_none_or(|c| c.effect != Effect::Safe)
     }
 
--- a/crates/daemon/src/state/journal.rs
+++ b/crates/daemon/src/state/journal.rs
@@ -8,7 +8,7 @@
 use crate::state::duty::{self, Change, DUTY, Duty};
 use crate::state::legacy;
 use crate::state::record::{
-    self, Attempt, CLASSES, COPIES, JUDGED, MESSAGES, TAKEN, TRIED, judged, key, read, taken, tried,
+    self, Attempt, CLASSES, COPIES, JUDGED, MESSAGES, TRIED, UNSURE, judged, key, read, tried,
 };
 pub use crate::state::record::{Open, Verdict};
 use notchpoint_policy::{Class, EndpointId, MessageId};
@@ -118,7 +118,7 @@
     /// Takes a message on. After an error nothing was taken on.
     pub fn take(&mut self, id: MessageId, message: Open) -> io::Result<()> {
         let mut batch = Batch::default();
-        batch.put(MESSAGES, &key(id, TAKEN, None), &taken(&message));
+        record::write(&mut batch, id, &message);
         self.append(&batch, Work::New)?;
         self.held += 1;
         self.open.insert(id, message);
@@ -168,6 +168,18 @@
         Ok(())
     }
 
+    /// A message that was taken on as unsure is promised from here on. After an error it must not be.
+    pub fn promise(&mut self, id: MessageId) -> io::Result<()> {
+        if self.open.get(&id).is_none_or(|o| o.sure) {
+            return Ok(());
+        }
+        let mut batch = Batch::default();
+        batch.delete(MESSAGES, &key(id, UNSURE, None));
+        self.append(&batch, Work::Going)?;
+        self.open.entry(id).and_modify(|o| o.sure = true);
+        Ok(())
+    }
+
     /// What operators have set.
     pub fn duty(&self) -> &Duty {
         &self.duty
--- a/crates/daemon/src/state/record.rs
+++ b/crates/daemon/src/state/record.rs
@@ -42,12 +42,14 @@
     pub body: Bytes,
     pub attempts: Vec<Attempt>,
     pub verdict: Option<Verdict>,
+    /// Its client may have heard 202. Where copies are kept, that stands in the store before it can.
+    pub sure: bool,
 }
 
 impl Open {
     pub fn new(class: &str, tenant: &str, dest: u64, deadline: u64, body: Bytes) -> Self {
         let (class, tenant) = (class.to_owned(), tenant.to_owned());
-        Self { class, tenant, dest, deadline, body, attempts: Vec::new(), verdict: None }
+        Self { class, tenant, dest, deadline, body, attempts: Vec::new(), verdict: None, sure: true }
     }
 
     /// Attempts made so far: the next one's number. One that is only presumed counts as one.
@@ -60,6 +62,7 @@
 pub const TAKEN: u8 = b'T';
 pub const TRIED: u8 = b'A';
 pub const JUDGED: u8 = b'V';
+pub const UNSURE: u8 = b'U';
 
 pub fn key(id: MessageId, what: u8, number: Option<u32>) -> Vec<u8> {
     let mut key = id.0.to_be_bytes().to_vec();
@@ -79,6 +82,9 @@
     for a in &m.attempts {
         batch.put(MESSAGES, &key(id, TRIED, Some(a.number)), &tried(a));
     }
+    if !m.sure {
+        batch.put(MESSAGES, &key(id, UNSURE, None), &[]);
+    }
     if let Some(v) = m.verdict {
         batch.put(MESSAGES, &key(id, JUDGED, None), &judged(v));
     }
@@ -166,6 +172,7 @@
             let (endpoint, at) = (EndpointId(f.number()?), f.number()?);
             m.attempts.push(Attempt { number, endpoint, at, never_ran: f.bytes()? != [0] });
         }
+        [UNSURE] => m.sure = false,
         [JUDGED] => {
             m.verdict = Some(if f.0.is_empty() { Verdict::Dead } else { Verdict::Bounced(f.number()?) });
         }
--- a/crates/rehearsal/src/hunt.rs
+++ b/crates/rehearsal/src/hunt.rs
@@ -70,7 +70,36 @@
 pub fn faults(s: &Scenario, seed: u64) -> Vec<String> {
     let mut r = Pcg64Mcg::seed_from_u64(mix(seed, 99));
     let many = r.random_range(FAULTS);
-    (0..many).map(|_| fault(s, &mut r)).collect()
+    let mut all: Vec<String> = (0..many).map(|_| fault(s, &mut r)).collect();
+    // Where copies are kept, faults among the senders as well, and as many machines lost as copies are for.
+    let copies = s.senders.copies;
+    if copies > 0 {
+        let many = r.random_range(FAULTS);
+        all.extend((0..many).map(|_| among(s, &mut r)));
+        let losses = r.random_range(0..=copies);
+        all.extend((0..losses).map(|_| {
+            let (at, sender) = (r.random_range(0.0..s.duration_s), r.random_range(0..s.senders.count));
+            let back = r.random_range(0.2..3.0);
+            format!("\n[[event]]\nat_s = {at:.3}\ndo = \"lose\"\nsender = {sender}\nfor_s = {back:.3}\n")
+        }));
+    }
+    all
+}
+
+/// Something that befalls senders, or what lies between them.
+fn among(s: &Scenario, r: &mut Pcg64Mcg) -> String {
+    let sender = r.random_range(0..s.senders.count);
+    let other = (sender + r.random_range(1..s.senders.count)) % s.senders.count;
+    let two = format!("sender = {sender}\nother = {other}\n");
+    let (what, rest) = match r.random_range(0..6) {
+        0 | 1 => ("part", two),
+        2 => ("part", two + "one_way = true\n"),
+        3 => ("slow_link", format!("{two}late_ms = {}\n", r.random_range(1..1_500))),
+        4 => ("disk_full", format!("sender = {sender}\n")),
+        _ => ("freeze", format!("sender = {sender}\n")),
+    };
+    let (at, span) = (r.random_range(0.0..s.duration_s), r.random_range(0.1..5.0));
+    format!("\n[[event]]\nat_s = {at:.3}\ndo = {what:?}\n{rest}for_s = {span:.3}\n")
 }
 
 fn fault(s: &Scenario, r: &mut Pcg64Mcg) -> String {
--- a/crates/rehearsal/src/run.rs
+++ b/crates/rehearsal/src/run.rs
@@ -402,8 +402,11 @@
         let play = self.clone();
         tokio::task::spawn_local(async move {
             sleep(Duration::from_secs_f64(down)).await;
+            if !std::mem::replace(&mut play.resting.borrow_mut()[sender], false) {
+                // It was ended twice, and has been started since.
+                return;
+            }
             let known = play.platform.list();
-            play.resting.borrow_mut()[sender] = false;
             if let Err(why) = play.start(sender, &known) {
                 play.book.odd(format!("sender {sender} did not start again: {why}"));
             }
@@ -451,6 +454,15 @@
                 self.hosts.kill(sender);
                 self.restart_later(sender, e.for_s.unwrap_or(DOWN));
             }
+            Do::Lose => {
+                self.end_life(sender);
+                self.hosts.kill(sender);
+                if let Some(virt) = &self.virt {
+                    virt.lose(sender);
+                }
+                self.restart_later(sender, e.for_s.unwrap_or(DOWN));
+            }
+            Do::Part | Do::SlowLink => self.part(e, sender, for_s),
             Do::Restart => self.restart(sender, e.for_s.unwrap_or(DOWN)),
             Do::Freeze => {
                 self.hosts.freeze(sender, true);
@@ -510,6 +522,26 @@
         self.later(for_s, move || cut.iter().for_each(|ip| virt.net().set_cut(*ip, false)));
     }
 
+    /// Something befalls the ways between two senders.
+    fn part(&self, e: &Event, sender: usize, for_s: f64) {
+        let (Some(virt), Some(other)) = (self.virt.clone(), e.other) else { return };
+        let ip = |n| virt.address(Who::Sender(n)).ip();
+        let (from, to) = (ip(sender), ip(other));
+        if e.what == Do::SlowLink {
+            virt.net().set_slow(from, to, Duration::from_millis(e.late_ms.unwrap_or(0)));
+            return self.later(for_s, move || virt.net().set_slow(from, to, Duration::ZERO));
+        }
+        let both = !e.one_way;
+        let set = move |virt: &Virtual, parted| {
+            virt.net().set_parted(from, to, parted);
+            if both {
+                virt.net().set_parted(to, from, parted);
+            }
+        };
+        set(&virt, true);
+        self.later(for_s, move || set(&virt, false));
+    }
+
     fn drain(self: &Rc<Self>, shell: &Rc<Shell>, n: usize, for_s: f64) {
         let at = (shell.destination, n);
         let Some(member) = self.platform.member(at) else { return };
