A keeper counts a message's time down over the way; waits of a stopped keeper count

Ruled out: the module (it ended the message in the time that it was given).

Change: a copy read just after this process was stopped or starved has so much less time; an owner whose copy was acknowledged late tells the keeper anew how much is left, and the shortest account counts.

--- a/crates/copies/src/copies.rs
+++ b/crates/copies/src/copies.rs
@@ -38,6 +38,12 @@
 const LIVES: usize = 16;
 /// A message of one's own is given to keepers anew so much later at the earliest.
 const ANEW: Micros = 100_000;
+/// Longer than between two beats: it was not there itself.
+const STALL: Micros = 3 * BEAT;
+/// What it then reads may have waited for as long.
+const READ_AFTER: Micros = 100_000;
+/// A copy that took longer to its keeper and back is told again how much time is left.
+const LONG_WAY: Micros = 50_000;
 /// A move that was not recorded by enough is asked for again.
 const AGAIN: Micros = 250_000;
 /// A keeper whose link is down for longer does not count as one any more.
@@ -272,6 +278,8 @@
     returns: BTreeSet<Peer>,
     places: BTreeMap<Id, Place>,
     round: u64,
+    /// When this process was last found to have been stopped or starved, and for how long.
+    stall: (Micros, Micros),
     beat: Micros,
     beats: u64,
     flush: Option<Micros>,
@@ -320,6 +328,7 @@
             returns: BTreeSet::new(),
             places: BTreeMap::new(),
             round: 0,
+            stall: (0, 0),
             beat: at.now,
             beats: 0,
             flush: None,
@@ -469,6 +478,11 @@
 
     /// Tells what happened.
     pub fn handle(&mut self, at: At, input: Input, ledger: &mut dyn Ledger, out: &mut Vec<Output>) {
+        // It is called at each beat.
+        let gap = at.now.saturating_sub(self.at.now);
+        if gap > STALL {
+            self.stall = (at.now, gap);
+        }
         self.at = at;
         match input {
             Input::Linked { holder, link } => self.linked(holder, link, ledger, out),
--- a/crates/copies/src/copies/answered.rs
+++ b/crates/copies/src/copies/answered.rs
@@ -33,7 +33,12 @@
                     {
                         link.answers.observe(now.saturating_sub(since).max(1));
                     }
+                    let long = matches!(asked.1, Asked::Waits(since) if now.saturating_sub(since) > LONG_WAY);
+                    let late = long || asked.1 == Asked::Late;
                     asked.1 = Asked::Kept;
+                    if late && let Some(own) = self.owner.own.get(&key.id) {
+                        out.push(Output::Ask(peer, self.progress(key.id, own)));
+                    }
                     self.promise(key.id, out);
                     let own = self.owner.own.get(&key.id).filter(|o| !o.before.is_empty());
                     if own.is_some_and(|o| self.kept(o) >= self.view.count()) {
--- a/crates/copies/src/copies/asked.rs
+++ b/crates/copies/src/copies/asked.rs
@@ -32,7 +32,11 @@
                 answer(Frame::Registered { home });
             }
             Frame::Keep { key, term, record } => {
-                let record = record.unpacked(self.at.unix);
+                let mut record = record.unpacked(self.at.unix);
+                // What is left is told as it was when this was sent: it runs while it waits here.
+                if now.saturating_sub(self.stall.0) < READ_AFTER {
+                    record.deadline = record.deadline.saturating_sub(self.stall.1);
+                }
                 let own = self.owner.own.get(&key.id).filter(|o| o.home == key.home && o.term >= term);
                 let done = match own {
                     Some(own) => Err(Why::Held { holder: self.me.holder, term: own.term }),
@@ -43,11 +47,12 @@
                     Err(why) => Frame::NotKept { key, term, why },
                 });
             }
-            Frame::Progress { key, term, tried, verdict } => {
+            Frame::Progress { key, term, tried, verdict, left } => {
                 let unix = self.at.unix;
                 let tried: Vec<Tried> = tried.into_iter().map(|t| ago(t, unix)).collect();
                 self.witness.never_ran((key, term, from), &tried, ledger);
-                self.keeper.progress((key, term, from), &tried, verdict, ledger);
+                let deadline = unix.saturating_add(left);
+                self.keeper.progress((key, term, from), &tried, verdict, deadline, ledger);
             }
             Frame::Sure { keys } => {
                 keys.into_iter().for_each(|(key, term)| self.keeper.sure(key, term, from, ledger));
--- a/crates/copies/src/copies/owning.rs
+++ b/crates/copies/src/copies/owning.rs
@@ -217,15 +217,21 @@
         out.push(Output::Lost(id));
     }
 
-    pub(super) fn tell_progress(&mut self, id: Id, out: &mut Vec<Output>) {
-        let Some(own) = self.owner.own.get(&id) else { return };
+    /// What there is to tell of a message.
+    pub(super) fn progress(&self, id: Id, own: &Own) -> Frame {
         let unix = self.at.unix;
-        let frame = Frame::Progress {
+        Frame::Progress {
             key: own.key(id),
             term: own.term,
             tried: own.record.tried.iter().take(MOST).map(|&t| ago(t, unix)).collect(),
             verdict: own.record.verdict,
-        };
+            left: own.record.deadline.saturating_sub(unix),
+        }
+    }
+
+    pub(super) fn tell_progress(&mut self, id: Id, out: &mut Vec<Output>) {
+        let Some(own) = self.owner.own.get(&id) else { return };
+        let frame = self.progress(id, own);
         let mut to: BTreeSet<Peer> = own.asked.keys().copied().collect();
         if own.intended {
             to.extend(self.view.witnesses(own.home.holder.peer));
--- a/crates/copies/src/frame.rs
+++ b/crates/copies/src/frame.rs
@@ -104,8 +104,8 @@
     Register { home: Home },
     /// Keep this, which I own. Times in it are what is left, or ago.
     Keep { key: Key, term: Term, record: Box<Record> },
-    /// What became of attempts of a message that you keep, and what was decided.
-    Progress { key: Key, term: Term, tried: Vec<Tried>, verdict: Option<crate::Verdict> },
+    /// What became of attempts of a message that you keep, what was decided, and how much time is left.
+    Progress { key: Key, term: Term, tried: Vec<Tried>, verdict: Option<crate::Verdict>, left: Micros },
     /// These, which you keep, are promised.
     Sure { keys: Vec<(Key, Term)> },
     /// These are over.
--- a/crates/copies/src/keeper.rs
+++ b/crates/copies/src/keeper.rs
@@ -8,6 +8,8 @@
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
+/// What a deadline may be off by.
+const SLACK: Micros = 20_000;
 /// A claim that was not decided is made again so much later.
 const AGAIN: Micros = 250_000;
 /// One that a witness denied since it hears the owner.
@@ -152,12 +154,17 @@
         (key, term, owner): (Key, Term, Holder),
         tried: &[Tried],
         verdict: Option<Verdict>,
+        deadline: Micros,
         ledger: &mut dyn Ledger,
     ) {
         let Some(h) = self.held.get_mut(&key).filter(|h| (h.term, h.owner) == (term, owner)) else { return };
         let mut news = h.clone();
         tried.iter().for_each(|t| news.record.enter(*t));
         news.record.verdict = verdict.or(news.record.verdict);
+        // Each way takes time, and the shortest one says best when it is up. A little is not worth a row.
+        if deadline + SLACK < news.record.deadline {
+            news.record.deadline = deadline;
+        }
         // Unwritten, it is an attempt more for who takes over, or a notice told again.
         if news != *h && ledger.write(&[put(Row::Copy(key), &news)]) {
             *h = news;
