A witness that lost its folder is not counted on while the new epoch cannot be written

Change: it is taken off that list before the row is tried, so that the next beat tries again and nothing is promised meanwhile.

--- a/crates/copies/src/copies.rs
+++ b/crates/copies/src/copies.rs
@@ -268,8 +268,6 @@
     witness: Witness,
     /// Ends to be told, by peer.
     ends: BTreeMap<Peer, Vec<(Key, Term)>>,
-    /// Promises to be told, by peer.
-    promises: BTreeMap<Peer, Vec<(Key, Term)>>,
     /// Rows of promised copies, while rows are read: they come in any order.
     sure: Vec<Key>,
     /// What former owners are to be told.
@@ -322,7 +320,6 @@
             keeper: Keeper::new(keep),
             witness: Witness::new(seats),
             ends: BTreeMap::new(),
-            promises: BTreeMap::new(),
             sure: Vec::new(),
             taken: BTreeMap::new(),
             returns: BTreeSet::new(),
--- a/crates/copies/src/copies/linking.rs
+++ b/crates/copies/src/copies/linking.rs
@@ -127,6 +127,8 @@
         match self.me.registered.get(&peer) {
             Some(known) if *known == reign => {}
             Some(_) => {
+                // Whatever comes of the new epoch's row: it does not know this one.
+                self.me.known.remove(&peer);
                 out.push(Output::Say(Event::Forgot(peer)));
                 // All are told of the new epoch, this one among them.
                 return self.next_epoch(ledger, out);
--- a/crates/copies/src/copies/looking.rs
+++ b/crates/copies/src/copies/looking.rs
@@ -13,11 +13,6 @@
         self.looked = now;
         if self.flush.is_some_and(|at| at <= now) {
             self.flush = None;
-            for (peer, keys) in std::mem::take(&mut self.promises) {
-                for keys in keys.chunks(MOST) {
-                    self.ask(peer, Frame::Sure { keys: keys.to_vec() }, out);
-                }
-            }
             for (peer, keys) in std::mem::take(&mut self.ends) {
                 for keys in keys.chunks(MOST) {
                     self.ask(peer, Frame::Over { keys: keys.to_vec() }, out);
--- a/crates/copies/src/copies/owning.rs
+++ b/crates/copies/src/copies/owning.rs
@@ -88,11 +88,12 @@
             (own.promised, own.record.sure) = (true, true);
             out.push(Output::Promised(id));
             if own.record.careful {
+                // At once: one that is lost before they hear of it is ended, and not sent.
                 let (key, term) = (own.key(id), own.term);
-                for &peer in own.asked.keys() {
-                    self.promises.entry(peer).or_default().push((key, term));
+                let keepers: Vec<Peer> = own.asked.keys().copied().collect();
+                for peer in keepers {
+                    self.ask(peer, Frame::Sure { keys: vec![(key, term)] }, out);
                 }
-                self.flush.get_or_insert(self.at.now + FLUSH);
             }
         }
     }
--- a/crates/copies/tests/sim/mod.rs
+++ b/crates/copies/tests/sim/mod.rs
@@ -713,6 +713,8 @@
             || text.contains("Forgot")
             || text.contains("Unwritten")
             || text.contains("Regist")
+            || text.contains("Linked")
+            || text.contains("Unlinked")
         {
             println!("{:>9} n{i}: {}", self.now, text.replace("Key { home: Home", ""));
         }
