--- a/crates/rehearsal/tests/world/main.rs
+++ b/crates/rehearsal/tests/world/main.rs
@@ -1,6 +1,7 @@
 //! Whole runs in virtual time: determinism, mutants, hard cases, and what hunts have found.
 
 mod blind;
+mod copies;
 mod determinism;
 mod fidelity;
 mod hard;
