--- a/crates/copies/src/witness.rs
+++ b/crates/copies/src/witness.rs
@@ -153,16 +153,10 @@
         tried: Tried,
         ledger: &mut dyn Ledger,
     ) -> Result<(), Why> {
-        let closed = self.closed(&key.home)?;
-        let mut seat = match self.seats.get(&key) {
-            Some(seat) if seat.over => return Err(Why::Over),
-            Some(seat) if (seat.term, seat.holder) != (term, by) => {
-                return Err(Why::Held { holder: seat.holder, term: seat.term });
-            }
-            Some(Seat { moved: Some((_, to)), .. }) => return Err(Why::Moved(*to)),
-            Some(seat) => seat.clone(),
-            None => Self::first(key, term, by, closed)?,
-        };
+        let mut seat = self.owned(key, term, by)?;
+        if let Some((_, to)) = seat.moved {
+            return Err(Why::Moved(to));
+        }
         let full = seat.tried.len() >= ATTEMPTS;
         match seat.tried.iter_mut().find(|t| t.number == tried.number) {
             Some(known) if !known.never_ran => return Ok(()),
@@ -174,6 +168,19 @@
         self.enter(key, seat, ledger)
     }
 
+    /// What is known of a message, for a word of its owner in this term.
+    fn owned(&self, key: Key, term: Term, by: Holder) -> Result<Seat, Why> {
+        let closed = self.closed(&key.home)?;
+        match self.seats.get(&key) {
+            Some(seat) if seat.over => Err(Why::Over),
+            Some(seat) if (seat.term, seat.holder) != (term, by) => {
+                Err(Why::Held { holder: seat.holder, term: seat.term })
+            }
+            Some(seat) => Ok(seat.clone()),
+            None => Self::first(key, term, by, closed),
+        }
+    }
+
     /// What a first word on a message begins with.
     fn first(key: Key, term: Term, by: Holder, closed: bool) -> Result<Seat, Why> {
         // What was forgotten may have been claimed.
@@ -205,18 +212,10 @@
         tried: &[Tried],
         ledger: &mut dyn Ledger,
     ) -> Result<(), Why> {
-        let closed = self.closed(&key.home)?;
-        let mut seat = match self.seats.get(&key) {
-            Some(seat) if seat.over => return Err(Why::Over),
-            Some(seat) if (seat.term, seat.holder) != (term, by) => {
-                return Err(Why::Held { holder: seat.holder, term: seat.term });
-            }
-            Some(Seat { moved: Some((t, known)), .. }) if *t == term && *known != to => {
-                return Err(Why::Moved(*known));
-            }
-            Some(seat) => seat.clone(),
-            None => Self::first(key, term, by, closed)?,
-        };
+        let mut seat = self.owned(key, term, by)?;
+        if let Some((_, known)) = seat.moved.filter(|m| m.0 == term && m.1 != to) {
+            return Err(Why::Moved(known));
+        }
         for t in tried.iter().take(ATTEMPTS) {
             match seat.tried.iter_mut().find(|k| k.number == t.number) {
                 Some(known) => *known = *t,
