--- a/crates/copies/src/copies/linking.rs
+++ b/crates/copies/src/copies/linking.rs
@@ -28,8 +28,8 @@
             }
             None => Lives { current: from.reign, retired: Vec::new() },
         };
-        // Unwritten, the next process learns it again from whoever greets it first: what may be attempted rests
-        // on witnesses alone.
+        // Unwritten, the next process learns it again from whoever greets it first: what may be attempted
+        // rests on witnesses alone.
         if !ledger.write(&[put(Row::Peer(from.peer), &lives)]) {
             out.push(Output::Say(Event::Unwritten));
         }
--- a/crates/copies/src/copies/moving.rs
+++ b/crates/copies/src/copies/moving.rs
@@ -1,5 +1,5 @@
-//! Messages that are not at home with this sender, or in an epoch of which a witness has forgotten something, are moved to
-//! where all witnesses know of them from the first word on.
+//! Messages that are not at home with this sender, or in an epoch of which a witness has forgotten something,
+//! are moved to where all witnesses know of them from the first word on.
 
 use super::*;
 
--- a/crates/copies/src/shown.rs
+++ b/crates/copies/src/shown.rs
@@ -23,8 +23,8 @@
     format!("{} attempts known, {ran} of which may have run", all.len())
 }
 
-/// What a row says: whose copy, in which term, and what is known of attempts. Senders are shown by the hash of
-/// their names. Nothing where it cannot be read; without a value, what the row was about.
+/// What a row says: whose copy, in which term, and what is known of attempts. Senders are shown by the hash
+/// of their names. Nothing where it cannot be read; without a value, what the row was about.
 pub fn shown(key: &[u8], value: Option<&[u8]>) -> Option<String> {
     let row: Row = read(key)?;
     let Some(value) = value else {
--- a/crates/copies/tests/fleet.rs
+++ b/crates/copies/tests/fleet.rs
@@ -89,7 +89,8 @@
             fleet.facts.values().filter(|f| f.promised.is_some() && f.careful && f.dead > 0).count();
     }
     println!(
-        "{seeds} seeds: {lost} machines lost, {took} messages taken over, {promised} promised, {delivered} delivered, {careful_dead} careful ones dead"
+        "{seeds} seeds: {lost} machines lost, {took} messages taken over, {promised} promised, \
+         {delivered} delivered, {careful_dead} careful ones dead"
     );
     // The day is one that tells something.
     assert!(took as u64 > 5 * seeds && lost as u64 > seeds && delivered * 10 > promised * 7);
--- a/crates/daemon/src/copies.rs
+++ b/crates/daemon/src/copies.rs
@@ -1,4 +1,4 @@
-//! Copies of what this sender holds, at further senders: what `notchpoint_copies` decides is carried out here.
+//! Copies of what this sender holds, at further senders: what `notchpoint_copies` decides is done here.
 
 pub mod copying;
 pub mod link;
--- a/crates/rehearsal/src/checker.rs
+++ b/crates/rehearsal/src/checker.rs
@@ -131,8 +131,8 @@
 
     fn ends(&mut self, id: u64, m: &Message, taken: Micros) {
         let ended = m.delivered.into_iter().chain(m.notices.iter().map(|n| n.at)).min();
-        // Handed to a process that was stopped, it was read only after that, and its time counts from there: no
-        // socket tells when bytes came.
+        // Handed to a process that was stopped, it was read only after that, and its time counts from there:
+        // no socket tells when bytes came.
         let unread =
             self.frozen(m.sender).find(|f| (f.0..f.1).contains(&m.handed)).map_or(0, |f| f.1 - m.handed);
         let due = self.excused(m.sender, m.deadline + LATE + SLACK + unread);
