--- a/crates/copies/src/frame.rs
+++ b/crates/copies/src/frame.rs
@@ -15,7 +15,7 @@
 const MAGIC: [u8; 6] = *b"NPCOPY";
 /// The greeting's length, the same in every version.
 pub const HELLO: usize = 40;
-/// A body is 64 KiB at most, and lists are cut to [`MOST`] entries.
+/// A body is 64 KiB at most, and lists have a bound of their own.
 pub const LONGEST: usize = 256 << 10;
 /// Entries of a list in one frame.
 pub(crate) const MOST: usize = 512;
