Whether a class must not be repeated is said in one place (Terms::is_careful)

Found on reading the change once more: inbound.rs, node.rs and sender.rs each looked up a class's effect in a way of its own, by place or by tag, with the same meaning. Terms has it now, by tag; Copies::owns(), which nothing called, is gone.

--- a/crates/copies/src/copies.rs
+++ b/crates/copies/src/copies.rs
@@ -394,11 +394,6 @@
         self.keeper.len()
     }
 
-    /// Messages that this sender owns, by id, with where they are at home and in which term.
-    pub fn owns(&self) -> impl Iterator<Item = (Id, Home, Term)> {
-        self.owner.own.iter().map(|(&id, o)| (id, o.home, o.term))
-    }
-
     /// What a witness here remembers.
     pub fn seats(&self) -> usize {
         self.witness.seats()
--- a/crates/daemon/src/clients/inbound.rs
+++ b/crates/daemon/src/clients/inbound.rs
@@ -286,7 +286,7 @@
     let Some(left) = record(inbound, &handed, &tag, body, since)? else { return Ok(come_back(inbound)) };
     let (mark, since, mut record) =
         (inbound.safety.mark(), Instant::now(), Record { inbound, id: Some(handed.id) });
-    if !is_safe(inbound, handed.id, class, &mark).await {
+    if !is_safe(inbound, handed.id, &mark).await {
         return Ok(come_back(inbound));
     }
     record.id = None;
@@ -346,22 +346,20 @@
         Err(_) => return Taken::Conflict,
     };
     let (mark, mut record) = (inbound.safety.mark(), Record { inbound, id: Some(handed.id) });
-    if !is_safe(inbound, handed.id, class, &mark).await {
+    if !is_safe(inbound, handed.id, &mark).await {
         return Taken::ComeBack;
     }
     record.id = None;
     Taken::Yes { class: class as u32, left }
 }
 
-/// Whether messages of a class must not be repeated.
-fn is_careful(inbound: &Inbound, class: usize) -> bool {
-    inbound.terms.borrow().set.classes.get(class).is_none_or(|c| c.effect != Effect::Safe)
-}
-
 /// Whether a record is on all that it is to outlast, once it is.
-async fn is_safe(inbound: &Inbound, id: MessageId, class: usize, mark: &Mark) -> bool {
+async fn is_safe(inbound: &Inbound, id: MessageId, mark: &Mark) -> bool {
     let Some(copies) = &inbound.copies else { return inbound.safety.reached(mark, SAFE_WITHIN).await };
-    let careful = is_careful(inbound, class);
+    let careful = {
+        let (journal, terms) = (inbound.journal.borrow(), inbound.terms.borrow());
+        journal.get(id).is_none_or(|open| terms.is_careful(&open.class))
+    };
     // Both at once: the keepers' disks are no faster than this one.
     let (kept, firm) =
         tokio::join!(copies.promise(id, careful, SAFE_WITHIN), inbound.safety.reached(mark, SAFE_WITHIN));
@@ -389,8 +387,7 @@
     let left = left.as_micros() as Micros;
     let mut open = Open::new(tag, &handed.tenant_name, handed.dest.0, journal.unix_now() + left, body);
     // Until others have it, a process that ends here has promised nothing.
-    let class = inbound.terms.borrow().classes.place(tag);
-    open.sure = inbound.copies.is_none() || class.is_some_and(|n| !is_careful(inbound, n));
+    open.sure = inbound.copies.is_none() || !inbound.terms.borrow().is_careful(tag);
     // The record comes before the answer. Without a record there is no promise.
     Ok(journal.take(handed.id, open).is_ok().then_some(left))
 }
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -240,7 +240,7 @@
             expires_in: open.deadline.saturating_sub(now),
         };
         // Its client may not have heard 202, and have handed it in again.
-        let unsure = self.copies.is_some() && !open.sure && self.is_careful_class(&open.class);
+        let unsure = self.copies.is_some() && !open.sure && self.terms.borrow().is_careful(&open.class);
         if unsure {
             return None;
         }
@@ -612,13 +612,7 @@
 
     /// Whether a message must not be repeated.
     fn is_careful(&self, id: MessageId) -> bool {
-        self.journal.borrow().get(id).is_none_or(|open| self.is_careful_class(&open.class))
-    }
-
-    fn is_careful_class(&self, tag: &str) -> bool {
-        let terms = self.terms.borrow();
-        let class = terms.classes.place(tag);
-        class.and_then(|n| terms.set.classes.get(n)).is_none_or(|c| c.effect != Effect::Safe)
+        self.journal.borrow().get(id).is_none_or(|open| self.terms.borrow().is_careful(&open.class))
     }
 
     /// Nothing is owed to anyone.
--- a/crates/daemon/src/sender.rs
+++ b/crates/daemon/src/sender.rs
@@ -220,11 +220,7 @@
         before: &Before,
     ) -> Result<Option<Rc<Copying>>, Failure> {
         let Some(set) = self.operator.copies.as_ref().filter(|c| c.count > 0) else { return Ok(None) };
-        let careful = |open: &Open| {
-            let terms = terms.borrow();
-            let class = terms.classes.place(&open.class).and_then(|n| terms.set.classes.get(n));
-            class.is_none_or(|c| c.effect != notchpoint_policy::Effect::Safe)
-        };
+        let careful = |open: &Open| terms.borrow().is_careful(&open.class);
         let (net, journal, safety) = (self.net.clone(), journal.clone(), safety.clone());
         let copies = Copying::open(set, config, net, journal, safety, inputs.clone(), careful)?;
         copies.listen(set.listen)?;
--- a/crates/daemon/src/settings/terms.rs
+++ b/crates/daemon/src/settings/terms.rs
@@ -3,7 +3,7 @@
 
 use crate::settings::classes::{Change, Classes};
 use crate::settings::config::{Config, Names};
-use notchpoint_policy::{Class, Settings};
+use notchpoint_policy::{Class, Effect, Settings};
 use serde_json::Value;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -22,6 +22,12 @@
 }
 
 impl Terms {
+    /// Whether messages of the class with this tag must not be repeated, as far as is known.
+    pub fn is_careful(&self, tag: &str) -> bool {
+        let class = self.classes.place(tag).and_then(|n| self.set.classes.get(n));
+        class.is_none_or(|c| c.effect != Effect::Safe)
+    }
+
     /// Those of a process that starts; `stored` are the classes that the store knows by tag, `used` the tags
     /// of its messages.
     pub fn new(
