What was taken over and has ended since is not sent again by who returns

A sender that returns is told by witnesses that its messages were claimed, and asks the claimant. One that had delivered them by then answered NotMine, which means a claim that was not gone on with, so that the asker took them for its own until Taken came on the claimant's own link, up to 50 ms later, and sent one that may be repeated once more. At fault: Frame::Check in crates/copies/src/copies/asked.rs, which looked at what is owned now and not at what was taken over from who asks.

Change: it answers Mine with the term of its claim; what was taken over is looked up by key.

--- a/crates/copies/src/copies.rs
+++ b/crates/copies/src/copies.rs
@@ -271,7 +271,7 @@
     /// Rows of promised copies, while rows are read: they come in any order.
     sure: Vec<Key>,
     /// What former owners are to be told.
-    taken: BTreeMap<Holder, Vec<(Key, Term)>>,
+    taken: BTreeMap<Holder, BTreeMap<Key, Term>>,
     /// Messages of which it is not known yet whether they were claimed, by witness: not asked after a return.
     returns: BTreeSet<Peer>,
     places: BTreeMap<Id, Place>,
--- a/crates/copies/src/copies/answered.rs
+++ b/crates/copies/src/copies/answered.rs
@@ -114,7 +114,7 @@
                     }
                 }
                 if let Some(claims) = self.taken.get_mut(&from) {
-                    claims.retain(|c| !keys.contains(&c.0));
+                    claims.retain(|k, _| !keys.contains(k));
                     if claims.is_empty() {
                         self.taken.remove(&from);
                     }
--- a/crates/copies/src/copies/asked.rs
+++ b/crates/copies/src/copies/asked.rs
@@ -107,13 +107,24 @@
                 out.push(Output::Answer(peer, Frame::NotMine { keys }));
             }
             Frame::Check { keys } => {
-                let mine = |k: &Key| self.owner.own.get(&k.id).is_some_and(|o| o.home == k.home);
-                let (own, other): (Vec<Key>, Vec<Key>) = keys.into_iter().partition(mine);
-                let term = |k: &Key| self.owner.own.get(&k.id).map_or(FIRST, |o| o.term);
-                if !own.is_empty() {
-                    answer(Frame::Mine { claims: own.into_iter().map(|k| (k, term(&k))).collect() });
+                // Taken over from who asks, and over since: nothing of it is here any more, but it was a claim
+                // that was gone on with. Who asks before it has heard `Taken` must not take it for its own.
+                let taken = |k: &Key| self.taken.get(&from)?.get(k).copied();
+                let owned = |k: &Key| match self.owner.own.get(&k.id) {
+                    Some(own) if own.home == k.home => Some(own.term),
+                    _ => taken(k),
+                };
+                let (mut claims, mut other) = (Vec::new(), Vec::new());
+                for key in keys {
+                    match owned(&key) {
+                        Some(term) => claims.push((key, term)),
+                        None if !self.keeper.is_claiming(&key) => other.push(key),
+                        None => {}
+                    }
+                }
+                if !claims.is_empty() {
+                    answer(Frame::Mine { claims });
                 }
-                let other: Vec<Key> = other.into_iter().filter(|k| !self.keeper.is_claiming(k)).collect();
                 answer(Frame::NotMine { keys: other.clone() });
                 // Grants that an earlier process of this sender asked for, or that it could not give back. It
                 // owned nothing in a term after that of its copy: else it would have no copy, or one that is
--- a/crates/copies/src/copies/linking.rs
+++ b/crates/copies/src/copies/linking.rs
@@ -96,7 +96,8 @@
         for keys in self.owner.owed_to(peer).chunks(MOST) {
             out.push(Output::Ask(peer, Frame::Over { keys: keys.to_vec() }));
         }
-        let taken: Vec<(Key, Term)> = self.taken.get(&holder).cloned().unwrap_or_default();
+        let taken = self.taken.get(&holder).into_iter().flatten();
+        let taken: Vec<(Key, Term)> = taken.map(|(&k, &t)| (k, t)).collect();
         for claims in taken.chunks(MOST) {
             out.push(Output::Ask(peer, Frame::Taken { claims: claims.to_vec() }));
         }
--- a/crates/copies/src/copies/taking.rs
+++ b/crates/copies/src/copies/taking.rs
@@ -89,7 +89,7 @@
         out.push(Output::Adopted(key.id));
         self.place(key.id, out);
         if self.lives.get(&from.peer).is_none_or(|l| l.current == from.reign) && from != self.me.holder {
-            self.taken.entry(from).or_default().push((key, term));
+            self.taken.entry(from).or_default().insert(key, term);
             self.dial(from.peer, out);
             self.ask(from.peer, Frame::Taken { claims: vec![(key, term)] }, out);
         }
--- a/crates/copies/tests/fleet.rs
+++ b/crates/copies/tests/fleet.rs
@@ -229,6 +229,29 @@
     assert_eq!(effects(Mutant::ReturnWithoutAsking), Some(2), "found");
 }
 
+#[test]
+fn who_returns_sends_nothing_of_what_was_taken_over_and_has_ended_since() {
+    // Whoever took it over has nothing of it any more, and its own word may come after the answer to a
+    // question: that it owns nothing now must not be taken for a claim that it did not go on with.
+    for seed in 1..=200 {
+        let mut fleet = Fleet::new(seed, 3, 1, Mutant::None);
+        fleet.run(S);
+        (fleet.full, fleet.silent, fleet.takes) = (100, 0, 20 * MS);
+        for _ in 0..10 {
+            fleet.hand_in(0, false, 20 * S);
+        }
+        fleet.run(100 * MS);
+        // Who dials whom first differs.
+        fleet.kill(0, 4 * S + (seed % 50) * MS);
+        fleet.full = 0;
+        fleet.run(10 * S);
+        assert_eq!(fleet.check(), Ok(()), "seed {seed}");
+        assert!(fleet.took >= 10, "seed {seed}: {}", fleet.took);
+        let most = fleet.facts.values().map(|f| f.effects).max();
+        assert_eq!(most, Some(1), "seed {seed}: sent once more by who returned");
+    }
+}
+
 #[test]
 fn a_restart_within_the_silence_is_no_takeover() {
     let fleet = three(Mutant::None, |fleet| {
