Copies: lost between two keepers, and before the 202, as cases with processes; throttled links

Change: the test holds a sender's links so that one keeper of two has a message, or both have it and no answer comes back, stops the sender there and loses it: its client heard no 202, and the message is ended and not sent beside the one handed in again. Links can be throttled. Old processes of a hand-over end with a test that fails: five that were left had taken the addresses of later runs.

--- a/crates/daemon/tests/fleet/fleet.rs
+++ b/crates/daemon/tests/fleet/fleet.rs
@@ -22,9 +22,11 @@
     pub delay: Duration,
     /// So many pass, and then the connection is reset.
     pub reset_after: Option<usize>,
+    /// So many pass in a second.
+    pub per_second: Option<u32>,
 }
 
-const OPEN: Way = Way { there: true, back: true, delay: Duration::ZERO, reset_after: None };
+const OPEN: Way = Way { there: true, back: true, delay: Duration::ZERO, reset_after: None, per_second: None };
 
 /// What lies between one sender and another that it dials.
 struct Link {
@@ -100,7 +102,8 @@
         loop {
             let now = *way.lock().expect("sound");
             if open(&now) {
-                thread::sleep(now.delay);
+                let pace = now.per_second.map_or(Duration::ZERO, |p| Duration::from_secs(n as u64) / p);
+                thread::sleep(now.delay + pace);
                 let most = now.reset_after.map_or(n, |m| m.saturating_sub(passed).min(n));
                 passed += n;
                 count.fetch_add(most as u64, Ordering::Relaxed);
@@ -337,8 +340,8 @@
     }
 
     /// Starts the next process beside this one. Gives the old one.
-    pub fn upgrade(&mut self, i: usize) -> Child {
-        let old = self.senders[i].child.take().expect("it runs");
+    pub fn upgrade(&mut self, i: usize) -> Old {
+        let old = Old(self.senders[i].child.take().expect("it runs"));
         let before = self.senders[i].address;
         self.start(i);
         assert_eq!(self.senders[i].address, before, "one socket for both");
@@ -390,6 +393,20 @@
         self.links[&(from, to)].way.lock().expect("sound").delay = by;
     }
 
+    /// No more than so many bytes a second pass on the links between two, each way.
+    pub fn throttle(&self, a: usize, b: usize, per_second: u32) {
+        for link in [(a, b), (b, a)] {
+            self.links[&link].way.lock().expect("sound").per_second = Some(per_second);
+        }
+    }
+
+    /// Whether a sender's folder holds these bytes.
+    pub fn has_written(&self, i: usize, what: &[u8]) -> bool {
+        let state = self.senders[i].folder.path().join("state");
+        let files = std::fs::read_dir(state).expect("a folder").flatten();
+        files.filter_map(|f| std::fs::read(f.path()).ok()).any(|b| b.windows(what.len()).any(|w| w == what))
+    }
+
     /// The links that `from` dials to `to` break after so many bytes, again and again.
     pub fn reset_after(&self, from: usize, to: usize, bytes: usize) {
         self.links[&(from, to)].way.lock().expect("sound").reset_after = Some(bytes);
@@ -523,6 +540,16 @@
     }
 }
 
+/// A process that another one takes over from. It ends with the test, whatever becomes of that.
+pub struct Old(Child);
+
+impl Drop for Old {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
 impl Drop for Fleet {
     fn drop(&mut self) {
         for child in self.senders.iter_mut().filter_map(|s| s.child.as_mut()) {
--- a/crates/daemon/tests/fleet/main.rs
+++ b/crates/daemon/tests/fleet/main.rs
@@ -10,7 +10,7 @@
 use std::io::Write;
 use std::net::TcpStream;
 use std::time::Duration;
-use world::{Client, until};
+use world::{Client, headers, until};
 
 const LONG: u64 = 50_000;
 
@@ -48,6 +48,57 @@
     assert_eq!((fleet.calls(2), fleet.platform.has_notice(2)), (0, false), "withdrawn everywhere");
 }
 
+/// A payment of which its client has not heard yet, at a sender that is lost once these have it in their folders.
+/// It must not be promised, nor sent beside the one that its client hands in again under another id.
+fn lost_before_the_202(mut fleet: Fleet, keepers: &[usize]) {
+    let mut client = Client::new(fleet.senders[0].address);
+    let id = format!("{:016x}", 2);
+    client.send("POST /payment", &headers(&id, "payment", "50000", "dest=3"), b"not-yet-promised");
+    for &i in keepers {
+        until("a keeper's record", || fleet.has_written(i, b"not-yet-promised"));
+    }
+    // Stopped first: nothing of it passes any more, whatever its links hold.
+    fleet.signal(0, "-STOP");
+    let heard = client.hears_within(Duration::from_millis(50));
+    assert!(heard.as_ref().is_none_or(|h| h.status() != 202), "promised too early");
+    fleet.lose(0);
+    fleet.heal();
+    assert_eq!(fleet.hand_in(1, "payment", 4, LONG).status(), 202);
+    fleet.all_end(&[4]);
+    if heard.is_none() {
+        // Whoever goes on with it cannot know what its client heard: it is ended, which harms neither.
+        fleet.all_end(&[2]);
+        assert!(fleet.platform.notice(2).contains("dead"));
+    }
+    assert_eq!((fleet.calls(2), fleet.ran(4)), (0, 1));
+}
+
+#[test]
+fn lost_between_two_keepers_it_was_not_promised_and_is_not_sent() {
+    let fleet = Fleet::new(4, 2);
+    // One keeper hears of it, and no other.
+    (2..4).for_each(|i| fleet.cut_one_way(0, i));
+    lost_before_the_202(fleet, &[1]);
+}
+
+#[test]
+fn lost_after_its_keepers_and_before_the_202_it_is_not_sent() {
+    let fleet = Fleet::new(3, 1);
+    // Both are asked, one after another, and neither answer comes back.
+    [1, 2].into_iter().for_each(|i| fleet.cut_one_way(i, 0));
+    lost_before_the_202(fleet, &[1, 2]);
+}
+
+#[test]
+fn a_keeper_behind_a_throttled_link_slows_nobody_down() {
+    let fleet = Fleet::new(3, 1);
+    fleet.throttle(0, 1, 2_000);
+    let ids = fleet.hand_in_many(0, 0..40, LONG);
+    assert_eq!(ids.len(), 40, "the next keeper is asked as well");
+    fleet.all_end(&ids);
+    fleet.nothing_twice(&ids);
+}
+
 #[test]
 fn short_of_keepers_messages_are_taken_on_where_operators_want_that() {
     let more = "when_short = \"accept\"";
@@ -314,14 +365,9 @@
         fleet.cut_one_way(other, 0);
     }
     let mut client = Client::new(fleet.senders[0].address);
-    client.send("POST /payment", &world::headers(&format!("{:016x}", 2), "payment", "50000", "dest=3"), b"");
+    client.send("POST /payment", &headers(&format!("{:016x}", 2), "payment", "50000", "dest=3"), b"");
     // It has been asked of them once its own record is there.
-    let log = fleet.senders[0].folder.path().join("state");
-    let written = || {
-        let files = std::fs::read_dir(&log).expect("a folder").flatten();
-        files.filter_map(|f| std::fs::read(f.path()).ok()).any(|b| b.windows(4).any(|w| w == b"acme"))
-    };
-    until("its record", written);
+    until("its record", || fleet.has_written(0, b"acme"));
     drop(client);
     fleet.heal();
     fleet.lose(0);
@@ -384,14 +430,13 @@
     fleet.do_all(Does::Busy);
     let mut ids = fleet.hand_in_many(0, 0..30, LONG);
     assert_eq!(ids.len(), 30);
-    let mut old = fleet.upgrade(0);
+    let old = fleet.upgrade(0);
     until("more promises", || {
         let more = fleet.hand_in_many(0, 100..110, LONG);
         ids.extend(&more);
         !more.is_empty()
     });
-    let _ = old.kill();
-    let _ = old.wait();
+    drop(old);
     for i in 0..3 {
         assert_eq!(fleet.said(i, "took over"), 0, "n{i}: it is one sender");
     }
