Partners of a sender are found once and not sorted with each message; cost by fleet size

Need: what a sender carries for copies was to be plotted against the fleet's size. Seen: the plot's run over 5 to 300 senders did not end in 100 s; a debugger found it in View::partners, which sorted all senders with two string comparisons a pair each time that a message was placed, an attempt recorded, or a beat sent (crates/copies/src/view.rs). At 300 senders that is paid for every message.

--- /dev/null
+++ b/crates/copies/examples/size.rs
@@ -0,0 +1,140 @@
+//! What copies cost a sender in fleets of different size: links, frames and bytes a second while nothing
+//! passes, bytes a message, and how long it takes until another loss can be borne after one.
+//!
+//! `cargo run --release -p notchpoint-copies --example size -- FOLDER` writes `copies-size.csv` and
+//! `copies-size.svg`.
+
+#[path = "../tests/sim/mod.rs"]
+mod sim;
+
+use plotters::prelude::*;
+use sim::{Fleet, MS, Mutant, S};
+use std::fmt::Write;
+use std::path::PathBuf;
+
+type Failure = Box<dyn std::error::Error>;
+
+const SIZES: [usize; 6] = [5, 10, 30, 100, 300, 1_000];
+/// Messages that each sender takes on while they are counted.
+const MESSAGES: usize = 20;
+
+struct Row {
+    senders: usize,
+    links: (f64, usize),
+    idle_frames: (f64, f64),
+    idle_bytes: f64,
+    bytes_a_message: f64,
+    mended_ms: u64,
+}
+
+fn mean(all: impl Iterator<Item = f64>) -> f64 {
+    let (sum, n) = all.fold((0.0, 0), |(s, n), x| (s + x, n + 1));
+    sum / f64::from(n.max(1))
+}
+
+fn measure(senders: usize) -> Row {
+    let mut fleet = Fleet::new(1, senders, 1, Mutant::None);
+    fleet.full = 0;
+    fleet.silent = 0;
+    fleet.run(S);
+    let links = fleet.held_links();
+    let before = fleet.sent.clone();
+    fleet.run(S);
+    let idle: Vec<(u64, u64)> =
+        fleet.sent.iter().zip(&before).map(|(now, was)| (now.0 - was.0, now.1 - was.1)).collect();
+    let idle_bytes = mean(idle.iter().map(|i| i.1 as f64));
+    let before: u64 = fleet.sent.iter().map(|s| s.1).sum();
+    let begun = fleet.now;
+    for n in 0..MESSAGES {
+        for i in 0..senders {
+            fleet.hand_in(i, n % 2 == 0, 5 * S);
+        }
+        fleet.run(50 * MS);
+    }
+    fleet.run(S);
+    let seconds = (fleet.now - begun) as f64 / S as f64;
+    let all = fleet.sent.iter().map(|s| s.1).sum::<u64>() - before;
+    let over = all as f64 - idle_bytes * senders as f64 * seconds;
+    // One is lost while much is held.
+    fleet.full = 100;
+    for n in 0..40 {
+        fleet.hand_in(0, n % 2 == 0, 30 * S);
+    }
+    fleet.run(200 * MS);
+    let lost = fleet.now;
+    fleet.lose(0, 100 * MS);
+    fleet.run(200 * MS);
+    assert!(fleet.run_until_mended(), "{:?}", fleet.stakes());
+    Row {
+        senders,
+        links: (mean(links.iter().map(|&l| l as f64)), links.iter().copied().max().unwrap_or(0)),
+        idle_frames: (
+            mean(idle.iter().map(|i| i.0 as f64)),
+            idle.iter().map(|i| i.0).max().unwrap_or(0) as f64,
+        ),
+        idle_bytes,
+        bytes_a_message: over / (MESSAGES * senders) as f64,
+        mended_ms: (fleet.now - lost) / MS,
+    }
+}
+
+fn main() -> Result<(), Failure> {
+    let folder = PathBuf::from(std::env::args_os().nth(1).ok_or("size FOLDER")?);
+    let rows: Vec<Row> =
+        SIZES.into_iter().map(measure).inspect(|r| eprintln!("{} senders measured", r.senders)).collect();
+    let mut csv = String::from(
+        "senders,links_mean,links_most,idle_frames_mean,idle_frames_most,idle_bytes_mean,bytes_a_message,mended_ms\n",
+    );
+    for r in &rows {
+        writeln!(
+            csv,
+            "{},{:.1},{},{:.0},{:.0},{:.0},{:.0},{}",
+            r.senders,
+            r.links.0,
+            r.links.1,
+            r.idle_frames.0,
+            r.idle_frames.1,
+            r.idle_bytes,
+            r.bytes_a_message,
+            r.mended_ms
+        )?;
+    }
+    print!("{csv}");
+    std::fs::write(folder.join("copies-size.csv"), csv)?;
+    plot(&folder.join("copies-size.svg"), &rows)
+}
+
+fn plot(path: &std::path::Path, rows: &[Row]) -> Result<(), Failure> {
+    let root = SVGBackend::new(path, (720, 420)).into_drawing_area();
+    root.fill(&WHITE)?;
+    let mut chart = ChartBuilder::on(&root)
+        .caption("Copies: what a sender carries, by the fleet's size", ("sans-serif", 18))
+        .margin(12)
+        .x_label_area_size(40)
+        .y_label_area_size(56)
+        .build_cartesian_2d((4f64..1_200f64).log_scale(), (1f64..20_000f64).log_scale())?;
+    chart.configure_mesh().x_desc("senders").y_desc("a sender, log scale").draw()?;
+    let lines: [(&str, RGBColor, fn(&Row) -> f64); 5] = [
+        ("links, mean", BLUE, |r| r.links.0),
+        ("links, most", CYAN, |r| r.links.1 as f64),
+        ("frames a second at rest, most", RED, |r| r.idle_frames.1),
+        ("bytes a second at rest, mean", BLACK, |r| r.idle_bytes),
+        ("ms until another loss can be borne", GREEN, |r| r.mended_ms as f64),
+    ];
+    for (name, color, of) in lines {
+        let points = rows.iter().map(|r| (r.senders as f64, of(r).max(1.0)));
+        let line = LineSeries::new(points, color.stroke_width(2)).point_size(3);
+        chart
+            .draw_series(line)?
+            .label(name)
+            .legend(move |(x, y)| PathElement::new(vec![(x, y), (x + 18, y)], color.stroke_width(2)));
+    }
+    chart
+        .configure_series_labels()
+        .position(SeriesLabelPosition::MiddleRight)
+        .background_style(WHITE.mix(0.8))
+        .border_style(BLACK)
+        .draw()?;
+    root.present()?;
+    Ok(())
+}
--- a/crates/copies/src/view.rs
+++ b/crates/copies/src/view.rs
@@ -2,6 +2,7 @@
 //! so that any two senders with the same view agree without a word.
 
 use crate::names::{Id, Peer};
+use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -40,6 +41,10 @@
     me: Peer,
     count: usize,
     senders: BTreeMap<Peer, Sender>,
+    /// Each sender's zone, as a number, where it is known.
+    zones: BTreeMap<Peer, usize>,
+    /// Asked for with each message, and the same for good: of the few senders of which it was ever asked.
+    partners: RefCell<BTreeMap<Peer, Vec<Peer>>>,
 }
 
 fn weight(a: u64, b: u64) -> u64 {
@@ -68,7 +73,14 @@
         if senders.len() < needed {
             return Err(Wrong::TooFew { count, senders: senders.len(), needed });
         }
-        Ok(Self { me: own, count, senders })
+        let mut names = BTreeMap::new();
+        let mut zones = BTreeMap::new();
+        for (&peer, sender) in &senders {
+            let Some(zone) = &sender.zone else { continue };
+            let next = names.len();
+            zones.insert(peer, *names.entry(zone.clone()).or_insert(next));
+        }
+        Ok(Self { me: own, count, senders, zones, partners: RefCell::default() })
     }
 
     /// This sender.
@@ -98,24 +110,46 @@
 
     /// Whether two are known to stand in one zone.
     pub fn together(&self, a: Peer, b: Peer) -> bool {
-        let zone = |p| self.senders.get(&p).and_then(|s| s.zone.as_ref());
+        let zone = |p| self.zones.get(&p);
         zone(a).is_some() && zone(a) == zone(b)
     }
 
     /// Who keeps copies for a sender: others in other zones first, each sender in an order of its own.
     pub fn partners(&self, of: Peer) -> Vec<Peer> {
-        let mut all: Vec<Peer> = self.senders.keys().copied().filter(|&p| p != of).collect();
-        all.sort_by_key(|&p| (self.together(of, p), weight(of.0, p.0), p));
+        self.first_partners(of, usize::MAX)
+    }
+
+    fn first_partners(&self, of: Peer, most: usize) -> Vec<Peer> {
+        let first = |all: &[Peer]| all[..most.min(all.len())].to_vec();
+        if let Some(all) = self.partners.borrow().get(&of) {
+            return first(all);
+        }
+        let all = self.nearest(of);
+        let asked = first(&all);
+        // One that the operators' files do not name any more may still be the home of messages; as many as
+        // there ever were are not kept.
+        if self.knows(of) {
+            self.partners.borrow_mut().insert(of, all);
+        }
+        asked
+    }
+
+    fn nearest(&self, of: Peer) -> Vec<Peer> {
+        let place = |p: Peer| (self.together(of, p), weight(of.0, p.0), p);
+        let mut all: Vec<_> = self.senders.keys().filter(|&&p| p != of).map(|&p| place(p)).collect();
         // All witnesses are among them.
-        all.truncate(PARTNERS.max(2 * self.count));
-        all
+        let most = PARTNERS.max(2 * self.count);
+        if all.len() > most {
+            all.select_nth_unstable(most);
+            all.truncate(most);
+        }
+        all.sort_unstable();
+        all.into_iter().map(|(_, _, p)| p).collect()
     }
 
     /// Who witnesses for a sender: twice as many as copies are wanted, fewer where there are no more.
     pub fn witnesses(&self, of: Peer) -> Vec<Peer> {
-        let mut all = self.partners(of);
-        all.truncate(2 * self.count);
-        all
+        self.first_partners(of, 2 * self.count)
     }
 
     /// Consents that an attempt needs while its owner is the one that took the message on.
@@ -143,8 +177,7 @@
 
     /// Whether no partner of this sender stands in another zone.
     pub fn none_apart(&self) -> bool {
-        let zones: BTreeSet<_> = self.senders.values().filter_map(|s| s.zone.as_ref()).collect();
-        zones.len() < 2
+        self.zones.values().collect::<BTreeSet<_>>().len() < 2
     }
 }
 
@@ -192,6 +225,18 @@
         assert!(served.len() == 300 && served.values().all(|&n| (1..=40).contains(&n)), "{served:?}");
     }
 
+    #[test]
+    fn partners_are_the_first_of_all_in_order_also_of_a_sender_that_is_no_more() {
+        let view = view(60, 3, 1);
+        let stranger = Peer::named("gone");
+        for of in view.senders().map(|(p, _)| p).chain([stranger]) {
+            let mut all: Vec<Peer> = view.senders().map(|(p, _)| p).filter(|&p| p != of).collect();
+            all.sort_by_key(|&p| (view.together(of, p), weight(of.0, p.0), p));
+            assert_eq!(view.partners(of), all[..PARTNERS]);
+            assert_eq!(view.witnesses(of), all[..2]);
+        }
+    }
+
     #[test]
     fn what_a_message_is_placed_by_spreads_and_follows_room() {
         let view = view(13, 3, 1);
--- a/crates/copies/tests/fleet.rs
+++ b/crates/copies/tests/fleet.rs
@@ -377,9 +377,7 @@
             Some(gap) => fleet.run(gap.saturating_sub(100 * MS)),
             None => {
                 fleet.run(200 * MS);
-                while !fleet.bears_losses() {
-                    fleet.run(10 * MS);
-                }
+                assert!(fleet.run_until_mended(), "{:?}", fleet.stakes());
             }
         }
     }
--- a/crates/copies/tests/sim/mod.rs
+++ b/crates/copies/tests/sim/mod.rs
@@ -150,8 +150,11 @@
     slow: BTreeMap<(usize, usize), (Micros, Micros)>,
     /// The last frame's arrival by link and direction: a link keeps its order.
     last: BTreeMap<(u64, bool), Micros>,
-    /// Links that stand: who dialed whom.
+    /// Links that stand: who dialed whom; and the last one of each pair.
     links: BTreeMap<u64, (usize, usize)>,
+    latest: BTreeMap<(usize, usize), u64>,
+    /// Frames and bytes that each sender has put on links.
+    pub sent: Vec<(u64, u64)>,
     next_link: u64,
     next_id: u64,
     pub now: Micros,
@@ -183,6 +186,8 @@
             slow: BTreeMap::new(),
             last: BTreeMap::new(),
             links: BTreeMap::new(),
+            latest: BTreeMap::new(),
+            sent: vec![(0, 0); n],
             next_link: 1,
             next_id: 1,
             now: S,
@@ -381,6 +386,7 @@
         let (link, me) = (self.next_link, self.nodes[i].machine.as_ref().expect("alive").holder());
         self.next_link += 1;
         self.links.insert(link, (i, to));
+        self.latest.insert((i, to), link);
         let theirs = self.nodes[to].machine.as_ref().expect("alive").holder();
         self.nodes[i].dials.entry(peer).or_default().up = Some(link);
         self.arrive(link, false, Inbound::Greet(me, link));
@@ -415,7 +421,9 @@
                     let up = self.nodes[i].dials.get(&peer).and_then(|d| d.up);
                     let me = self.nodes[i].machine.as_ref().expect("alive").holder();
                     // Over the wire, as it is.
-                    let frame = read(&write(&frame)).expect("sound").expect("whole").0;
+                    let bytes = write(&frame);
+                    self.count(i, bytes.len());
+                    let frame = read(&bytes).expect("sound").expect("whole").0;
                     if let Some(link) = up {
                         self.arrive(link, false, Inbound::Asked(me, link, frame));
                     }
@@ -423,7 +431,8 @@
                 Output::Answer(peer, frame) => {
                     let frame = self.mutated(frame);
                     let from = self.peers[&peer];
-                    let link = self.links.iter().rev().find(|(_, l)| **l == (from, i)).map(|(&l, _)| l);
+                    self.count(i, write(&frame).len());
+                    let link = self.latest.get(&(from, i)).copied().filter(|l| self.links.contains_key(l));
                     let me = Peer::named(&self.nodes[i].name);
                     if let Some(link) = link {
                         self.arrive(link, true, Inbound::Answered(me, link, frame));
@@ -448,6 +457,21 @@
         }
     }
 
+    fn count(&mut self, i: usize, bytes: usize) {
+        let (frames, all) = &mut self.sent[i];
+        (*frames, *all) = (*frames + 1, *all + bytes as u64);
+    }
+
+    /// Links that each sender holds, dialed and answered.
+    pub fn held_links(&self) -> Vec<usize> {
+        let mut held = vec![0; self.nodes.len()];
+        for &(a, b) in self.links.values() {
+            held[a] += 1;
+            held[b] += 1;
+        }
+        held
+    }
+
     fn mutated(&self, frame: Frame) -> Frame {
         match (self.mutant, frame) {
             (Mutant::TermNotChecked, Frame::Refuse { key, term, number, .. }) => {
@@ -765,6 +789,20 @@
         self.nodes.iter().all(|n| n.stopped <= self.now && says(n))
     }
 
+    /// What each sender that runs says another loss would cost.
+    pub fn stakes(&self) -> Vec<Stake> {
+        self.nodes.iter().filter_map(|n| n.machine.as_ref()).map(Copies::stake).collect()
+    }
+
+    /// Goes on until another loss can be borne; gives whether that came within a minute.
+    pub fn run_until_mended(&mut self) -> bool {
+        let until = self.now + 60 * S;
+        while !self.bears_losses() && self.now < until {
+            self.run(10 * MS);
+        }
+        self.bears_losses()
+    }
+
     /// The rules. Says what is broken.
     pub fn check(&self) -> Result<(), String> {
         for (id, f) in &self.facts {
