--- a/crates/copies/examples/size.rs
+++ b/crates/copies/examples/size.rs
@@ -13,6 +13,8 @@
 use std::path::PathBuf;
 
 type Failure = Box<dyn std::error::Error>;
+/// A line of the plot: its name, its colour, and what it shows.
+type Line = (&'static str, RGBColor, fn(&Row) -> f64);
 
 const SIZES: [usize; 6] = [5, 10, 30, 100, 300, 1_000];
 /// Messages that each sender takes on while they are counted.
@@ -114,7 +116,7 @@
         .y_label_area_size(56)
         .build_cartesian_2d((4f64..1_200f64).log_scale(), (1f64..20_000f64).log_scale())?;
     chart.configure_mesh().x_desc("senders").y_desc("a sender, log scale").draw()?;
-    let lines: [(&str, RGBColor, fn(&Row) -> f64); 5] = [
+    let lines: [Line; 5] = [
         ("links, mean", BLUE, |r| r.links.0),
         ("links, most", CYAN, |r| r.links.1 as f64),
         ("frames a second at rest, most", RED, |r| r.idle_frames.1),
