Tests cut notes between senders as they cut links

Change: datagrams between two senders pass through the test's own sockets, cut with the links between the two; a case in which a wait that one sender was told keeps another from calling, and not one behind a cut.

--- a/crates/daemon/tests/fleet/fleet.rs
+++ b/crates/daemon/tests/fleet/fleet.rs
@@ -5,7 +5,7 @@
 use crate::world::{Client, Endpoint, Heard, Platform, Reply, answer, member, until};
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -120,12 +120,51 @@
     }
 }
 
+/// The ways of datagrams between senders: each reaches another under an address of the test's, and hears it
+/// from there. They are cut with the links between the two.
+struct Notes {
+    /// Where a sender writes to each of the others (itself left out), and to all at once.
+    peers: Vec<Vec<SocketAddr>>,
+    all: Vec<SocketAddr>,
+}
+
+impl Notes {
+    fn new(links: &BTreeMap<(usize, usize), Link>, n: usize, listens: impl Fn(usize) -> SocketAddr) -> Self {
+        let socket = || Arc::new(UdpSocket::bind("127.0.0.1:0").expect("a port"));
+        let relays: BTreeMap<(usize, usize), Arc<UdpSocket>> = links.keys().map(|&k| (k, socket())).collect();
+        let others = |i: usize| (0..n).filter(move |&j| j != i);
+        let hears = |socket: Arc<UdpSocket>, from: usize, to: Vec<usize>| {
+            let at = socket.local_addr().expect("an address");
+            let way = |j| (links[&(from, j)].way.clone(), relays[&(j, from)].clone(), listens(j));
+            let ways: Vec<_> = to.into_iter().map(way).collect();
+            thread::spawn(move || {
+                let mut note = [0; 512];
+                while let Ok((n, _)) = socket.recv_from(&mut note) {
+                    for (way, relay, to) in &ways {
+                        if way.lock().expect("sound").there {
+                            let _ = relay.send_to(&note[..n], to);
+                        }
+                    }
+                }
+            });
+            at
+        };
+        let peers = (0..n).map(|i| others(i).map(|j| hears(relays[&(i, j)].clone(), i, vec![j])).collect());
+        Self {
+            peers: peers.collect(),
+            all: (0..n).map(|i| hears(socket(), i, others(i).collect())).collect(),
+        }
+    }
+}
+
 /// What endpoints do, and what came of it.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Does {
     Serve,
     /// Turned away: it never ran.
     Busy,
+    /// The same, and told to wait for two seconds.
+    Wait,
     /// It runs, and nobody hears of it.
     Hang,
 }
@@ -167,6 +206,8 @@
 const PORT: u16 = 7950;
 /// And where operators call them.
 const ADMIN: u16 = 7951;
+/// And where their notes come.
+const NOTES: u16 = 7952;
 
 pub struct Wanted<'a> {
     pub senders: usize,
@@ -179,6 +220,8 @@
     pub direct: bool,
     /// The test holds the clients' sockets.
     pub held: bool,
+    /// Senders may write notes to one another.
+    pub notes: bool,
     /// The shortest silence that counts, in milliseconds; a sender that is starved is silent too.
     pub silence: u64,
     /// One that takes others for gone sooner than that.
@@ -194,6 +237,7 @@
             small: None,
             direct: false,
             held: false,
+            notes: false,
             silence: 1_500,
             impatient: None,
         }
@@ -223,6 +267,7 @@
                 links.insert((from, to), Link::new(listens(to)));
             }
         }
+        let notes = wanted.notes.then(|| Notes::new(&links, n, |j| SocketAddr::new(listens(j).ip(), NOTES)));
         let mut fleet =
             Self { senders: Vec::new(), platform, effects, _endpoint: endpoint, links, starts: 0 };
         let at = fleet._endpoint.address;
@@ -240,6 +285,22 @@
                 .replace("\"mostHeld\": 230", "\"mostHeld\": 5000")
                 .replace("\"locality\": \"a\"", &format!("\"locality\": \"{}\"", zone(i)))
                 .replace("\"zones\": [\"a\"]", "\"zones\": [\"a\", \"b\", \"c\"]");
+            let config = match &notes {
+                Some(notes) => {
+                    let listen = SocketAddr::new(listens(i).ip(), NOTES);
+                    let peers: Vec<String> = notes.peers[i].iter().map(|a| format!("\"{a}\"")).collect();
+                    let (peers, all) = (peers.join(","), notes.all[i]);
+                    let ways = format!(
+                        "\"peer_listen\": \"{listen}\", \"peers\": [{peers}], \"peers_all\": \"{all}\""
+                    );
+                    config
+                        .replace("\"connIdleS\"", "\"peerMessages\": true, \"connIdleS\"")
+                        .replace("\"siblings\": 1", &format!("\"siblings\": {n}"))
+                        .replace("\"me\": 0", &format!("\"me\": {i}"))
+                        .replace("\"peers\": []", &ways)
+                }
+                None => config,
+            };
             std::fs::write(folder.path().join("config.json"), config).expect("a file");
             let mut operator = format!(
                 "[copies]\ncount = {}\nlisten = \"{}\"\ninstallation = \"tests\"\nsilence_ms = {}\n{}\n",
@@ -568,7 +629,7 @@
     let mut all = effects.lock().expect("sound");
     *all.calls.entry(id.clone()).or_default() += 1;
     let does = all.does.unwrap_or(Does::Serve);
-    if does != Does::Busy {
+    if !matches!(does, Does::Busy | Does::Wait) {
         *all.ran.entry(id.clone()).or_default() += 1;
     }
     match does {
@@ -577,6 +638,7 @@
             answer("200 OK", "", "")
         }
         Does::Busy => answer("503 Busy", "", ""),
+        Does::Wait => answer("503 Busy", "Retry-After: 2\r\n", ""),
         Does::Hang => Reply::Hang,
     }
 }
--- a/crates/daemon/tests/fleet/main.rs
+++ b/crates/daemon/tests/fleet/main.rs
@@ -480,3 +480,24 @@
     fleet.nothing_twice(&ids);
     assert!(payments.iter().any(|&id| fleet.ran(id) == 1));
 }
+
+#[test]
+fn notes_pass_between_senders_and_not_over_a_cut() {
+    let fleet = Fleet::with(&Wanted { notes: true, ..Wanted::of(3, 1) });
+    fleet.cut(0, 2);
+    fleet.do_all(Does::Wait);
+    // n0 is told to wait for two seconds, and tells the others: n1 makes no call in a message's short life, and
+    // n2, which hears nothing of it, does. Each try begins with a wait of its own.
+    let mut next = 10;
+    until("n2's call, and none of n1", || {
+        let first = next;
+        next += 3;
+        assert_eq!(fleet.hand_in(0, "update", first, 3_000).status(), 202);
+        until("n0's call", || fleet.calls(first) > 0 || fleet.has_ended(first));
+        for (i, id) in [(1, first + 1), (2, first + 2)] {
+            assert_eq!(fleet.hand_in(i, "update", id, 400).status(), 202);
+        }
+        fleet.all_end(&[first, first + 1, first + 2]);
+        fleet.calls(first) > 0 && fleet.calls(first + 1) == 0 && fleet.calls(first + 2) > 0
+    });
+}
