Zones watched: calls' ends pooled by notes, and what the senders find of each zone is said

This is its first slice: evidence and findings, and nothing is decided on them. Change: crates/zones (sans-IO): failures since the last answer by zone and destination, reports with life, number and age in notes of 256 bytes, a pool that joins them in any order, a judgement that three senders in two zones must share and no zone's senders contradict, hysteresis, self-doubt. The daemon's platform/zoning.rs gives it calls' ends and says what it finds, in the log and in /status; [zones] in the operator's file, off by default. Notes of other forms go to the module as before. Seen on the way with real processes: counts over a window find nothing, since the module leaves an endpoint after one failed call and the answers before it outweigh that; so a failure counts until an answer, for 10 s at most. And the module prefers its own zone: where others never call a zone, only its own senders see it fail, and it is doubted.

--- a/crates/copies/src/copies/asked.rs
+++ b/crates/copies/src/copies/asked.rs
@@ -107,8 +107,9 @@
                 out.push(Output::Answer(peer, Frame::NotMine { keys }));
             }
             Frame::Check { keys } => {
-                // Taken over from who asks, and over since: nothing of it is here any more, but it was a claim
-                // that was gone on with. Who asks before it has heard `Taken` must not take it for its own.
+                // Taken over from who asks, and over since: nothing of it is here any more, but it was a
+                // claim that was gone on with. Who asks before it has heard `Taken` must not take it for
+                // its own.
                 let taken = |k: &Key| self.taken.get(&from)?.get(k).copied();
                 let owned = |k: &Key| match self.owner.own.get(&k.id) {
                     Some(own) if own.home == k.home => Some(own.term),
--- a/crates/daemon/src/calls.rs
+++ b/crates/daemon/src/calls.rs
@@ -8,6 +8,7 @@
 
 use crate::copies::copying::Copying;
 use crate::input::Input;
+use crate::platform::zoning::Zoning;
 use crate::settings::config::Config;
 use crate::state::journal::Journal;
 use crate::state::safety::Safety;
@@ -89,6 +90,8 @@
     safety: Rc<Safety>,
     /// Where copies are kept, their keepers have a word in each attempt.
     copies: Option<Rc<Copying>>,
+    /// Where operators want it, what calls come to is watched by zone.
+    zoning: RefCell<Option<Rc<Zoning>>>,
     inputs: UnboundedSender<Input>,
     connect_timeout: Duration,
     idle: Duration,
@@ -122,6 +125,7 @@
             journal,
             safety,
             copies,
+            zoning: RefCell::default(),
             inputs,
             connect_timeout: Duration::from_micros(set.connect_timeout),
             idle: Duration::from_micros(set.conn_idle).mul_f64(IDLE_SHARE),
@@ -139,6 +143,11 @@
         calls
     }
 
+    /// From now on what attempts come to is told there as well.
+    pub fn watched_by(&self, zoning: Rc<Zoning>) {
+        *self.zoning.borrow_mut() = Some(zoning);
+    }
+
     /// Where what happens is told.
     pub fn inputs(&self) -> UnboundedSender<Input> {
         self.inputs.clone()
@@ -354,6 +363,9 @@
             let w = waits.entry(t.route(endpoint)).or_insert(until);
             *w = until.max(*w);
         }
+        if let Some(zoning) = &*self.zoning.borrow() {
+            zoning.came(endpoint, outcome);
+        }
         let (over, allowance) = (end.over, end.allowance);
         let _ = self.inputs.send(Input::Event(Event::Ended { id, attempt, outcome, over, allowance }));
     }
--- a/crates/daemon/src/cli.rs
+++ b/crates/daemon/src/cli.rs
@@ -114,7 +114,7 @@
         Some(Command::Fleet { files, dest }) => fleet_command(&files, dest.map(DestinationId)),
         Some(Command::Check { file }) if file.extension().is_some_and(|e| e == "json") => check_config(&file),
         Some(Command::Check { file }) => operator::read(&file).map_err(Failure::from).and_then(|o| {
-            say(&format!("{0}: {1}\n{0}: {2}\n", file.display(), o.recorder, o.store))?;
+            say(&format!("{0}: {1}\n{0}: {2}\n{0}: {3}\n", file.display(), o.recorder, o.store, o.zones))?;
             check_copies(&file, &o)?;
             Ok(ExitCode::SUCCESS)
         }),
--- a/crates/daemon/src/copies/copying.rs
+++ b/crates/daemon/src/copies/copying.rs
@@ -591,8 +591,8 @@
         if self.looks >= LASTING && !std::mem::replace(&mut self.said, true) {
             let Stake { lacking, elsewhere, unclaimed, witnesses: (stand, all) } = stake;
             tracing::warn!(
-                "copies: another loss could cost messages: {lacking} lack copies, {elsewhere} are at home elsewhere, \
-                 {unclaimed} of gone senders are not taken over, {stand} of {all} witnesses stand"
+                "copies: another loss could cost messages: {lacking} lack copies, \
+                 {elsewhere} are at home elsewhere, {unclaimed} of gone senders are not taken over, {stand} of {all} witnesses stand"
             );
         }
     }
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -10,6 +10,7 @@
 use crate::platform::discovery::Discovery;
 use crate::platform::peers::Peers;
 use crate::platform::reports::Reports;
+use crate::platform::zoning::Zoning;
 use crate::settings::config::Config;
 use crate::settings::terms::Terms;
 use crate::state::duty::{Change, MOST_OUT};
@@ -52,6 +53,7 @@
     reports: Rc<Reports>,
     discovery: Rc<Discovery>,
     peers: Option<Peers>,
+    zoning: Option<Rc<Zoning>>,
     flight: Rc<Flight>,
     door: Rc<Door>,
     inputs: UnboundedReceiver<Input>,
@@ -82,6 +84,7 @@
     pub reports: Rc<Reports>,
     pub discovery: Rc<Discovery>,
     pub peers: Option<Peers>,
+    pub zoning: Option<Rc<Zoning>>,
     pub flight: Rc<Flight>,
     pub door: Rc<Door>,
     pub inputs: UnboundedReceiver<Input>,
@@ -160,7 +163,8 @@
     }
 
     fn build(sender: Sender, config: &Config, text: &str, parts: Parts) -> Self {
-        let Parts { journal, terms, calls, copies, reports, discovery, peers, flight, door, inputs } = parts;
+        let Parts { journal, terms, calls, copies, reports, discovery, peers, zoning, flight, door, inputs } =
+            parts;
         Self {
             sender,
             terms,
@@ -178,6 +182,7 @@
             reports,
             discovery,
             peers,
+            zoning,
             flight,
             door,
             inputs,
@@ -468,8 +473,14 @@
             let target = Target { address: m.host_port, dest: e.dest, live, apart, bundle };
             self.calls.list(e.endpoint, (e.phase != Phase::Gone).then_some(target));
             self.flight.name(e.endpoint, &m.id);
+            if let Some(zoning) = &self.zoning {
+                zoning.list(e.endpoint, e.dest, &m.locality, e.phase == Phase::Gone);
+            }
         }
         self.flight.keep_names(|id| self.calls.is_listed(id));
+        if let Some(zoning) = &self.zoning {
+            zoning.keep(|id| self.calls.is_listed(id));
+        }
         entries
     }
 
--- a/crates/daemon/src/operators/admin.rs
+++ b/crates/daemon/src/operators/admin.rs
@@ -6,6 +6,7 @@
 use crate::input::{Input, Reply};
 use crate::io::Observed;
 use crate::operations::{self, Asked, No, Word};
+use crate::platform::zoning::Zoning;
 use crate::state::safety::Safety;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -44,11 +45,18 @@
     desk: RefCell<Option<Rc<Desk>>>,
 }
 
+/// What operators see of parts that are off by default.
+#[derive(Default)]
+pub struct Shown {
+    pub copies: Option<Rc<Copying>>,
+    pub zoning: Option<Rc<Zoning>>,
+}
+
 struct Desk {
     name: String,
     door: Rc<Door>,
     safety: Rc<Safety>,
-    copies: Option<Rc<Copying>>,
+    shown: Shown,
     inputs: UnboundedSender<Input>,
 }
 
@@ -59,12 +67,12 @@
         name: &str,
         door: &Rc<Door>,
         safety: &Rc<Safety>,
-        copies: Option<&Rc<Copying>>,
+        shown: Shown,
         inputs: &UnboundedSender<Input>,
     ) {
         let (door, safety, inputs) = (door.clone(), safety.clone(), inputs.clone());
-        let (name, copies) = (name.to_owned(), copies.cloned());
-        *self.desk.borrow_mut() = Some(Rc::new(Desk { name, door, safety, copies, inputs }));
+        let name = name.to_owned();
+        *self.desk.borrow_mut() = Some(Rc::new(Desk { name, door, safety, shown, inputs }));
     }
 
     pub fn close(&self) {
@@ -168,9 +176,12 @@
         _ => "active",
     };
     let mut said = serde_json::json!({ "ok": true, "name": desk.name, "state": state });
-    if let Some(copies) = &desk.copies {
+    if let Some(copies) = &desk.shown.copies {
         said["copies"] = copies.status();
     }
+    if let Some(zoning) = &desk.shown.zoning {
+        said["zones"] = zoning.status();
+    }
     said
 }
 
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -3,4 +3,6 @@
 pub mod discovery;
 pub mod notices;
 pub mod peers;
+pub mod post;
 pub mod reports;
+pub mod zoning;
--- a/crates/daemon/src/platform/discovery.rs
+++ b/crates/daemon/src/platform/discovery.rs
@@ -20,8 +20,8 @@
 /// Two heartbeats of 2 s, and a little for the way: a watch silent for longer is dead. A change counts as
 /// told 6 s after it at the latest, so the next watch must not be much later.
 const SILENCE: Duration = Duration::from_millis(4_100);
-/// Nothing is heard of a connection over a cut, also once that is over: it is made anew sooner than a watch that is
-/// silent. Together with the silence before and the rest after it, that stays under the 6 s.
+/// Nothing is heard of a connection over a cut, also once that is over: it is made anew sooner than a watch
+/// that is silent. Together with the silence before and the rest after it, that stays under the 6 s.
 const CONNECTING: Duration = Duration::from_millis(1_500);
 /// A longer line is no list.
 const LONGEST: usize = 4 << 20;
--- a/crates/daemon/src/platform/peers.rs
+++ b/crates/daemon/src/platform/peers.rs
@@ -1,9 +1,11 @@
 //! Notes between senders, by UDP.
 
 use crate::input::Input;
+use crate::platform::post::{LONGEST, Post};
+use crate::platform::zoning::Zoning;
 use crate::settings::config::Config;
 use notchpoint_policy::Event;
-use notchpoint_seam::{Datagrams, Network};
+use notchpoint_seam::Network;
 use std::future::poll_fn;
 use std::io;
 use std::net::SocketAddr;
@@ -13,14 +15,10 @@
 use tokio::task::AbortHandle;
 use tokio::time::sleep;
 
-/// A longer datagram is not allowed.
-const LONGEST: usize = 256;
 const AGAIN: Duration = Duration::from_millis(10);
 
 pub struct Peers {
-    socket: Rc<dyn Datagrams>,
-    peers: Vec<SocketAddr>,
-    all: Option<SocketAddr>,
+    post: Rc<Post>,
     /// Hears for as long as this lives; then the address is free for another process.
     hears: AbortHandle,
 }
@@ -37,6 +35,7 @@
         config: &Config,
         net: &dyn Network,
         inputs: UnboundedSender<Input>,
+        zoning: Option<Rc<Zoning>>,
     ) -> io::Result<Self> {
         let socket = net.datagrams(address)?;
         let (peers, all) = (config.peers.clone(), config.peers_all);
@@ -51,19 +50,25 @@
                 };
                 // Only senders of the tier are believed.
                 if let Some(from) = known.iter().position(|p| *p == from).filter(|_| n <= LONGEST) {
+                    if zoning.as_ref().is_some_and(|z| z.heard(&buffer[..n])) {
+                        continue;
+                    }
                     let (from, body) = (from as u32, buffer[..n].to_vec());
                     let _ = inputs.send(Input::Event(Event::Note { from, body }));
                 }
             }
         });
-        Ok(Self { socket, peers, all, hears: hears.abort_handle() })
+        let post = Rc::new(Post::new(socket, peers, all));
+        Ok(Self { post, hears: hears.abort_handle() })
     }
 
-    /// A note may be lost, so failing to send one is no matter.
+    /// Where others of this sender's parts write.
+    pub fn post(&self) -> Rc<Post> {
+        self.post.clone()
+    }
+
+    /// See [`Post::send`].
     pub fn send(&self, to: Option<u32>, body: &[u8]) {
-        let to = to.map_or(self.all, |n| self.peers.get(n as usize).copied());
-        if let Some(to) = to.filter(|_| body.len() <= LONGEST) {
-            let _ = self.socket.try_send_to(body, to);
-        }
+        self.post.send(to, body);
     }
 }
--- /dev/null
+++ b/crates/daemon/src/platform/post.rs
@@ -0,0 +1,28 @@
+//! Where notes to other senders go out, whoever writes them.
+
+use notchpoint_seam::Datagrams;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// A longer datagram is not allowed.
+pub const LONGEST: usize = 256;
+
+pub struct Post {
+    socket: Rc<dyn Datagrams>,
+    peers: Vec<SocketAddr>,
+    all: Option<SocketAddr>,
+}
+
+impl Post {
+    pub fn new(socket: Rc<dyn Datagrams>, peers: Vec<SocketAddr>, all: Option<SocketAddr>) -> Self {
+        Self { socket, peers, all }
+    }
+
+    /// A note may be lost, so failing to send one is no matter.
+    pub fn send(&self, to: Option<u32>, body: &[u8]) {
+        let to = to.map_or(self.all, |n| self.peers.get(n as usize).copied());
+        if let Some(to) = to.filter(|_| body.len() <= LONGEST) {
+            let _ = self.socket.try_send_to(body, to);
+        }
+    }
+}
--- a/crates/daemon/src/sender.rs
+++ b/crates/daemon/src/sender.rs
@@ -6,11 +6,12 @@
 use crate::copies::copying::Copying;
 use crate::input::Input;
 use crate::node::{Node, Parts};
-use crate::operators::admin::{self, Admin};
+use crate::operators::admin::{self, Admin, Shown};
 use crate::operators::flight::Flight;
 use crate::platform::discovery::Discovery;
 use crate::platform::peers::Peers;
 use crate::platform::reports::Reports;
+use crate::platform::zoning::Zoning;
 use crate::settings::config::Config;
 use crate::settings::operator::Operator;
 use crate::settings::terms::{self, Terms};
@@ -270,10 +271,20 @@
         flight.watch_panics();
         self.told.begin(&text, &inputs, &flight);
         let door = Rc::new(Door::default());
+        let zoning = Zoning::wanted(&self.operator.zones, &config);
         let peers = match config.peer_listen.filter(|_| config.settings.may_note) {
-            Some(address) => Some(Peers::bind(address, &config, &*self.net, inputs.clone())?),
+            Some(address) => {
+                let (net, inputs) = (&*self.net, inputs.clone());
+                Some(Peers::bind(address, &config, net, inputs, zoning.clone())?)
+            }
             None => None,
         };
+        if let Some(zoning) = &zoning {
+            calls.watched_by(zoning.clone());
+            if let Some(peers) = &peers {
+                zoning.begin(peers.post());
+            }
+        }
         let parts = Parts {
             flight,
             journal: journal.clone(),
@@ -283,6 +294,7 @@
             reports: reports.clone(),
             discovery: discovery.clone(),
             peers,
+            zoning: zoning.clone(),
             door: door.clone(),
             inputs: received,
         };
@@ -325,7 +337,8 @@
         let watched = door.clone();
         let watching = tokio::task::spawn_local(async move { watched.watch().await });
         door.open();
-        self.operators.open(&config.name, &door, &safety, copies.as_ref(), &inputs);
+        let told_of = Shown { copies: copies.clone(), zoning: zoning.clone() };
+        self.operators.open(&config.name, &door, &safety, told_of, &inputs);
         self.told.look_again(source);
         let asked = self.accept.as_ref().and_then(|_| {
             let place = self.net.listen_within(passage::PLACE);
@@ -355,6 +368,7 @@
             watching.abort();
             drop(asked);
             copies.iter().for_each(|c| c.stop());
+            zoning.iter().for_each(|z| z.stop());
             door.given.set(true);
             let (state, received) = node.give();
             let (ends, written) = passage::give(stream, state.clone());
--- a/crates/daemon/src/settings/operator.rs
+++ b/crates/daemon/src/settings/operator.rs
@@ -1,5 +1,6 @@
 //! The operator's own file: what is off unless somebody wants it. `deploy/notchpoint.toml` is an example.
 
+use notchpoint_zones::Rules;
 use serde::Deserialize;
 use std::collections::BTreeSet;
 use std::fmt;
@@ -17,6 +18,8 @@
     #[serde(default)]
     pub store: Storage,
     pub copies: Option<Copies>,
+    #[serde(default)]
+    pub zones: Zones,
 }
 
 /// Copies of what this sender holds, at further senders.
@@ -158,6 +161,70 @@
     }
 }
 
+/// Zones that fail, as the senders of the fleet find together.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields, default)]
+pub struct Zones {
+    /// Calls' ends are pooled with other senders', and what is found of zones is said.
+    pub watch: bool,
+    /// A destination fails in a zone where this share of its calls does, at least.
+    pub share: f64,
+    /// A zone fails where so many destinations do,
+    pub destinations: usize,
+    /// as so many senders see (all, where there are fewer),
+    pub senders: usize,
+    /// that stand in so many zones.
+    pub from_zones: usize,
+}
+
+/// Less is what any zone has on a bad day; all calls fail only where nobody tries any more.
+const SHARE_FAILING: std::ops::RangeInclusive<f64> = 0.2..=0.95;
+/// One destination, sender or zone is never enough.
+const ENOUGH: std::ops::RangeInclusive<usize> = 2..=100;
+
+impl Default for Zones {
+    fn default() -> Self {
+        let Rules { share, dests, senders, zones } = Rules::default();
+        Self { watch: false, share, destinations: dests, senders, from_zones: zones }
+    }
+}
+
+impl Zones {
+    /// What a fleet of so many senders goes by.
+    pub fn rules(&self, fleet: usize) -> Rules {
+        let senders = self.senders.min(fleet.max(*ENOUGH.start()));
+        Rules { share: self.share, dests: self.destinations, senders, zones: self.from_zones }
+    }
+
+    fn check(&self) -> Result<(), String> {
+        if !SHARE_FAILING.contains(&self.share) {
+            return Err(format!("zones.share: {} is not within 0.2 to 0.95", self.share));
+        }
+        for (key, n) in
+            [("destinations", self.destinations), ("senders", self.senders), ("from_zones", self.from_zones)]
+        {
+            if !ENOUGH.contains(&n) {
+                return Err(format!("zones.{key}: {n} is not within 2 to 100"));
+            }
+        }
+        Ok(())
+    }
+}
+
+impl fmt::Display for Zones {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if !self.watch {
+            return f.write_str("zones are not watched");
+        }
+        write!(
+            f,
+            "zones are watched: one fails where {} destinations lose {} of their calls, as {} senders in {} zones \
+             see; nothing is done about it",
+            self.destinations, self.share, self.senders, self.from_zones
+        )
+    }
+}
+
 /// The store of what was taken on, in the folder that outlasts the process.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
 #[serde(deny_unknown_fields, default)]
@@ -282,6 +349,7 @@
     let text = std::fs::read_to_string(path).map_err(|e| format!("{name}: {e}"))?;
     let operator: Operator = toml::from_str(&text).map_err(|e| format!("{name}: {e}"))?;
     operator.recorder.check().and_then(|()| operator.store.check()).map_err(|e| format!("{name}: {e}"))?;
+    operator.zones.check().map_err(|e| format!("{name}: {e}"))?;
     let wrong = operator.copies.as_ref().map_or_else(Vec::new, |c| c.mistakes(None));
     if !wrong.is_empty() {
         return Err(wrong.iter().map(|w| format!("{name}: {w}")).collect::<Vec<_>>().join("\n"));
@@ -339,6 +407,10 @@
             ("[recorder]\nlimit_mb = nan", "recorder.limit_mb"),
             ("[store]\ndurability = \"disk\"", "line 2"),
             ("[store]\nstep_kb = 1", "store.step_kb"),
+            ("[zones]\nwatch = 1", "line 2"),
+            ("[zones]\nshare = 0.1", "zones.share"),
+            ("[zones]\nsenders = 1", "zones.senders"),
+            ("[zones]\nfrom_zones = 0", "zones.from_zones"),
             ("[copies]\ncount = 1", "listen"),
             ("[copies]\nlisten = \"127.0.0.1:1\"\nwhen_short = \"perhaps\"", "line 3"),
             ("[copies]\nlisten = \"127.0.0.1:1\"\ncount = 4", "copies.count"),
--- a/crates/daemon/tests/fleet/fleet.rs
+++ b/crates/daemon/tests/fleet/fleet.rs
@@ -171,6 +171,8 @@
 
 #[derive(Default)]
 pub struct Effects {
+    /// Zones whose endpoints end each connection on its first call.
+    pub down: BTreeSet<char>,
     pub does: Option<Does>,
     /// For each message: how often it ran, how often that was answered, and all calls.
     pub ran: BTreeMap<String, usize>,
@@ -195,7 +197,7 @@
     pub senders: Vec<Sender>,
     pub platform: Platform,
     pub effects: Arc<Mutex<Effects>>,
-    _endpoint: Endpoint,
+    _endpoints: Vec<Endpoint>,
     links: BTreeMap<(usize, usize), Link>,
     starts: u64,
 }
@@ -222,6 +224,8 @@
     pub held: bool,
     /// Senders may write notes to one another.
     pub notes: bool,
+    /// Destinations 3 and 4 stand in one zone and 5 in another; senders watch those, without copies.
+    pub zones: bool,
     /// The shortest silence that counts, in milliseconds; a sender that is starved is silent too.
     pub silence: u64,
     /// One that takes others for gone sooner than that.
@@ -238,6 +242,7 @@
             direct: false,
             held: false,
             notes: false,
+            zones: false,
             silence: 1_500,
             impatient: None,
         }
@@ -254,7 +259,14 @@
         let base = (std::process::id() % 200 + 20) as u8;
         let effects = Arc::<Mutex<Effects>>::default();
         let shared = effects.clone();
-        let endpoint = Endpoint::new(move |call| does(&shared, call));
+        // One for all; or one in each of two zones, with destinations of its own: all senders call both, also
+        // those that stand in the third one.
+        let places: &[char] = if wanted.zones { &ZONES[1..] } else { &ZONES[..1] };
+        let of = |&zone: &char| {
+            let shared = shared.clone();
+            Endpoint::new(move |call| does(&shared, zone, call))
+        };
+        let endpoints: Vec<Endpoint> = places.iter().map(of).collect();
         let platform = Platform::new();
         let n = wanted.senders;
         let listens = |i: usize| {
@@ -269,9 +281,19 @@
         }
         let notes = wanted.notes.then(|| Notes::new(&links, n, |j| SocketAddr::new(listens(j).ip(), NOTES)));
         let mut fleet =
-            Self { senders: Vec::new(), platform, effects, _endpoint: endpoint, links, starts: 0 };
-        let at = fleet._endpoint.address;
-        let members = [member("s-1", at, "shop", 3, "up"), member("s-2", at, "shop", 4, "up")];
+            Self { senders: Vec::new(), platform, effects, _endpoints: endpoints, links, starts: 0 };
+        let listed = |(n, zone): (usize, &char)| {
+            let at = fleet._endpoints[n].address;
+            let named = |dest| {
+                let line = member(&format!("s-{zone}{dest}"), at, "shop", dest, "up");
+                line.replace("\"locality\":\"a\"", &format!("\"locality\":\"{zone}\""))
+            };
+            match zone {
+                'c' => vec![named(5)],
+                _ => vec![named(3), named(4)],
+            }
+        };
+        let members: Vec<String> = places.iter().enumerate().flat_map(listed).collect();
         for i in 0..n {
             let folder = tempfile::tempdir().expect("a folder");
             std::fs::create_dir(folder.path().join("state")).expect("a folder");
@@ -317,7 +339,10 @@
                 );
             }
             // Without copies no file at all: earlier builds know nothing of them.
-            if wanted.count > 0 {
+            if wanted.zones {
+                operator = "[zones]\nwatch = true\n".to_owned();
+            }
+            if wanted.count > 0 || wanted.zones {
                 std::fs::write(folder.path().join("operator.toml"), operator).expect("a file");
             }
             fleet.senders.push(Sender {
@@ -488,6 +513,16 @@
         self.effects.lock().expect("sound").does = Some(does);
     }
 
+    /// A zone's endpoints fail, or serve again.
+    pub fn down(&self, zone: char, fails: bool) {
+        let mut effects = self.effects.lock().expect("sound");
+        if fails {
+            effects.down.insert(zone)
+        } else {
+            effects.down.remove(&zone)
+        };
+    }
+
     pub fn hand_in(&self, i: usize, class: &str, id: u64, ms: u64) -> Heard {
         Client::new(self.senders[i].address).hand_in(class, id, 3, ms, b"hello")
     }
@@ -549,6 +584,11 @@
 
     /// What a sender tells operators of its copies; nothing where it does not run, or not yet.
     pub fn status(&self, i: usize) -> Option<serde_json::Value> {
+        self.status_of(i, "copies")
+    }
+
+    /// What it tells of a part.
+    pub fn status_of(&self, i: usize, part: &str) -> Option<serde_json::Value> {
         let at = SocketAddr::new(self.senders[i].listens.ip(), ADMIN);
         let mut stream = TcpStream::connect_timeout(&at, Duration::from_secs(1)).ok()?;
         stream.set_read_timeout(Some(Duration::from_secs(2))).ok()?;
@@ -556,11 +596,11 @@
         let mut text = String::new();
         stream.read_to_string(&mut text).ok()?;
         let status: serde_json::Value = serde_json::from_str(text.split_once("\r\n\r\n")?.1).ok()?;
-        status.get("copies").cloned()
+        status.get(part).cloned()
     }
 
-    /// Loses a machine and puts an empty one in its place; once all others know that its life is over, and all
-    /// say that another loss could be borne, it is as it was.
+    /// Loses a machine and puts an empty one in its place; once all others know that its life is over, and
+    /// all say that another loss could be borne, it is as it was.
     pub fn lose_and_mend(&mut self, lost: &[usize]) {
         let n = self.senders.len();
         let gone = |i: usize| format!("n{i} is gone");
@@ -620,13 +660,18 @@
     }
 }
 
+const ZONES: [char; 3] = ['a', 'b', 'c'];
+
 fn zone(i: usize) -> char {
-    ['a', 'b', 'c'][i % 3]
+    ZONES[i % 3]
 }
 
-fn does(effects: &Mutex<Effects>, call: &Heard) -> Reply {
+fn does(effects: &Mutex<Effects>, zone: char, call: &Heard) -> Reply {
     let id = call.header("x-request-id").to_owned();
     let mut all = effects.lock().expect("sound");
+    if all.down.contains(&zone) {
+        return Reply::Cut;
+    }
     *all.calls.entry(id.clone()).or_default() += 1;
     let does = all.does.unwrap_or(Does::Serve);
     if !matches!(does, Does::Busy | Does::Wait) {
--- a/crates/daemon/tests/fleet/main.rs
+++ b/crates/daemon/tests/fleet/main.rs
@@ -5,6 +5,7 @@
 #[allow(dead_code)]
 #[path = "../sockets/world.rs"]
 mod world;
+mod zones;
 
 use fleet::{Does, Fleet, Wanted};
 use std::io::{Read, Write};
@@ -48,8 +49,9 @@
     assert_eq!((fleet.calls(2), fleet.platform.has_notice(2)), (0, false), "withdrawn everywhere");
 }
 
-/// A payment of which its client has not heard yet, at a sender that is lost once these have it in their folders.
-/// It must not be promised, nor sent beside the one that its client hands in again under another id.
+/// A payment of which its client has not heard yet, at a sender that is lost once these have it in their
+/// folders. It must not be promised, nor sent beside the one that its client hands in again under another
+/// id.
 fn lost_before_the_202(mut fleet: Fleet, keepers: &[usize]) {
     let mut client = TcpStream::connect(fleet.senders[0].address).expect("a connection");
     let id = format!("{:016x}", 2);
@@ -396,8 +398,8 @@
     assert_eq!(fleet.ran(2), 0);
 }
 
-/// One sender after another is lost with its folder, under load: LOSSES of them, 6 if it is not set. The next one
-/// goes once all say that another loss can be borne: one copy is for one loss.
+/// One sender after another is lost with its folder, under load: LOSSES of them, 6 if it is not set. The
+/// next one goes once all say that another loss can be borne: one copy is for one loss.
 #[test]
 fn losses_one_after_another_lose_nothing() {
     let losses: usize = std::env::var("LOSSES").ok().and_then(|n| n.parse().ok()).unwrap_or(6);
@@ -462,8 +464,8 @@
     let fleet = Fleet::new(3, 1);
     fleet.do_all(Does::Busy);
     let ids = fleet.hand_in_many(0, 0..40, 15_000);
-    // From here on n0 and n1 hear nothing of each other, and n2 hears both. Cut after the stop, what n1 says of its
-    // takeover could lie in n0's socket already.
+    // From here on n0 and n1 hear nothing of each other, and n2 hears both. Cut after the stop, what n1
+    // says of its takeover could lie in n0's socket already.
     fleet.cut(0, 1);
     fleet.signal(0, "-STOP");
     for i in [1, 2] {
@@ -486,8 +488,8 @@
     let fleet = Fleet::with(&Wanted { notes: true, ..Wanted::of(3, 1) });
     fleet.cut(0, 2);
     fleet.do_all(Does::Wait);
-    // n0 is told to wait for two seconds, and tells the others: n1 makes no call in a message's short life, and
-    // n2, which hears nothing of it, does. Each try begins with a wait of its own.
+    // n0 is told to wait for two seconds, and tells the others: n1 makes no call in a message's short life,
+    // and n2, which hears nothing of it, does. Each try begins with a wait of its own.
     let mut next = 10;
     until("n2's call, and none of n1", || {
         let first = next;
--- /dev/null
+++ b/crates/zones/src/evidence.rs
@@ -0,0 +1,133 @@
+//! What this sender's own calls came to of late.
+
+use crate::names::{Dest, Micros, Zone};
+use crate::note::Seen;
+use std::collections::BTreeMap;
+
+/// Answers that are older say nothing of now, and so do others' words.
+pub const WINDOW: Micros = 3_000_000;
+/// Answers are counted by so much of it.
+const BUCKET: Micros = 500_000;
+const BUCKETS: usize = (WINDOW / BUCKET) as usize;
+/// A failure that nothing was answered since counts for longer: after one, a sender hardly calls there any
+/// more, and what it saw must not be forgotten for that. The module's own trials come sooner.
+const FAILED_FOR: Micros = 10_000_000;
+/// Pairs of zone and destination that are counted: a sender has few destinations, and fewer zones. Beyond,
+/// the pair that was not seen for longest gives way.
+const PAIRS: usize = 512;
+
+/// What a call came to, as far as it tells of its endpoint's zone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Came {
+    /// It was answered, be it with a refusal: somebody is there.
+    Answered,
+    /// No connection, a reset, or silence.
+    Failed,
+}
+
+#[derive(Debug, Default)]
+struct Counts {
+    /// The bucket that was counted into last, by number since the clock's zero.
+    last: u64,
+    answered: [u32; BUCKETS],
+    /// Failures since the last answer, and when the last one was.
+    failed: u32,
+    failed_at: Micros,
+}
+
+impl Counts {
+    /// Empties what has left the window.
+    fn advance(&mut self, bucket: u64) {
+        let passed = bucket.saturating_sub(self.last).min(BUCKETS as u64);
+        for n in 0..passed {
+            let at = ((self.last + 1 + n) % BUCKETS as u64) as usize;
+            self.answered[at] = 0;
+        }
+        self.last = self.last.max(bucket);
+    }
+}
+
+/// All that was seen in the window.
+#[derive(Debug, Default)]
+pub(crate) struct Evidence {
+    pairs: BTreeMap<(Zone, Dest), Counts>,
+}
+
+impl Evidence {
+    pub fn observe(&mut self, now: Micros, zone: Zone, dest: Dest, came: Came) {
+        if !self.pairs.contains_key(&(zone, dest)) && self.pairs.len() >= PAIRS {
+            let oldest = self.pairs.iter().min_by_key(|(_, c)| c.last).map(|(&k, _)| k);
+            oldest.map(|k| self.pairs.remove(&k));
+        }
+        let counts = self.pairs.entry((zone, dest)).or_default();
+        let bucket = now / BUCKET;
+        counts.advance(bucket);
+        // A clock that was stepped back counts where it was before.
+        let at = (counts.last % BUCKETS as u64) as usize;
+        match came {
+            Came::Answered => {
+                counts.answered[at] = counts.answered[at].saturating_add(1);
+                counts.failed = 0;
+            }
+            Came::Failed => {
+                counts.failed = counts.failed.saturating_add(1);
+                counts.failed_at = now;
+            }
+        }
+    }
+
+    /// What counts now, what failed most first: the failures since the last answer, or the answers.
+    pub fn seen(&mut self, now: Micros) -> Vec<Seen> {
+        let short = |n: u32| u8::try_from(n).unwrap_or(u8::MAX);
+        for counts in self.pairs.values_mut() {
+            counts.advance(now / BUCKET);
+            if now.saturating_sub(counts.failed_at) > FAILED_FOR {
+                counts.failed = 0;
+            }
+        }
+        self.pairs.retain(|_, c| c.failed > 0 || c.answered.iter().any(|&n| n > 0));
+        let seen = |(&(zone, dest), c): (&(Zone, Dest), &Counts)| {
+            let answered = if c.failed > 0 { 0 } else { c.answered.iter().sum() };
+            Seen { zone, dest, answered: short(answered), failed: short(c.failed) }
+        };
+        let mut seen: Vec<Seen> = self.pairs.iter().map(seen).collect();
+        seen.sort_by_key(|s| std::cmp::Reverse((s.failed, s.answered)));
+        seen
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const Z: Zone = Zone(1);
+
+    #[test]
+    fn a_failure_counts_until_an_answer_or_for_long_and_answers_for_the_window() {
+        let mut e = Evidence::default();
+        let counts = |e: &mut Evidence, now| e.seen(now).first().map(|s| (s.answered, s.failed));
+        e.observe(0, Z, Dest(1), Came::Answered);
+        e.observe(0, Z, Dest(1), Came::Failed);
+        assert_eq!(counts(&mut e, 1), Some((0, 1)), "it stays away from now on");
+        assert_eq!(counts(&mut e, FAILED_FOR), Some((0, 1)));
+        e.observe(FAILED_FOR, Z, Dest(1), Came::Failed);
+        assert_eq!(counts(&mut e, FAILED_FOR + 1), Some((0, 2)));
+        e.observe(FAILED_FOR + 2, Z, Dest(1), Came::Answered);
+        assert_eq!(counts(&mut e, FAILED_FOR + 3), Some((1, 0)));
+        assert_eq!(counts(&mut e, FAILED_FOR + 2 * WINDOW), None);
+        e.observe(2 * FAILED_FOR, Z, Dest(1), Came::Failed);
+        assert_eq!(counts(&mut e, 3 * FAILED_FOR + 1), None);
+    }
+
+    #[test]
+    fn pairs_are_bounded_and_a_clock_stepped_back_is_borne() {
+        let mut e = Evidence::default();
+        for n in 0..2 * PAIRS as u32 {
+            e.observe(u64::from(n) * 10, Z, Dest(n), Came::Failed);
+        }
+        assert_eq!(e.pairs.len(), PAIRS);
+        e.observe(10 * WINDOW, Z, Dest(7), Came::Answered);
+        e.observe(WINDOW, Z, Dest(7), Came::Answered);
+        assert_eq!(e.seen(10 * WINDOW)[0].answered, 2);
+    }
+}
--- /dev/null
+++ b/crates/zones/src/judge.rs
@@ -0,0 +1,233 @@
+//! What the pool says of each zone.
+
+use crate::names::{Dest, Micros, Peer, Zone};
+use crate::note::Seen;
+use crate::pool::Pool;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// How a zone stands.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Standing {
+    /// Nothing says otherwise.
+    #[default]
+    Serving,
+    /// Something fails there, and it is not enough to say that the zone does.
+    Doubted,
+    /// It fails.
+    Failing,
+}
+
+/// When a zone counts as failing.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Rules {
+    /// A destination fails in a zone where this share of its calls does, at least.
+    pub share: f64,
+    /// So many destinations fail there, or all that are seen there if those are at least two.
+    pub dests: usize,
+    /// Seen by so many senders,
+    pub senders: usize,
+    /// that stand in so many zones.
+    pub zones: usize,
+}
+
+impl Default for Rules {
+    fn default() -> Self {
+        Self { share: 0.5, dests: 2, senders: 3, zones: 2 }
+    }
+}
+
+/// One sender's calls to one destination in one zone weigh as much as this many at most: who sees most is not
+/// believed most.
+const LOUDEST: u32 = 8;
+/// A zone serves, as far as others may be said to fail beside it, where less than this share fails: while
+/// all of them begin to, one must not be taken for the one that does.
+const SERVES: f64 = 0.2;
+/// Fewer calls than these say nothing.
+const LEAST: u32 = 2;
+
+/// What is found of a zone, and on whose evidence.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Finding {
+    /// How it stands.
+    pub standing: Standing,
+    /// Calls that failed, and all, weighed.
+    pub failed: f64,
+    /// See `failed`.
+    pub calls: f64,
+    /// Destinations that fail there, of those that are seen there.
+    pub dests: (usize, usize),
+    /// Senders that see it fail.
+    pub senders: BTreeSet<Peer>,
+    /// Zones in which those stand.
+    pub from: BTreeSet<Zone>,
+    /// Zones whose senders see it serve.
+    pub against: BTreeSet<Zone>,
+}
+
+/// Calls that failed and all of them, weighed.
+#[derive(Clone, Copy, Default)]
+struct Sum {
+    failed: f64,
+    calls: f64,
+}
+
+impl Sum {
+    fn add(&mut self, s: &Seen) {
+        let all = u32::from(s.answered) + u32::from(s.failed);
+        let weight = f64::from(all.min(LOUDEST)) / f64::from(all.max(1));
+        self.failed += weight * f64::from(s.failed);
+        self.calls += weight * f64::from(all);
+    }
+
+    fn fails(&self, share: f64) -> bool {
+        self.calls >= f64::from(LEAST) && self.failed >= share * self.calls
+    }
+}
+
+/// Whether a sender's own word counts: one to which everything fails has more likely lost its own link.
+fn doubts_itself(seen: &[Seen]) -> bool {
+    !seen.is_empty() && seen.iter().all(|s| s.answered == 0)
+}
+
+/// What one writer says, and where it stands.
+type Word<'a> = (Peer, Zone, &'a [Seen]);
+
+/// Judges each zone that anything is known of, by this sender's own word and the pool.
+pub(crate) fn judge(now: Micros, pool: &Pool, own: Word<'_>, rules: &Rules) -> BTreeMap<Zone, Finding> {
+    let fresh = pool.fresh(now);
+    let others = fresh.iter().filter(|(p, _)| *p != own.0).map(|(p, k)| (*p, k.stands, &k.seen[..]));
+    let words: Vec<Word<'_>> = others.chain([own]).filter(|(_, _, seen)| !doubts_itself(seen)).collect();
+    let mut by_dest: BTreeMap<(Zone, Dest), Sum> = BTreeMap::new();
+    let mut by_place: BTreeMap<(Zone, Zone), Sum> = BTreeMap::new();
+    let mut by_sender: BTreeMap<(Zone, Peer), (Zone, Sum)> = BTreeMap::new();
+    for &(from, stands, seen) in &words {
+        for s in seen {
+            by_dest.entry((s.zone, s.dest)).or_default().add(s);
+            by_place.entry((s.zone, stands)).or_default().add(s);
+            by_sender.entry((s.zone, from)).or_insert((stands, Sum::default())).1.add(s);
+        }
+    }
+    let mut found: BTreeMap<Zone, Finding> = BTreeMap::new();
+    for (&(zone, _), sum) in &by_dest {
+        let f = found.entry(zone).or_default();
+        (f.failed, f.calls) = (f.failed + sum.failed, f.calls + sum.calls);
+        f.dests.0 += usize::from(sum.fails(rules.share));
+        f.dests.1 += 1;
+    }
+    for (&(zone, from), (stands, sum)) in &by_sender {
+        if sum.fails(rules.share) {
+            let f = found.entry(zone).or_default();
+            f.senders.insert(from);
+            f.from.insert(*stands);
+        }
+    }
+    for (&(zone, stands), sum) in &by_place {
+        // Where those of one zone see it serve, what others see may be the way there.
+        if sum.calls >= f64::from(LEAST) && !sum.fails(rules.share) {
+            found.entry(zone).or_default().against.insert(stands);
+        }
+    }
+    let serves = |f: &Finding| f.calls >= f64::from(LEAST) && f.failed < SERVES * f.calls;
+    let elsewhere = found.values().any(serves);
+    for f in found.values_mut() {
+        f.from.retain(|z| !f.against.contains(z));
+        let enough = f.dests.0 >= rules.dests
+            && 2 * f.dests.0 > f.dests.1
+            && f.senders.len() >= rules.senders
+            && f.from.len() >= rules.zones
+            && f.against.is_empty();
+        f.standing = match (enough && elsewhere, f.senders.is_empty()) {
+            (true, _) => Standing::Failing,
+            (false, false) => Standing::Doubted,
+            (false, true) => Standing::Serving,
+        };
+    }
+    found
+}
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::note::Report;
+
+    /// Where senders stand and endpoints do; `X` is the one that is judged.
+    const A: Zone = Zone(1);
+    const B: Zone = Zone(2);
+    const C: Zone = Zone(3);
+    const X: Zone = Zone(9);
+
+    fn seen(zone: Zone, dest: u32, answered: u8, failed: u8) -> Seen {
+        Seen { zone, dest: Dest(dest), answered, failed }
+    }
+
+    /// What is found of X where these senders, one after another, stand there and saw that.
+    fn found(words: &[(Zone, Vec<Seen>)]) -> Standing {
+        let mut pool = Pool::default();
+        for (n, (stands, seen)) in words.iter().enumerate() {
+            let (from, stands, seen) = (Peer(n as u64), *stands, seen.clone());
+            pool.merge(0, Report { from, stands, life: 1, number: 1, age: 0, seen });
+        }
+        let all = judge(0, &pool, (Peer(99), A, &[]), &Rules::default());
+        all.get(&X).map_or(Standing::Serving, |f| f.standing)
+    }
+
+    /// Two destinations fail in X, and one serves in A.
+    fn fails() -> Vec<Seen> {
+        vec![seen(X, 1, 0, 5), seen(X, 2, 0, 5), seen(A, 1, 5, 0)]
+    }
+
+    /// The same two serve.
+    fn serves() -> Vec<Seen> {
+        vec![seen(X, 1, 5, 0), seen(X, 2, 5, 0), seen(A, 1, 5, 0)]
+    }
+
+    #[test]
+    fn three_senders_in_two_zones_that_see_two_destinations_fail_are_enough_and_two_or_one_zone_are_not() {
+        assert_eq!(found(&[(A, fails()), (A, fails()), (B, fails())]), Standing::Failing);
+        assert_eq!(found(&[(A, fails()), (B, fails())]), Standing::Doubted, "two senders");
+        assert_eq!(found(&[(A, fails()), (A, fails()), (A, fails())]), Standing::Doubted, "one zone's way");
+        assert_eq!(found(&[(A, serves()), (B, serves())]), Standing::Serving);
+    }
+
+    #[test]
+    fn one_destination_or_a_few_of_many_are_their_own_matter() {
+        let one = || vec![seen(X, 1, 0, 9), seen(A, 1, 5, 0)];
+        assert_eq!(found(&[(A, one()), (A, one()), (B, one())]), Standing::Doubted);
+        let few = || {
+            let mut all = vec![seen(A, 1, 5, 0), seen(X, 1, 0, 20), seen(X, 2, 0, 20)];
+            all.extend((3..6).map(|d| seen(X, d, 2, 0)));
+            all
+        };
+        assert_eq!(found(&[(A, few()), (A, few()), (B, few())]), Standing::Doubted);
+    }
+
+    #[test]
+    fn where_those_of_one_zone_see_it_serve_it_may_be_the_way_there() {
+        let all = [(A, fails()), (A, fails()), (B, fails()), (B, fails()), (C, serves())];
+        assert_eq!(found(&all), Standing::Doubted);
+        assert_eq!(found(&all[..4]), Standing::Failing);
+    }
+
+    #[test]
+    fn senders_to_which_everything_fails_say_nothing_of_a_zone() {
+        let lost = || vec![seen(X, 1, 0, 9), seen(X, 2, 0, 9), seen(A, 1, 0, 9)];
+        let calm = vec![seen(A, 1, 9, 0)];
+        assert_eq!(found(&[(A, lost()), (B, lost()), (B, lost()), (C, calm)]), Standing::Serving);
+    }
+
+    #[test]
+    fn who_is_loudest_is_not_believed_most() {
+        let loud = vec![seen(X, 1, 0, 255), seen(X, 2, 0, 255), seen(A, 1, 5, 0)];
+        let quiet = || vec![seen(X, 1, 0, 2), seen(X, 2, 0, 2), seen(A, 1, 5, 0)];
+        let mut all = vec![(A, loud.clone()), (B, loud), (B, quiet())];
+        for _ in 0..4 {
+            all.extend([(A, serves()), (B, serves())]);
+        }
+        assert_eq!(found(&all), Standing::Doubted);
+    }
+
+    #[test]
+    fn where_nothing_serves_no_zone_is_the_one_that_fails() {
+        let all = || vec![seen(X, 1, 1, 5), seen(X, 2, 1, 5), seen(A, 1, 1, 5), seen(B, 1, 1, 5)];
+        assert_eq!(found(&[(A, all()), (A, all()), (B, all())]), Standing::Doubted);
+    }
+}
--- /dev/null
+++ b/crates/zones/src/names.rs
@@ -0,0 +1,40 @@
+//! What things are called.
+
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
+
+/// A moment or a span, in microseconds.
+pub type Micros = u64;
+
+/// A sender, by its name.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Peer(pub u64);
+
+/// A zone, by its name; short, since notes are.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Zone(pub u32);
+
+/// A destination; short, since notes are. Two that share a number count as one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Dest(pub u32);
+
+impl Peer {
+    /// The sender of this name.
+    pub fn named(name: &str) -> Self {
+        Self(xxh3_64(name.as_bytes()))
+    }
+}
+
+impl Zone {
+    /// The zone of this name.
+    pub fn named(name: &str) -> Self {
+        Self(xxh3_64(name.as_bytes()) as u32)
+    }
+}
+
+impl Dest {
+    /// The destination of this number.
+    pub fn numbered(number: u64) -> Self {
+        Self(xxh3_64(&number.to_le_bytes()) as u32)
+    }
+}
