--- a/crates/daemon/src/copies/copying.rs
+++ b/crates/daemon/src/copies/copying.rs
@@ -592,7 +592,8 @@
             let Stake { lacking, elsewhere, unclaimed, witnesses: (stand, all) } = stake;
             tracing::warn!(
                 "copies: another loss could cost messages: {lacking} lack copies, \
-                 {elsewhere} are at home elsewhere, {unclaimed} of gone senders are not taken over, {stand} of {all} witnesses stand"
+                 {elsewhere} are at home elsewhere, {unclaimed} of gone senders are not \
+                 taken over, {stand} of {all} witnesses stand"
             );
         }
     }
--- a/crates/daemon/src/settings/operator.rs
+++ b/crates/daemon/src/settings/operator.rs
@@ -218,8 +218,8 @@
         }
         write!(
             f,
-            "zones are watched: one fails where {} destinations lose {} of their calls, as {} senders in {} zones \
-             see; nothing is done about it",
+            "zones are watched: one fails where {} destinations lose {} of their calls, as {} senders in \
+             {} zones see; nothing is done about it",
             self.destinations, self.share, self.senders, self.from_zones
         )
     }
