--- a/crates/daemon/tests/fleet/main.rs
+++ b/crates/daemon/tests/fleet/main.rs
@@ -266,6 +266,38 @@
     }
 }
 
+#[test]
+fn a_folder_from_a_backup_is_a_life_that_is_over_and_is_turned_down() {
+    let mut fleet = Fleet::new(3, 1);
+    fleet.do_all(Does::Busy);
+    let ids = fleet.hand_in_many(0, 0..20, LONG);
+    fleet.kill(0);
+    let state = fleet.senders[0].folder.path().join("state");
+    let backup = fleet.senders[0].folder.path().join("backup");
+    std::fs::rename(&state, &backup).expect("a folder");
+    std::fs::create_dir(&state).expect("a folder");
+    // An empty one in its place: the life before is over, and others end what it held.
+    fleet.start(0);
+    fleet.do_all(Does::Serve);
+    fleet.all_end(&ids);
+    let payments = |fleet: &Fleet| -> usize {
+        ids.iter().filter(|id| id.is_multiple_of(2)).map(|&id| fleet.calls(id)).sum()
+    };
+    let before = payments(&fleet);
+    fleet.kill(0);
+    std::fs::remove_dir_all(&state).expect("a folder");
+    std::fs::rename(&backup, &state).expect("a folder");
+    fleet.start(0);
+    fleet.somebody_says("turned down n0: a life of it that is over");
+    // Nobody keeps anything for it, so it takes nothing on; and of what it held it sends no payment.
+    assert_eq!(fleet.hand_in(0, "payment", 200, LONG).status(), 503);
+    let others = fleet.hand_in_many(1, 300..310, LONG);
+    assert_eq!(others.len(), 10, "the others are not harmed");
+    fleet.all_end(&others);
+    assert_eq!(payments(&fleet), before);
+    fleet.nothing_twice(&ids);
+}
+
 #[test]
 fn a_keeper_whose_disk_is_full_is_passed_over() {
     let fleet = Fleet::with(&Wanted { small: Some((1, 0.15)), ..Wanted::of(3, 1) });
