--- a/crates/copies/src/copies.rs
+++ b/crates/copies/src/copies.rs
@@ -416,13 +416,12 @@
         let all = self.view.witnesses(me);
         let stands =
             |w: &&Peer| self.me.known.contains(w) && self.links.get(w).is_some_and(|l| l.up.is_some());
-        let promised = || self.owner.own.values().filter(|o| o.promised);
         // What nobody could be granted in its time, and for long after, is the operators' matter (`FORLORN`).
         let counts = |h: &&Held| h.record.deadline > self.at.unix.saturating_sub(OVERDUE);
         let unclaimed = self.keeper.owned_by(|h| self.is_gone(h)).filter(counts).count();
         Stake {
-            lacking: promised().filter(|o| self.kept(o) < self.view.count()).count(),
-            elsewhere: promised().filter(|o| o.home != home).count(),
+            lacking: self.lacking(),
+            elsewhere: self.owner.own.values().filter(|o| o.promised && o.home != home).count(),
             unclaimed,
             witnesses: (all.iter().filter(stands).count(), all.len()),
         }
--- a/crates/daemon/src/platform/zoning.rs
+++ b/crates/daemon/src/platform/zoning.rs
@@ -26,7 +26,8 @@
 }
 
 impl Zoning {
-    /// Nothing where operators do not want it, or the platform lets senders write nothing to one another.
+    /// Nothing where operators do not want it. Where the platform lets senders write nothing to one another
+    /// it only says what it sees itself.
     pub fn wanted(wanted: &Wanted, config: &Config) -> Option<Rc<Self>> {
         if !wanted.watch {
             return None;
--- a/crates/zones/src/judge.rs
+++ b/crates/zones/src/judge.rs
@@ -85,7 +85,7 @@
 }
 
 /// Whether a sender's own word counts: one to which everything fails has more likely lost its own link.
-fn doubts_itself(seen: &[Seen]) -> bool {
+pub(crate) fn doubts_itself(seen: &[Seen]) -> bool {
     !seen.is_empty() && seen.iter().all(|s| s.answered == 0)
 }
 
--- a/crates/zones/src/zones.rs
+++ b/crates/zones/src/zones.rs
@@ -1,7 +1,7 @@
 //! The machine as a whole: evidence in, notes and findings out.
 
 use crate::evidence::{Came, Evidence, WINDOW};
-use crate::judge::{Finding, Rules, Standing, judge};
+use crate::judge::{Finding, Rules, Standing, doubts_itself, judge};
 use crate::names::{Dest, Micros, Peer, Zone};
 use crate::note::{Report, read, write};
 use crate::pool::{Merged, Pool};
@@ -179,7 +179,7 @@
         let found = judge(now, &self.pool, (from, stands, &own.seen), &self.set.rules);
         self.write(now, own.clone(), &found, out);
         // To a sender to which everything fails, or that hears nobody, nothing that it sees says much.
-        let cut_off = !own.seen.is_empty() && own.seen.iter().all(|s| s.answered == 0);
+        let cut_off = doubts_itself(&own.seen);
         let unheard = self.set.others > 0 && now.saturating_sub(self.heard) > ALONE;
         let alone = cut_off || unheard;
         if std::mem::replace(&mut self.alone, alone) != alone {
