Arithmetic of credit leaves choice.rs, so that the module has room for zones

Change: Route's share, refill, pace floor and credit move to crates/policy/src/credit.rs with their constants, unchanged; the fingerprint takes the new file in.

--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -34,20 +34,13 @@
 /// It is longer where few messages come in: by this share of the time between two, up to a limit.
 const REST_FLOW: f64 = 0.5;
 const REST_MOST: Micros = 4 * SEC;
-/// Pace: its floor, what a served call makes of it, and what a note of a refusal does.
-const PACE_LEAST: f64 = 0.03;
+/// Pace: what a served call makes of it, and what a note of a refusal does.
 const PACE_UP: f64 = 1.3;
 /// So many refusals in a row, none served between: a drowned limit, not just a full one.
 const DROWNED: u32 = 2;
 const PACE_HEARD: f64 = 0.7;
 /// Least wait before a breaker's trial, since most outages that a sender sees are brief stalls.
 const TRIAL_WAIT: Micros = 500 * MS;
-/// Trials and a ramp's calls stay under this part of what would push a returning destination over, measured
-/// by what comes in for it; and all senders together make at least so many trials a second.
-const METER: f64 = 0.4;
-/// The same where it refused nothing in the last minute: what came in is then no more than it can do.
-const METER_ROOM: f64 = 0.7;
-const TRIALS_LEAST: f64 = 1.5;
 /// So many failed calls, none served in between, open the breaker: one may be chance.
 const FAILS_OPEN: u32 = 2;
 /// Plain errors say less: destinations err now and then when sound.
@@ -129,55 +122,11 @@
         self.health = Health::Open { since, until: now + wait, failed, trial: None };
     }
 
-    /// The share of what comes in that a destination held back or returning may be sent.
-    fn share(&self, set: &Settings, now: Micros) -> f64 {
-        let warm = match self.health {
-            Health::Ramp { since } => (now - since) as f64 / set.cold.max(1) as f64,
-            // The older the last failure seen, the longer it may be back; at most twice the first share.
-            Health::Open { .. } if !set.may_note => {
-                ((now - self.failed_at) as f64 / 2.0 / set.cold.max(1) as f64).min(set.start_share)
-            }
-            Health::Open { .. } => 0.0,
-            Health::Closed => return self.pace,
-        };
-        let meter = if self.rate.estimate().is_none() { METER_ROOM } else { METER };
-        meter * set.fall_multiple * (set.start_share + (1.0 - set.start_share) * warm.min(1.0))
-    }
-
-    /// Credit that time brings, in calls a second.
-    fn refill(&self, set: &Settings, now: Micros, rate: f64) -> f64 {
-        (self.share(set, now) * rate).max(TRIALS_LEAST / f64::from(set.senders))
-    }
-
     /// Calls that the window lets go. One whose answer is lost holds no place in it.
     fn room(&self) -> usize {
         let limit = if self.fails > 0 { 1 } else { self.window as u32 };
         limit.saturating_sub(self.out - self.lost) as usize
     }
-
-    fn metered(&self) -> bool {
-        self.pace < 1.0 || !matches!(self.health, Health::Closed)
-    }
-
-    /// A refusal slows what is sent, since refused calls may use up the limit too; each served call forgives.
-    fn slow_down(&mut self, now: Micros, by: f64) {
-        self.credit_at = if self.metered() { self.credit_at } else { now };
-        self.pace = (self.pace * by).max(PACE_LEAST);
-    }
-
-    /// Counts up the credit of a route: for one more message (in part, where routes are apart), and for time.
-    /// By own traffic, so that any number of senders together stay under what the destination can bear.
-    fn accrue(&mut self, set: &Settings, now: Micros, more: f64, rate: f64) {
-        if !self.metered() {
-            return;
-        }
-        let dt = now.saturating_sub(self.credit_at) as f64 / SEC as f64;
-        let more = self.share(set, now) * more + self.refill(set, now, rate) * dt;
-        (self.credit, self.credit_at) = ((self.credit + more).min(1.0), now);
-        if matches!(self.health, Health::Ramp { since } if now >= since + set.cold) {
-            self.health = Health::Closed;
-        }
-    }
 }
 
 impl Endpoint {
--- /dev/null
+++ b/crates/policy/src/credit.rs
@@ -0,0 +1,60 @@
+//! Arithmetic of what a route that is held back, or comes back, may be sent: credit that grows with what comes
+//! in for it. What opens and ends such times is decided in `choice.rs`.
+
+use crate::interface::{Micros, Settings};
+use crate::state::{Health, Route};
+
+/// What refusals leave of the pace at least.
+const PACE_LEAST: f64 = 0.03;
+/// Trials and a ramp's calls stay under this part of what would push a returning destination over, measured
+/// by what comes in for it; and all senders together make at least so many trials a second.
+const METER: f64 = 0.4;
+/// The same where it refused nothing in the last minute: what came in is then no more than it can do.
+const METER_ROOM: f64 = 0.7;
+const TRIALS_LEAST: f64 = 1.5;
+
+impl Route {
+    /// The share of what comes in that a destination held back or returning may be sent.
+    pub fn share(&self, set: &Settings, now: Micros) -> f64 {
+        let warm = match self.health {
+            Health::Ramp { since } => (now - since) as f64 / set.cold.max(1) as f64,
+            // The older the last failure seen, the longer it may be back; at most twice the first share.
+            Health::Open { .. } if !set.may_note => {
+                ((now - self.failed_at) as f64 / 2.0 / set.cold.max(1) as f64).min(set.start_share)
+            }
+            Health::Open { .. } => 0.0,
+            Health::Closed => return self.pace,
+        };
+        let meter = if self.rate.estimate().is_none() { METER_ROOM } else { METER };
+        meter * set.fall_multiple * (set.start_share + (1.0 - set.start_share) * warm.min(1.0))
+    }
+
+    /// Credit that time brings, in calls a second.
+    pub fn refill(&self, set: &Settings, now: Micros, rate: f64) -> f64 {
+        (self.share(set, now) * rate).max(TRIALS_LEAST / f64::from(set.senders))
+    }
+
+    pub fn metered(&self) -> bool {
+        self.pace < 1.0 || !matches!(self.health, Health::Closed)
+    }
+
+    /// A refusal slows what is sent, since refused calls may use up the limit too; each served call forgives.
+    pub fn slow_down(&mut self, now: Micros, by: f64) {
+        self.credit_at = if self.metered() { self.credit_at } else { now };
+        self.pace = (self.pace * by).max(PACE_LEAST);
+    }
+
+    /// Counts up the credit of a route: for one more message (in part, where routes are apart), and for time.
+    /// By own traffic, so that any number of senders together stay under what the destination can bear.
+    pub fn accrue(&mut self, set: &Settings, now: Micros, more: f64, rate: f64) {
+        if !self.metered() {
+            return;
+        }
+        let dt = now.saturating_sub(self.credit_at) as f64 / 1e6;
+        let more = self.share(set, now) * more + self.refill(set, now, rate) * dt;
+        (self.credit, self.credit_at) = ((self.credit + more).min(1.0), now);
+        if matches!(self.health, Health::Ramp { since } if now >= since + set.cold) {
+            self.health = Health::Closed;
+        }
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -1,11 +1,12 @@
 //! The decisions of a sender, free of I/O and clocks: which endpoint a message goes to, whether to try again,
 //! what to turn away. A caller hands [`Sender::handle`] what happened at one moment and does what it says.
 //!
-//! `choice.rs` decides, `interface.rs` is what goes in and out, `state.rs` what is remembered, `note.rs` the
-//! form of notes between senders.
+//! `choice.rs` decides, `interface.rs` is what goes in and out, `state.rs` what is remembered,
+//! `credit.rs` the arithmetic of what a returning route is sent, `note.rs` the form of notes between senders.
 #![warn(missing_docs)]
 
 pub mod choice;
+mod credit;
 pub mod interface;
 mod note;
 mod state;
@@ -22,6 +23,7 @@
     h = fold(h, include_bytes!("choice.rs"));
     h = fold(h, include_bytes!("choice/guard.rs"));
     h = fold(h, include_bytes!("choice/slots.rs"));
+    h = fold(h, include_bytes!("credit.rs"));
     fold(h, include_bytes!("note.rs"))
 };
 
