The module takes the share of a zone as an input, and who tries it

Change: Event::Zone with share and turn to try; lean.rs counts credit by what comes in (each sender begins somewhere between two calls, so that 300 do not begin at once); Guard::Zone in guard.rs holds an endpoint whose zone is not due while the destination lives in one that is whole, and a rest of those elsewhere does not send calls back there. A trial is one message alone, first of all one that may be repeated. Recordings say both.

--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -7,6 +7,7 @@
     Cancelled, ConnectFailed, Failed, Full, Moot, Reset, Served, Spoilt, TimedOut,
 };
 use crate::interface::*;
+use crate::lean::Lean;
 use crate::note::{self, Word};
 use crate::state::*;
 use notchpoint_limits::Says;
@@ -164,6 +165,7 @@
                 Event::Closed(id) => self.idle(*id, false),
                 Event::Service { endpoint, out } => self.service(*endpoint, *out),
                 Event::Settings(set) => self.retune(set),
+                Event::Zone { zone, share, tries } => self.set_zone(*zone, *share, *tries),
                 Event::Wake | Event::Probed { .. } => {}
             }
         }
@@ -202,6 +204,7 @@
             !d.endpoints.is_empty() || !d.queue.is_empty() || queued.contains(id) || d.rate_at + FORGET > now
         });
         let dests = &self.dests;
+        self.leans.values_mut().for_each(|l| l.keep(|d| dests.contains_key(&d)));
         // A wait, and what is known of an outage, outlive a short absence from the list.
         let recent = |r: &Route| r.last_ok.max(r.rest_until) + FORGET > now;
         self.routes.retain(|(d, e), r| {
@@ -274,6 +277,7 @@
         for (_, r) in self.routes.range_mut(routes_of(m.dest)) {
             r.accrue(&self.set, self.now, part, flow);
         }
+        self.accrue_zones(m.dest);
         let room = self.set.max_held as f64 * (1.0 - ROOM_FREE);
         while self.live as f64 > room.max(1.0) && self.shed() {}
     }
@@ -718,7 +722,7 @@
             return None;
         }
         let flow = d.flow(self.now);
-        let mut ends: Vec<(bool, Micros, u32, bool, bool, EndpointId)> = Vec::new();
+        let mut ends: Vec<(bool, bool, Micros, u32, bool, bool, EndpointId)> = Vec::new();
         for &id in &d.endpoints {
             let e = &self.endpoints[&id];
             if barred.contains(&id) || self.endpoint_hold(id).is_some() {
@@ -729,11 +733,12 @@
             let lives = self.set.conn_idle.min(d.trusted(self.now));
             let cold = !e.idle.iter().any(|&t| t + lives > self.now);
             let rest = self.rest(e).unwrap_or(0);
-            ends.push((trial, rest, e.out, cold, e.zone != self.set.zone, id));
+            ends.push((trial, !self.is_due(e), rest, e.out, cold, e.zone != self.set.zone, id));
         }
         ends.sort_unstable();
         let wait = self.expected_wait(dest, d);
         for &(trial, .., endpoint) in &ends {
+            let trial = trial || self.is_tried(endpoint);
             let risk = |id| if trial { self.set.classes[self.held[id].class].effect } else { Effect::Safe };
             let able = d.queue.iter().filter(|id| self.sendable(**id, endpoint));
             let found = able.min_by(|a, b| risk(a).cmp(&risk(b)).then(self.order(a, b, wait)));
@@ -768,7 +773,8 @@
         let dest = self.endpoints[&endpoint].dest;
         let d = &self.dests[&dest];
         let route_id = (dest, d.apart.then_some(endpoint));
-        let trial = matches!(self.routes[&route_id].health, Health::Open { .. });
+        let open = matches!(self.routes[&route_id].health, Health::Open { .. });
+        let trial = open || self.is_tried(endpoint);
         let mut load = vec![id];
         if d.bundle > 1 {
             barred.push(endpoint);
@@ -821,6 +827,7 @@
         if let Some(e) = self.endpoints.get_mut(&endpoint) {
             e.out += 1;
             (e.gap, e.used) = (now - e.used, now);
+            self.leans.entry(e.zone).and_modify(|l| l.sent(dest));
             // After a rest one message of the class tries; the others wait for what it finds.
             if let Some((_, until)) = e.rests.get_mut(&Some(class)).filter(|r| r.0 >= ERRORS_REST) {
                 *until = now + ENDPOINT_REST;
--- a/crates/policy/src/choice/guard.rs
+++ b/crates/policy/src/choice/guard.rs
@@ -64,6 +64,9 @@
         if !e.live {
             return Some(Hold::open(Guard::Drained));
         }
+        if self.left_alone(e) {
+            return Some(Hold::open(Guard::Zone));
+        }
         let mut fellows = self.dests[&e.dest].endpoints.iter().map(|o| &self.endpoints[o]);
         // Cold among others that serve: one call at a time, so that it is not pushed over.
         if self.now < e.cold_until && e.out > 0 && fellows.any(|o| o.live && self.now >= o.cold_until) {
@@ -72,10 +75,30 @@
         // A rest is a preference: where all live endpoints rest, the route's breaker decides on trials.
         let rest = self.rest(e)?;
         let mut others = self.dests[&e.dest].endpoints.iter().map(|o| &self.endpoints[o]);
-        let other = others.any(|o| o.live && self.rest(o).is_none());
+        let other = others.any(|o| o.live && self.rest(o).is_none() && !self.left_alone(o));
         other.then(|| Hold::until(Guard::Endpoint, rest))
     }
 
+    /// Whether its zone is left, or has had its share, and its destination has endpoints in one that is not.
+    /// It guards against each sender paying for its own time-outs where the fleet knows that a zone fails,
+    /// and against all coming back at once.
+    fn left_alone(&self, e: &Endpoint) -> bool {
+        let whole = |zone: u32| self.leans.get(&zone).is_none_or(Lean::is_whole);
+        let mut others = self.dests[&e.dest].endpoints.iter().map(|o| &self.endpoints[o]);
+        !whole(e.zone) && !self.is_due(e) && others.any(|o| o.live && whole(o.zone))
+    }
+
+    /// Whether the next call of its destination goes to its zone.
+    pub(super) fn is_due(&self, e: &Endpoint) -> bool {
+        self.leans.get(&e.zone).is_some_and(|l| l.due(e.dest))
+    }
+
+    /// Whether that call would be the one that tries its zone.
+    pub(super) fn is_tried(&self, id: EndpointId) -> bool {
+        let e = &self.endpoints[&id];
+        self.leans.get(&e.zone).is_some_and(|l| l.tries(e.dest))
+    }
+
     /// Until when an endpoint rests.
     pub(super) fn rest(&self, e: &Endpoint) -> Option<Micros> {
         e.rests.get(&None).map(|r| r.1).filter(|&until| self.now < until)
--- a/crates/policy/src/credit.rs
+++ b/crates/policy/src/credit.rs
@@ -1,5 +1,5 @@
-//! Arithmetic of what a route that is held back, or comes back, may be sent: credit that grows with what comes
-//! in for it. What opens and ends such times is decided in `choice.rs`.
+//! Arithmetic of what a route that is held back, or comes back, may be sent: credit that grows with what
+//! comes in for it. What opens and ends such times is decided in `choice.rs`.
 
 use crate::interface::{Micros, Settings};
 use crate::state::{Health, Route};
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -349,6 +349,16 @@
     /// Other settings from now on. Classes keep their places for as long as messages use them; kinds and
     /// tenants keep theirs.
     Settings(Box<Settings>),
+    /// What the fleet found of a zone: from now on it is sent this share of what would go there, and the rest
+    /// goes elsewhere. Destinations that have endpoints nowhere else are not concerned.
+    Zone {
+        /// The zone.
+        zone: u32,
+        /// From 0, left, to 1, as if nothing had been said.
+        share: f64,
+        /// One call to each destination there, whatever the share: it is this sender's turn to try.
+        tries: bool,
+    },
 }
 
 /// What the caller is to do, in this order.
@@ -445,6 +455,8 @@
     Repeat,
     /// It may not be sent again: its effect, or no attempt left.
     Spent,
+    /// The fleet has left the endpoint's zone, or comes back to it: others are there.
+    Zone,
 }
 
 impl Guard {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -2,12 +2,14 @@
 //! what to turn away. A caller hands [`Sender::handle`] what happened at one moment and does what it says.
 //!
 //! `choice.rs` decides, `interface.rs` is what goes in and out, `state.rs` what is remembered,
-//! `credit.rs` the arithmetic of what a returning route is sent, `note.rs` the form of notes between senders.
+//! `credit.rs` and `lean.rs` the arithmetic of what a returning route, or zone, is sent, `note.rs` the form of
+//! notes between senders.
 #![warn(missing_docs)]
 
 pub mod choice;
 mod credit;
 pub mod interface;
+mod lean;
 mod note;
 mod state;
 
@@ -24,6 +26,7 @@
     h = fold(h, include_bytes!("choice/guard.rs"));
     h = fold(h, include_bytes!("choice/slots.rs"));
     h = fold(h, include_bytes!("credit.rs"));
+    h = fold(h, include_bytes!("lean.rs"));
     fold(h, include_bytes!("note.rs"))
 };
 
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -2,6 +2,7 @@
 //! written and read again, so that decisions can be played again from any moment.
 
 use crate::interface::*;
+use crate::lean::Lean;
 use notchpoint_limits::{Breaks, Latency, Rate};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -189,6 +190,8 @@
     pub(crate) late: Late,
     /// Destinations that were sent to in this turn.
     pub(crate) passed: BTreeSet<DestinationId>,
+    /// Zones that are not sent their whole share, or are to be tried.
+    pub(crate) leans: BTreeMap<u32, Lean>,
 }
 
 impl Sender {
@@ -216,6 +219,7 @@
             wake: None,
             late: Late::default(),
             passed: BTreeSet::new(),
+            leans: BTreeMap::new(),
             set: settings,
         })
     }
@@ -283,6 +287,32 @@
         (news, !apart && self.endpoints.iter().any(other))
     }
 
+    /// Enters what share a zone is sent, and whether it is tried.
+    pub(crate) fn set_zone(&mut self, zone: u32, share: f64, tries: bool) {
+        let share = if share.is_finite() { share.clamp(0.0, 1.0) } else { 1.0 };
+        let lean = self.leans.entry(zone).or_insert_with(Lean::whole);
+        lean.turn(share);
+        if tries {
+            let there = self.endpoints.values().filter(|e| e.live && e.zone == zone);
+            lean.try_all(there.map(|e| e.dest));
+        } else if lean.is_whole() {
+            self.leans.remove(&zone);
+        }
+    }
+
+    /// A message came in: zones that are sent a part of their share gain of it.
+    pub(crate) fn accrue_zones(&mut self, dest: DestinationId) {
+        let Some(d) = self.dests.get(&dest) else { return };
+        let live = || d.endpoints.iter().filter_map(|e| self.endpoints.get(e)).filter(|e| e.live);
+        let all = live().count().max(1) as f64;
+        for (zone, lean) in &mut self.leans {
+            let there = live().filter(|e| e.zone == *zone).count();
+            if there > 0 {
+                lean.arrived(dest, there as f64 / all, || self.rng.f64());
+            }
+        }
+    }
+
     /// A message is over: it leaves what waits, and is forgotten once no attempt of it is out.
     pub(crate) fn finish(&mut self, id: MessageId) {
         let Some(h) = self.held.get_mut(&id) else { return };
--- a/crates/recorder/src/explain.rs
+++ b/crates/recorder/src/explain.rs
@@ -422,6 +422,10 @@
         Event::Settings(_) => "other settings came into force".into(),
         Event::Service { out: true, .. } => "operators took an endpoint out".into(),
         Event::Service { .. } => "operators put an endpoint back".into(),
+        Event::Zone { zone, tries: true, .. } => format!("zone {zone} is tried, by the fleet's turn"),
+        Event::Zone { zone, share, .. } => {
+            format!("zone {zone} is sent {:.0} % of its share, as the fleet found", 100.0 * share)
+        }
     }
 }
 
--- a/crates/recorder/src/fleet.rs
+++ b/crates/recorder/src/fleet.rs
@@ -192,7 +192,7 @@
             }
             Event::Note { .. } => self.common.entry(second).or_default().heard += 1,
             Event::Wake | Event::Unused(_) | Event::Probed { .. } => {}
-            Event::Service { .. } | Event::Settings(_) => {}
+            Event::Service { .. } | Event::Settings(_) | Event::Zone { .. } => {}
         }
     }
 
