Zones are left together and returned to step by step; words go at first hand only

Change: crates/zones gets course.rs (a machine without time whose term and level only grow), pace.rs (steps under what cold endpoints bear by startCapacity, coldS and overloadFactor; turns to try, three senders of any fleet), trials judged by the words of the same term only, a quorum that is followed, pins. The daemon gives shares to the module, says who left on whose word, and reads [zones] anew at SIGHUP. Off by default ([zones] leave). Notes carry 11 pairs and up to 6 courses. Where only a zone's own senders call it, a few of the others are asked to try: real processes showed that else nothing is ever left, since the module prefers its own zone.

--- a/crates/daemon/src/calls.rs
+++ b/crates/daemon/src/calls.rs
@@ -351,6 +351,9 @@
     fn ended(&self, endpoint: EndpointId, (id, attempt): AttemptId, end: End) {
         let outcome = end.outcome;
         let mut journal = self.journal.borrow_mut();
+        let sent =
+            journal.get(id).and_then(|m| m.attempts.iter().find(|a| a.number == attempt)).map(|a| a.at);
+        let age = sent.map_or(0, |at| journal.unix_now().saturating_sub(at));
         if end.over || outcome == Outcome::Served {
             journal.end(id);
         } else if matches!(outcome, Outcome::Full { .. } | Outcome::ConnectFailed | Outcome::Moot) {
@@ -364,7 +367,7 @@
             *w = until.max(*w);
         }
         if let Some(zoning) = &*self.zoning.borrow() {
-            zoning.came(endpoint, outcome);
+            zoning.came(endpoint, outcome, age);
         }
         let (over, allowance) = (end.over, end.allowance);
         let _ = self.inputs.send(Input::Event(Event::Ended { id, attempt, outcome, over, allowance }));
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -313,6 +313,9 @@
         self.discovery.relocate(config.discovery);
         self.reports.relocate(config.discovery);
         let changed = terms.set != self.terms.borrow().set;
+        if let Some(zoning) = self.zoning.as_ref().filter(|_| changed) {
+            zoning.warm(&terms.set);
+        }
         let event = changed.then(|| Event::Settings(Box::new(terms.set.clone())));
         *self.terms.borrow_mut() = terms;
         event
--- a/crates/daemon/src/platform/peers.rs
+++ b/crates/daemon/src/platform/peers.rs
@@ -50,7 +50,7 @@
                 };
                 // Only senders of the tier are believed.
                 if let Some(from) = known.iter().position(|p| *p == from).filter(|_| n <= LONGEST) {
-                    if zoning.as_ref().is_some_and(|z| z.heard(&buffer[..n])) {
+                    if zoning.as_ref().is_some_and(|z| z.heard(from, &buffer[..n])) {
                         continue;
                     }
                     let (from, body) = (from as u32, buffer[..n].to_vec());
--- a/crates/daemon/src/sender.rs
+++ b/crates/daemon/src/sender.rs
@@ -13,7 +13,7 @@
 use crate::platform::reports::Reports;
 use crate::platform::zoning::Zoning;
 use crate::settings::config::Config;
-use crate::settings::operator::Operator;
+use crate::settings::operator::{self, Operator};
 use crate::settings::terms::{self, Terms};
 use crate::state::journal::{Journal, Open};
 use crate::state::safety::Safety;
@@ -98,7 +98,7 @@
     if let Some(address) = admin {
         listen_for_operators(&*net, address, &operators)?;
     }
-    let told = Rc::new(Told::default());
+    let told = Rc::new(Told { operator: operator.clone(), ..Told::default() });
     let source = Rc::new(source);
     tokio::task::spawn_local(told.clone().heed(signals, source.clone()));
     let fixed = Fixed { net, clock, disk, accept, operator, operators, told };
@@ -269,9 +269,9 @@
         let discovery = Rc::new(discovery);
         let flight = Flight::open(&self.operator.recorder, &config, self.clock.clone())?;
         flight.watch_panics();
-        self.told.begin(&text, &inputs, &flight);
         let door = Rc::new(Door::default());
-        let zoning = Zoning::wanted(&self.operator.zones, &config);
+        let zoning = Zoning::wanted(&self.operator.zones, &config, &inputs);
+        self.told.begin(&text, &inputs, &flight, zoning.clone());
         let peers = match config.peer_listen.filter(|_| config.settings.may_note) {
             Some(address) => {
                 let (net, inputs) = (&*self.net, inputs.clone());
@@ -281,9 +281,7 @@
         };
         if let Some(zoning) = &zoning {
             calls.watched_by(zoning.clone());
-            if let Some(peers) = &peers {
-                zoning.begin(peers.post());
-            }
+            zoning.begin(peers.as_ref().map(Peers::post));
         }
         let parts = Parts {
             flight,
@@ -570,6 +568,8 @@
 /// What signals are about.
 #[derive(Default)]
 struct Told {
+    /// The operator's file as it was at the start.
+    operator: Operator,
     terminate: Notify,
     life: RefCell<Option<Life>>,
 }
@@ -580,11 +580,19 @@
     in_force: String,
     inputs: UnboundedSender<Input>,
     flight: Rc<Flight>,
+    zoning: Option<Rc<Zoning>>,
 }
 
 impl Told {
-    fn begin(&self, text: &str, inputs: &UnboundedSender<Input>, flight: &Rc<Flight>) {
-        let life = Life { in_force: text.to_owned(), inputs: inputs.clone(), flight: flight.clone() };
+    fn begin(
+        &self,
+        text: &str,
+        inputs: &UnboundedSender<Input>,
+        flight: &Rc<Flight>,
+        zoning: Option<Rc<Zoning>>,
+    ) {
+        let (in_force, inputs, flight) = (text.to_owned(), inputs.clone(), flight.clone());
+        let life = Life { in_force, inputs, flight, zoning };
         *self.life.borrow_mut() = Some(life);
     }
 
@@ -596,7 +604,10 @@
     async fn heed(self: Rc<Self>, mut signals: Receiver<Signal>, source: Rc<ConfigSource>) {
         while let Some(signal) = signals.recv().await {
             match signal {
-                Signal::Reload => self.reload(&source),
+                Signal::Reload => {
+                    self.reload_operator();
+                    self.reload(&source);
+                }
                 Signal::Terminate => self.terminate.notify_one(),
                 Signal::Dump => self.dump(),
             }
@@ -611,6 +622,22 @@
         }
     }
 
+    /// Of the operator's file, what is said of zones is taken up anew. One with a mistake changes nothing.
+    fn reload_operator(&self) {
+        let Some(file) = &self.operator.file else { return };
+        let new = match operator::read(file) {
+            Ok(new) => new,
+            Err(why) => return tracing::warn!("the operator's file stays as it was: {why}"),
+        };
+        let waits = self.operator.waits(&new);
+        if !waits.is_empty() {
+            tracing::warn!("operator's file: some of it waits for the next start: {}", waits.join(", "));
+        }
+        if let Some(zoning) = self.life.borrow().as_ref().and_then(|l| l.zoning.as_ref()) {
+            zoning.retune(&new.zones);
+        }
+    }
+
     /// The configuration is read anew, checked whole, and handed to the node as one step. One with a mistake
     /// changes nothing.
     fn reload(&self, source: &ConfigSource) {
--- a/crates/daemon/src/settings/check.rs
+++ b/crates/daemon/src/settings/check.rs
@@ -90,6 +90,7 @@
     ("settings.kinds", List, MAY),
     ("settings.kinds[]", Text, MAY),
     ("settings.locality", Text, MAY),
+    ("settings.me", Whole(0, MANY), MAY),
     ("settings.overShareWorth", Number(0.0, 1.0), MAY),
     ("settings.parties", List, MAY),
     ("settings.parties[].name", Text, MUST),
--- a/crates/daemon/src/settings/config.rs
+++ b/crates/daemon/src/settings/config.rs
@@ -37,7 +37,10 @@
     pub admin: Option<SocketAddr>,
     pub discovery: SocketAddr,
     pub peer_listen: Option<SocketAddr>,
+    /// Senders of the tier, by their numbers.
     pub peers: Vec<SocketAddr>,
+    /// This one's number.
+    pub me: u32,
     pub peers_all: Option<SocketAddr>,
     pub seed: u64,
     /// Descriptors that the process may hold.
@@ -98,6 +101,8 @@
     kinds: Vec<String>,
     #[serde(default)]
     locality: String,
+    #[serde(default)]
+    me: u32,
     #[serde(default = "one")]
     over_share_worth: f64,
     #[serde(default)]
@@ -309,6 +314,7 @@
         discovery: file.discovery,
         peer_listen: file.peer_listen,
         peers: file.peers,
+        me: told.me,
         peers_all: file.peers_all,
         seed: seed.ok_or_else(|| ConfigError::Value("the seed is neither hex nor a number".into()))?,
         sockets: file.limits.sockets,
--- a/crates/daemon/src/settings/operator.rs
+++ b/crates/daemon/src/settings/operator.rs
@@ -1,8 +1,8 @@
 //! The operator's own file: what is off unless somebody wants it. `deploy/notchpoint.toml` is an example.
 
-use notchpoint_zones::Rules;
+use notchpoint_zones::{Rules, Zone};
 use serde::Deserialize;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -20,6 +20,23 @@
     pub copies: Option<Copies>,
     #[serde(default)]
     pub zones: Zones,
+    /// Where it stands, if it was read from a file: some of it is read anew at SIGHUP.
+    #[serde(skip)]
+    pub file: Option<PathBuf>,
+}
+
+impl Operator {
+    /// Sections that another text of the file says otherwise and that only a new process takes up.
+    pub fn waits(&self, new: &Self) -> Vec<&'static str> {
+        let same = [
+            ("recorder", self.recorder == new.recorder),
+            ("log", self.log == new.log),
+            ("store", self.store == new.store),
+            ("copies", self.copies == new.copies),
+            ("zones (they were off)", self.zones.wanted() || !new.zones.wanted()),
+        ];
+        same.into_iter().filter(|s| !s.1).map(|s| s.0).collect()
+    }
 }
 
 /// Copies of what this sender holds, at further senders.
@@ -162,11 +179,17 @@
 }
 
 /// Zones that fail, as the senders of the fleet find together.
-#[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields, default)]
 pub struct Zones {
     /// Calls' ends are pooled with other senders', and what is found of zones is said.
     pub watch: bool,
+    /// A zone that is found failing is left, and returned to step by step.
+    pub leave: bool,
+    /// Zones that get nothing, whatever is found, and those that are never left.
+    pub out: Vec<String>,
+    /// See `out`.
+    pub stay: Vec<String>,
     /// A destination fails in a zone where this share of its calls does, at least.
     pub share: f64,
     /// A zone fails where so many destinations do,
@@ -179,13 +202,16 @@
 
 /// Less is what any zone has on a bad day; all calls fail only where nobody tries any more.
 const SHARE_FAILING: std::ops::RangeInclusive<f64> = 0.2..=0.95;
+/// The platform names few zones.
+const MOST_PINNED: usize = 16;
 /// One destination, sender or zone is never enough.
 const ENOUGH: std::ops::RangeInclusive<usize> = 2..=100;
 
 impl Default for Zones {
     fn default() -> Self {
         let Rules { share, dests, senders, zones } = Rules::default();
-        Self { watch: false, share, destinations: dests, senders, from_zones: zones }
+        let (out, stay) = (Vec::new(), Vec::new());
+        Self { watch: false, leave: false, out, stay, share, destinations: dests, senders, from_zones: zones }
     }
 }
 
@@ -196,7 +222,34 @@
         Rules { share: self.share, dests: self.destinations, senders, zones: self.from_zones }
     }
 
+    /// Whether anything of it is wanted.
+    pub fn wanted(&self) -> bool {
+        self.watch || self.leave || !self.out.is_empty() || !self.stay.is_empty()
+    }
+
+    /// Zones that are pinned, and whether they stay.
+    pub fn pinned(&self) -> BTreeMap<Zone, bool> {
+        let out = self.out.iter().map(|name| (Zone::named(name), false));
+        out.chain(self.stay.iter().map(|name| (Zone::named(name), true))).collect()
+    }
+
+    /// Zones that are pinned and that the configuration does not name.
+    pub fn unknown<'a>(&'a self, zones: &'a [String]) -> impl Iterator<Item = &'a String> {
+        self.out.iter().chain(&self.stay).filter(|name| !zones.contains(name))
+    }
+
     fn check(&self) -> Result<(), String> {
+        for (key, names) in [("out", &self.out), ("stay", &self.stay)] {
+            if names.len() > MOST_PINNED {
+                return Err(format!("zones.{key}: {} are over {MOST_PINNED}", names.len()));
+            }
+            if names.iter().any(String::is_empty) {
+                return Err(format!("zones.{key}: a zone without a name"));
+            }
+        }
+        if let Some(both) = self.out.iter().find(|name| self.stay.contains(name)) {
+            return Err(format!("zones.stay: {both} stands in zones.out as well"));
+        }
         if !SHARE_FAILING.contains(&self.share) {
             return Err(format!("zones.share: {} is not within 0.2 to 0.95", self.share));
         }
@@ -213,15 +266,25 @@
 
 impl fmt::Display for Zones {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        if !self.watch {
+        if !self.wanted() {
             return f.write_str("zones are not watched");
         }
         write!(
             f,
             "zones are watched: one fails where {} destinations lose {} of their calls, as {} senders in \
-             {} zones see; nothing is done about it",
-            self.destinations, self.share, self.senders, self.from_zones
-        )
+             {} zones see; {}",
+            self.destinations,
+            self.share,
+            self.senders,
+            self.from_zones,
+            if self.leave { "it is left, and returned to step by step" } else { "nothing is done about it" }
+        )?;
+        for (names, what) in [(&self.out, "get nothing"), (&self.stay, "are never left")] {
+            if !names.is_empty() {
+                write!(f, "; {} {what}", names.join(", "))?;
+            }
+        }
+        Ok(())
     }
 }
 
@@ -354,7 +417,7 @@
     if !wrong.is_empty() {
         return Err(wrong.iter().map(|w| format!("{name}: {w}")).collect::<Vec<_>>().join("\n"));
     }
-    Ok(operator)
+    Ok(Operator { file: Some(path.to_owned()), ..operator })
 }
 
 #[cfg(test)]
@@ -365,7 +428,9 @@
         let folder = tempfile::tempdir().expect("a folder");
         let path = folder.path().join("notchpoint.toml");
         std::fs::write(&path, text).expect("written");
-        read(&path)
+        let read = read(&path)?;
+        assert_eq!(read.file, Some(path));
+        Ok(Operator { file: None, ..read })
     }
 
     #[test]
@@ -410,6 +475,9 @@
             ("[zones]\nwatch = 1", "line 2"),
             ("[zones]\nshare = 0.1", "zones.share"),
             ("[zones]\nsenders = 1", "zones.senders"),
+            ("[zones]\nleave = \"b\"", "line 2"),
+            ("[zones]\nout = [\"b\"]\nstay = [\"b\"]", "zones.stay: b"),
+            ("[zones]\nout = [\"\"]", "zones.out"),
             ("[zones]\nfrom_zones = 0", "zones.from_zones"),
             ("[copies]\ncount = 1", "listen"),
             ("[copies]\nlisten = \"127.0.0.1:1\"\nwhen_short = \"perhaps\"", "line 3"),
--- a/crates/zones/src/evidence.rs
+++ b/crates/zones/src/evidence.rs
@@ -51,10 +51,21 @@
 #[derive(Debug, Default)]
 pub(crate) struct Evidence {
     pairs: BTreeMap<(Zone, Dest), Counts>,
+    /// Calls of a zone that began before this moment say nothing any more: a step began then.
+    since: BTreeMap<Zone, Micros>,
 }
 
 impl Evidence {
-    pub fn observe(&mut self, now: Micros, zone: Zone, dest: Dest, came: Came) {
+    /// A new step of a zone begins: only what begins from now on says anything of it.
+    pub fn forget(&mut self, now: Micros, zone: Zone) {
+        self.pairs.retain(|(z, _), _| *z != zone);
+        self.since.insert(zone, now);
+    }
+
+    pub fn observe(&mut self, now: Micros, began: Micros, zone: Zone, dest: Dest, came: Came) {
+        if self.since.get(&zone).is_some_and(|&s| began < s) {
+            return;
+        }
         if !self.pairs.contains_key(&(zone, dest)) && self.pairs.len() >= PAIRS {
             let oldest = self.pairs.iter().min_by_key(|(_, c)| c.last).map(|(&k, _)| k);
             oldest.map(|k| self.pairs.remove(&k));
@@ -76,7 +87,8 @@
         }
     }
 
-    /// What counts now, what failed most first: the failures since the last answer, or the answers.
+    /// What counts now: the failures since the last answer, or the answers. What failed most and what was
+    /// answered most take turns, so that what is cut off at the end leaves some of both.
     pub fn seen(&mut self, now: Micros) -> Vec<Seen> {
         let short = |n: u32| u8::try_from(n).unwrap_or(u8::MAX);
         for counts in self.pairs.values_mut() {
@@ -92,7 +104,9 @@
         };
         let mut seen: Vec<Seen> = self.pairs.iter().map(seen).collect();
         seen.sort_by_key(|s| std::cmp::Reverse((s.failed, s.answered)));
-        seen
+        let (failed, answered): (Vec<Seen>, Vec<Seen>) = seen.into_iter().partition(|s| s.failed > 0);
+        let longest = failed.len().max(answered.len());
+        (0..longest).flat_map(|n| [failed.get(n), answered.get(n)]).flatten().copied().collect()
     }
 }
 
@@ -106,16 +120,16 @@
     fn a_failure_counts_until_an_answer_or_for_long_and_answers_for_the_window() {
         let mut e = Evidence::default();
         let counts = |e: &mut Evidence, now| e.seen(now).first().map(|s| (s.answered, s.failed));
-        e.observe(0, Z, Dest(1), Came::Answered);
-        e.observe(0, Z, Dest(1), Came::Failed);
+        e.observe(0, 0, Z, Dest(1), Came::Answered);
+        e.observe(0, 0, Z, Dest(1), Came::Failed);
         assert_eq!(counts(&mut e, 1), Some((0, 1)), "it stays away from now on");
         assert_eq!(counts(&mut e, FAILED_FOR), Some((0, 1)));
-        e.observe(FAILED_FOR, Z, Dest(1), Came::Failed);
+        e.observe(FAILED_FOR, 0, Z, Dest(1), Came::Failed);
         assert_eq!(counts(&mut e, FAILED_FOR + 1), Some((0, 2)));
-        e.observe(FAILED_FOR + 2, Z, Dest(1), Came::Answered);
+        e.observe(FAILED_FOR + 2, 0, Z, Dest(1), Came::Answered);
         assert_eq!(counts(&mut e, FAILED_FOR + 3), Some((1, 0)));
         assert_eq!(counts(&mut e, FAILED_FOR + 2 * WINDOW), None);
-        e.observe(2 * FAILED_FOR, Z, Dest(1), Came::Failed);
+        e.observe(2 * FAILED_FOR, 0, Z, Dest(1), Came::Failed);
         assert_eq!(counts(&mut e, 3 * FAILED_FOR + 1), None);
     }
 
@@ -123,11 +137,34 @@
     fn pairs_are_bounded_and_a_clock_stepped_back_is_borne() {
         let mut e = Evidence::default();
         for n in 0..2 * PAIRS as u32 {
-            e.observe(u64::from(n) * 10, Z, Dest(n), Came::Failed);
+            e.observe(u64::from(n) * 10, 0, Z, Dest(n), Came::Failed);
         }
         assert_eq!(e.pairs.len(), PAIRS);
-        e.observe(10 * WINDOW, Z, Dest(7), Came::Answered);
-        e.observe(WINDOW, Z, Dest(7), Came::Answered);
+        e.observe(10 * WINDOW, 0, Z, Dest(7), Came::Answered);
+        e.observe(WINDOW, 0, Z, Dest(7), Came::Answered);
         assert_eq!(e.seen(10 * WINDOW)[0].answered, 2);
     }
+
+    #[test]
+    fn calls_that_began_before_a_step_say_nothing_of_it() {
+        let mut e = Evidence::default();
+        e.observe(10, 5, Z, Dest(1), Came::Failed);
+        e.observe(10, 5, Zone(2), Dest(1), Came::Failed);
+        e.forget(20, Z);
+        e.observe(30, 19, Z, Dest(1), Came::Failed);
+        assert_eq!(e.seen(30).iter().map(|s| s.zone).collect::<Vec<_>>(), [Zone(2)]);
+        e.observe(30, 20, Z, Dest(1), Came::Answered);
+        assert_eq!(e.seen(30).len(), 2);
+    }
+
+    #[test]
+    fn what_is_cut_off_leaves_some_that_failed_and_some_that_were_answered() {
+        let mut e = Evidence::default();
+        for n in 0..20 {
+            e.observe(0, 0, Z, Dest(n), if n < 15 { Came::Failed } else { Came::Answered });
+        }
+        let first = &e.seen(1)[..6];
+        assert_eq!(first.iter().filter(|s| s.failed > 0).count(), 3);
+        assert_eq!(e.seen(1).len(), 20);
+    }
 }
--- a/crates/zones/src/names.rs
+++ b/crates/zones/src/names.rs
@@ -6,25 +6,19 @@
 /// A moment or a span, in microseconds.
 pub type Micros = u64;
 
-/// A sender, by its name.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct Peer(pub u64);
+/// A sender, by its number in the fleet: the platform gives the same number to the address that its notes
+/// come from, so nobody can write in another's name.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Place(pub u32);
 
 /// A zone, by its name; short, since notes are.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Zone(pub u32);
 
 /// A destination; short, since notes are. Two that share a number count as one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Dest(pub u32);
 
-impl Peer {
-    /// The sender of this name.
-    pub fn named(name: &str) -> Self {
-        Self(xxh3_64(name.as_bytes()))
-    }
-}
-
 impl Zone {
     /// The zone of this name.
     pub fn named(name: &str) -> Self {
--- a/crates/zones/src/zones.rs
+++ b/crates/zones/src/zones.rs
@@ -1,20 +1,21 @@
-//! The machine as a whole: evidence in, notes and findings out.
+//! The machine as a whole: evidence in; notes, findings, and what each zone is sent, out.
 
+use crate::course::{Course, Look, Trial, Why};
 use crate::evidence::{Came, Evidence, WINDOW};
-use crate::judge::{Finding, Rules, Standing, doubts_itself, judge};
-use crate::names::{Dest, Micros, Peer, Zone};
-use crate::note::{Report, read, write};
-use crate::pool::{Merged, Pool};
+use crate::judge::{Finding, Rules, Standing, asks, doubts_itself, judge, trial};
+use crate::names::{Dest, Micros, Place, Zone};
+use crate::note::{Report, Taken, read, write};
+use crate::pace::{CALM, Pace, turn};
+use crate::pool::{Merged, Pool, Word};
 use rand::seq::index::sample;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// It is looked at, and written of, so often.
 pub const BEAT: Micros = 500_000;
-/// While anything fails, a beat's note goes to so many others, drawn anew each time: with each passing on the
-/// newest that it knows, all of hundreds have heard within a few beats, and each writes as much in a fleet of
-/// ten as of a thousand.
+/// While anything fails, a beat's note goes to so many others, drawn anew each time: so each hears some
+/// eighteen senders within the window, in a fleet of twenty as of a thousand, and writes as much in both.
 const FANOUT: usize = 3;
 /// Else to one, each fourth beat: that others are heard tells a sender that it is not alone.
 const QUIET: u64 = 4;
@@ -25,25 +26,45 @@
 const ALONE: Micros = 4 * QUIET * BEAT + WINDOW;
 /// Zones whose standing is kept: the platform names few.
 const ZONES: usize = 64;
+/// One sender is never followed, however few there are.
+const FOLLOWED: usize = 2;
+/// Waits are drawn out by up to this share, by each sender for itself.
+const SPREAD: f64 = 0.25;
 
 /// What is set.
 #[derive(Clone, Debug)]
 pub struct Set {
-    /// This sender.
-    pub me: Peer,
+    /// This sender's number, of so many in the fleet.
+    pub place: Place,
+    /// See `place`.
+    pub fleet: u32,
     /// Where it stands.
     pub stands: Zone,
-    /// Other senders that can be written to.
-    pub others: usize,
+    /// Whether notes can be written at all.
+    pub writes: bool,
     /// When a zone counts as failing.
     pub rules: Rules,
+    /// How fast it is returned to; nothing where zones are watched and never left.
+    pub pace: Option<Pace>,
+    /// Zones that operators keep out, and those that they keep in, whatever is found.
+    pub pinned: BTreeMap<Zone, bool>,
 }
 
 /// What is to be done.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Output {
-    /// Write this to one of the others, by its place among them.
-    Send(usize, Vec<u8>),
+    /// Write this to one of the others.
+    Send(Place, Vec<u8>),
+    /// A zone is to be sent this share of what it would be sent from now on; and, if it is this sender's turn
+    /// to try, one call to each destination there.
+    Lean {
+        /// Which.
+        zone: Zone,
+        /// From 0 to 1.
+        share: f64,
+        /// One call to each of its destinations, whatever the share.
+        tries: bool,
+    },
     /// To be said in the log.
     Say(Event),
 }
@@ -60,10 +81,27 @@
         /// Why it stands as it does.
         finding: Finding,
         /// Which change of its standing it is here.
-        term: u64,
+        changes: u64,
+    },
+    /// A zone is left further, or returned to.
+    Takes {
+        /// Which.
+        zone: Zone,
+        /// How far before.
+        before: Course,
+        /// How far now.
+        course: Course,
+        /// The share that it is sent from now on.
+        share: f64,
+        /// Why.
+        why: Why,
+        /// How often in a row it has failed by now.
+        failed: u8,
+        /// Senders whose words it rests on.
+        on: Vec<Place>,
     },
     /// A sender contradicts itself; said once for each.
-    Odd(Peer),
+    Odd(Place),
     /// Nothing was heard of any other sender for long, or everything fails from here: what is found is kept.
     Alone(bool),
 }
@@ -74,11 +112,69 @@
     /// How.
     pub standing: Standing,
     /// How often that has changed.
-    pub term: u64,
+    pub changes: u64,
     /// What was found last.
     pub finding: Finding,
+    /// How far it is left.
+    pub course: Course,
+    /// How often in a row it has failed.
+    pub failed: u8,
+    /// Senders heard within the window that have come as far, of all that were.
+    pub with: (usize, usize),
     /// What it may be next, and at how many beats in a row that was found.
     next: Option<(Standing, u32)>,
+    /// Since when the course is what it is, and how much its wait is drawn out here.
+    since: Micros,
+    spread: f64,
+    /// Since when it is tried.
+    tried: Option<Micros>,
+    /// The last turn in which this sender tried.
+    turn: Option<u64>,
+    /// What was said of it to the caller last.
+    leans: Option<f64>,
+}
+
+/// What a zone is at, by the name that operators know.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    /// Its whole share, and nothing says otherwise.
+    Serving,
+    /// Its whole share; something fails there.
+    Doubted,
+    /// Its whole share, although it is found failing: zones are only watched, or it is the last one.
+    Failing,
+    /// Nothing is sent there any more; not all that were heard have followed.
+    Leaving,
+    /// Nothing is sent there.
+    Left,
+    /// A few senders try.
+    Trying,
+    /// It is sent a part of its share.
+    Returning,
+}
+
+impl Stand {
+    /// What it is at.
+    pub fn state(&self) -> State {
+        match (self.course.level, self.standing) {
+            (Course::FULL, Standing::Serving) => State::Serving,
+            (Course::FULL, Standing::Doubted) => State::Doubted,
+            (Course::FULL, Standing::Failing) => State::Failing,
+            (0, _) if self.tried.is_some() => State::Trying,
+            (0, _) if self.with.0 < self.with.1 => State::Leaving,
+            (0, _) => State::Left,
+            _ => State::Returning,
+        }
+    }
+}
+
+/// What is known of a zone that is left, or that others leave.
+struct Seen {
+    look: Look,
+    /// Whose course `told` is, and how often the zone has failed by their words.
+    by: Vec<Place>,
+    failed: u8,
+    with: (usize, usize),
 }
 
 /// See the crate's page.
@@ -90,13 +186,15 @@
     evidence: Evidence,
     pool: Pool,
     stands: BTreeMap<Zone, Stand>,
+    /// Zones that the list names.
+    listed: BTreeSet<Zone>,
     begun: Micros,
     /// When a note of another sender last came.
     heard: Micros,
     alone: bool,
     beats: u64,
     due: Micros,
-    odd: Vec<Peer>,
+    odd: Vec<Place>,
     rng: Pcg64,
 }
 
@@ -114,6 +212,7 @@
             evidence: Evidence::default(),
             pool: Pool::default(),
             stands: BTreeMap::new(),
+            listed: BTreeSet::new(),
             begun: now,
             heard: now,
             alone: false,
@@ -124,28 +223,32 @@
         }
     }
 
-    /// A call came to something.
-    pub fn observe(&mut self, now: Micros, zone: Zone, dest: Dest, came: Came) {
-        self.evidence.observe(now, zone, dest, came);
+    /// A call that began at some moment came to something.
+    pub fn observe(&mut self, now: Micros, began: Micros, zone: Zone, dest: Dest, came: Came) {
+        self.evidence.observe(now, began, zone, dest, came);
+    }
+
+    /// The list names endpoints in these zones.
+    pub fn list(&mut self, zones: BTreeSet<Zone>) {
+        self.listed = zones;
+    }
+
+    /// Other rules, pace and pins, from the next beat on; who and where this sender is stays.
+    pub fn retune(&mut self, rules: Rules, pace: Option<Pace>, pinned: BTreeMap<Zone, bool>) {
+        (self.set.rules, self.set.pace, self.set.pinned) = (rules, pace, pinned);
     }
 
     /// Another sender wrote. Whether it was a note.
-    pub fn heard(&mut self, now: Micros, bytes: &[u8], out: &mut Vec<Output>) -> bool {
-        let Some(note) = read(bytes) else { return false };
-        for report in note.reports.into_iter().filter(|r| r.aged() <= WINDOW) {
-            let from = report.from;
-            // What others pass on of this sender it knows better.
-            if from == self.set.me {
-                continue;
-            }
-            self.heard = self.heard.max(now);
-            if self.pool.merge(now, report) == Merged::Odd
-                && !self.odd.contains(&from)
-                && self.odd.len() < ZONES
-            {
-                self.odd.push(from);
-                out.push(Output::Say(Event::Odd(from)));
-            }
+    pub fn heard(&mut self, now: Micros, from: Place, bytes: &[u8], out: &mut Vec<Output>) -> bool {
+        let Some(report) = read(bytes) else { return false };
+        if from == self.set.place || from.0 >= self.set.fleet {
+            return true;
+        }
+        self.heard = self.heard.max(now);
+        let odd = self.pool.merge(now, from, report) == Merged::Odd;
+        if odd && !self.odd.contains(&from) && self.odd.len() < ZONES {
+            self.odd.push(from);
+            out.push(Output::Say(Event::Odd(from)));
         }
         true
     }
@@ -160,6 +263,16 @@
         &self.stands
     }
 
+    /// The share that a zone is sent.
+    pub fn share(&self, zone: Zone) -> f64 {
+        let course = self.stands.get(&zone).map_or(Course::default(), |s| s.course);
+        match (self.set.pinned.get(&zone), &self.set.pace) {
+            (Some(true), _) | (None, None) => 1.0,
+            (Some(false), _) => 0.0,
+            (None, Some(pace)) => pace.share(course.level),
+        }
+    }
+
     /// Whether this sender doubts itself, and keeps what it had found.
     pub fn is_alone(&self) -> bool {
         self.alone
@@ -172,35 +285,60 @@
         }
         self.due = now + BEAT;
         self.beats += 1;
-        let seen = self.evidence.seen(now);
         self.number += 1;
-        let (from, stands) = (self.set.me, self.set.stands);
-        let own = Report { from, stands, life: self.life, number: self.number, age: 0, seen };
-        let found = judge(now, &self.pool, (from, stands, &own.seen), &self.set.rules);
-        self.write(now, own.clone(), &found, out);
-        // To a sender to which everything fails, or that hears nobody, nothing that it sees says much.
+        let seen = self.evidence.seen(now);
+        let own = Report {
+            stands: self.set.stands,
+            life: self.life,
+            number: self.number,
+            courses: self.courses(),
+            seen,
+        };
         let cut_off = doubts_itself(&own.seen);
-        let unheard = self.set.others > 0 && now.saturating_sub(self.heard) > ALONE;
+        let word = Word { from: self.set.place, stands: own.stands, courses: &own.courses, seen: &own.seen };
+        // To a sender to which everything fails nothing that it sees says much.
+        let words: Vec<Word<'_>> =
+            self.pool.fresh(now).chain([word]).filter(|w| !doubts_itself(w.seen)).collect();
+        let found = judge(&words, &self.set.rules);
+        let unheard = self.set.fleet > 1 && now.saturating_sub(self.heard) > ALONE;
         let alone = cut_off || unheard;
+        let looks = if self.set.pace.is_some() { self.looks(now, &words) } else { BTreeMap::new() };
+        self.write(&own, &found, out);
         if std::mem::replace(&mut self.alone, alone) != alone {
             out.push(Output::Say(Event::Alone(alone)));
         }
-        if !alone && now.saturating_sub(self.begun) >= WINDOW {
-            self.settle(found, out);
+        if !alone {
+            // What others have taken is followed at once, also by one that has only just begun.
+            if now.saturating_sub(self.begun) >= WINDOW {
+                self.settle(found, out);
+            }
+            self.advance(now, looks, out);
+            self.ask(now, out);
         }
+        self.lean(out);
+    }
+
+    /// How far zones are left, those that are not at their whole share first.
+    fn courses(&self) -> Vec<Taken> {
+        let known = self.stands.iter().filter(|(_, s)| s.course != Course::default());
+        let mut all: Vec<Taken> =
+            known.map(|(&zone, s)| Taken { zone, course: s.course, failed: s.failed }).collect();
+        all.sort_by_key(|t| (t.course.is_full(), std::cmp::Reverse(t.course.term)));
+        all
     }
 
-    fn write(&mut self, now: Micros, own: Report, found: &BTreeMap<Zone, Finding>, out: &mut Vec<Output>) {
+    fn write(&mut self, own: &Report, found: &BTreeMap<Zone, Finding>, out: &mut Vec<Output>) {
         let trouble = found.values().any(|f| f.failed > 0.0)
-            || self.stands.values().any(|s| s.standing != Standing::Serving);
-        if self.set.others == 0 || !trouble && !self.beats.is_multiple_of(QUIET) {
+            || self.stands.values().any(|s| s.standing != Standing::Serving || !s.course.is_full());
+        let others = self.set.fleet.saturating_sub(1) as usize;
+        if others == 0 || !self.set.writes || !trouble && !self.beats.is_multiple_of(QUIET) {
             return;
         }
-        let mut reports = vec![own];
-        reports.extend(self.pool.reports(now));
-        let body = write(&reports);
+        let body = write(own);
         let most = if trouble { FANOUT } else { 1 };
-        for to in sample(&mut self.rng, self.set.others, most.min(self.set.others)) {
+        for n in sample(&mut self.rng, others, most.min(others)) {
+            let n = n as u32;
+            let to = Place(n + u32::from(n >= self.set.place.0));
             out.push(Output::Send(to, body.clone()));
         }
     }
@@ -208,7 +346,7 @@
     /// Takes a standing on that was found long enough.
     fn settle(&mut self, found: BTreeMap<Zone, Finding>, out: &mut Vec<Output>) {
         let known: Vec<Zone> = self.stands.keys().copied().collect();
-        for zone in found.keys().copied().chain(known).collect::<std::collections::BTreeSet<_>>() {
+        for zone in found.keys().copied().chain(known).collect::<BTreeSet<_>>() {
             let full = self.stands.len() >= ZONES && !self.stands.contains_key(&zone);
             if full {
                 continue;
@@ -234,12 +372,145 @@
                 continue;
             }
             let before = std::mem::replace(&mut stand.standing, next);
-            (stand.next, stand.term) = (None, stand.term + 1);
+            (stand.next, stand.changes) = (None, stand.changes + 1);
             let finding = Finding { standing: next, ..stand.finding.clone() };
-            let term = stand.term;
-            out.push(Output::Say(Event::Stands { zone, before, finding, term }));
+            let changes = stand.changes;
+            out.push(Output::Say(Event::Stands { zone, before, finding, changes }));
+        }
+        // What nothing is known of any more stands as it did at first. A course is kept: its term may not
+        // begin anew while others remember it.
+        self.stands.retain(|_, s| {
+            s.standing != Standing::Serving || s.finding.calls > 0.0 || s.course != Course::default()
+        });
+    }
+
+    /// What is known of each zone that is left, or that others leave.
+    fn looks(&self, now: Micros, words: &[Word<'_>]) -> BTreeMap<Zone, Seen> {
+        let others = || words.iter().filter(|w| w.from != self.set.place);
+        let told = others().flat_map(|w| w.courses.iter().map(|t| t.zone));
+        let zones: BTreeSet<Zone> = self.stands.keys().copied().chain(told).collect();
+        let look = |zone: Zone| {
+            let stand = self.stands.get(&zone).cloned().unwrap_or_default();
+            let (told, failed, by) = self.told(zone, stand.course, words);
+            let waited = match &self.set.pace {
+                Some(pace) => {
+                    let wait = pace.wait(stand.course.level, stand.failed) as f64 * (1.0 + stand.spread);
+                    now.saturating_sub(stand.since) >= wait as Micros
+                }
+                None => false,
+            };
+            // Before it is tried, what comes in is of calls that began before it was left.
+            let tried = !stand.course.is_out() || stand.tried.is_some();
+            let trial = match tried && !stand.course.is_full() {
+                true => trial(zone, stand.course, words, &self.set.rules, self.set.fleet as usize),
+                false => Trial::Open,
+            };
+            let look = Look { told, trial, waited, ..Look::default() };
+            let as_far = others().filter(|w| w.taken(zone).course >= stand.course).count();
+            (zone, Seen { look, by, failed, with: (as_far, others().count()) })
+        };
+        zones.into_iter().take(ZONES).map(look).collect()
+    }
+
+    /// The newest course that enough others have taken, which stand in as many zones as a finding wants, and
+    /// who they are. One sender that is wrong or lies is not followed.
+    /// Last, how often in a row it has failed, as the most hopeful of them says.
+    fn told(&self, zone: Zone, own: Course, words: &[Word<'_>]) -> (Option<Course>, u8, Vec<Place>) {
+        let others = words.iter().filter(|w| w.from != self.set.place);
+        let mut ahead: Vec<(Taken, Place, Zone)> = others
+            .map(|w| (w.taken(zone), w.from, w.stands))
+            .filter(|(taken, ..)| taken.course > own)
+            .collect();
+        ahead.sort_by_key(|a| std::cmp::Reverse(a.0.course));
+        let wanted = self.set.rules.senders.min(self.set.fleet.saturating_sub(1) as usize).max(FOLLOWED);
+        for n in wanted..=ahead.len() {
+            let from: BTreeSet<Zone> = ahead[..n].iter().map(|a| a.2).collect();
+            if from.len() >= self.set.rules.zones {
+                let failed = ahead[..n].iter().map(|a| a.0.failed).min().unwrap_or(0);
+                return (Some(ahead[n - 1].0.course), failed, ahead[..n].iter().map(|a| a.1).collect());
+            }
+        }
+        (None, 0, Vec::new())
+    }
+
+    /// Takes courses further.
+    fn advance(&mut self, now: Micros, looks: BTreeMap<Zone, Seen>, out: &mut Vec<Output>) {
+        let Some(pace) = self.set.pace.clone() else { return };
+        for (zone, Seen { look, by, failed, with }) in looks {
+            if !self.stands.contains_key(&zone) && (look.told.is_none() || self.stands.len() >= ZONES) {
+                continue;
+            }
+            let other = self.listed.iter().any(|z| *z != zone && self.share(*z) >= 1.0);
+            let spread = self.rng.random_range(0.0..SPREAD);
+            let stand = self.stands.entry(zone).or_default();
+            stand.with = with;
+            if stand.course.is_full() && stand.failed > 0 && now.saturating_sub(stand.since) >= CALM {
+                stand.failed = 0;
+            }
+            let failing = stand.standing == Standing::Failing;
+            let look = Look { failing, other, steps: pace.len(), ..look };
+            let Some((course, why)) = stand.course.next(&look) else {
+                if stand.course.is_out() && look.waited && stand.tried.is_none() {
+                    stand.tried = Some(now);
+                    self.evidence.forget(now, zone);
+                }
+                continue;
+            };
+            let before = std::mem::replace(&mut stand.course, course);
+            stand.failed = match why {
+                Why::Told => failed,
+                _ => stand.failed.saturating_add(u8::from(course.term > before.term)),
+            };
+            (stand.since, stand.spread, stand.tried, stand.turn) = (now, spread, None, None);
+            // What was found of it before belongs to the step before.
+            (stand.standing, stand.next) = (Standing::Serving, None);
+            self.evidence.forget(now, zone);
+            let on = match why {
+                Why::Told => by,
+                _ => stand.finding.senders.iter().copied().collect(),
+            };
+            let (share, failed) = (pace.share(course.level), stand.failed);
+            out.push(Output::Say(Event::Takes { zone, before, course, share, why, failed, on }));
+        }
+    }
+
+    /// Whether it is this sender's turn to call a zone that it would not call: one that is left and may be
+    /// back, or one that only its own senders see fail.
+    fn ask(&mut self, now: Micros, out: &mut Vec<Output>) {
+        if self.set.pace.is_none() {
+            return;
+        }
+        let (place, fleet) = (self.set.place, self.set.fleet);
+        for (&zone, stand) in &mut self.stands {
+            let since = match stand.tried {
+                Some(since) if stand.course.is_out() => Some(since),
+                _ if stand.course.is_full()
+                    && asks(&stand.finding, &self.set.rules)
+                    && !stand.finding.from.contains(&self.set.stands) =>
+                {
+                    Some(self.begun)
+                }
+                _ => None,
+            };
+            let turn = since.and_then(|since| turn(place, fleet, now.saturating_sub(since)));
+            if turn.is_some() && turn != stand.turn && !self.set.pinned.contains_key(&zone) {
+                let share = self.set.pace.as_ref().map_or(1.0, |p| p.share(stand.course.level));
+                out.push(Output::Lean { zone, share, tries: true });
+            }
+            stand.turn = turn;
+        }
+    }
+
+    /// Says what zones are to be sent, where that has changed.
+    fn lean(&mut self, out: &mut Vec<Output>) {
+        let pinned = self.set.pinned.keys().copied();
+        for zone in self.stands.keys().copied().chain(pinned).collect::<BTreeSet<_>>() {
+            let share = self.share(zone);
+            let kept = self.stands.len() < ZONES || self.stands.contains_key(&zone);
+            if kept && self.stands.get(&zone).and_then(|s| s.leans).unwrap_or(1.0) != share {
+                self.stands.entry(zone).or_default().leans = Some(share);
+                out.push(Output::Lean { zone, share, tries: false });
+            }
         }
-        // What nothing is known of any more stands as it did at first.
-        self.stands.retain(|_, s| s.standing != Standing::Serving || s.finding.calls > 0.0);
     }
 }
