--- a/crates/zones/src/course.rs
+++ b/crates/zones/src/course.rs
@@ -5,7 +5,9 @@
 //! agree once they hear one another. There is no clock here: callers say whether a wait is over, and a wait
 //! that is cut short or drawn out costs time, never agreement.
 
+use crate::names::Zone;
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
 
 /// How far a zone is left.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -66,6 +68,16 @@
     Pinned,
 }
 
+/// One sender is never followed, however few there are.
+const FEWEST: usize = 2;
+
+/// How many of these words, newest course first, are enough to follow the last of them: so many senders', that
+/// stand in so many zones. One sender that is wrong or lies is not followed, nor are those of one zone.
+pub fn followed(words: &[(Course, Zone)], senders: usize, zones: usize) -> Option<usize> {
+    (senders.max(FEWEST)..=words.len())
+        .find(|&n| words[..n].iter().map(|w| w.1).collect::<BTreeSet<_>>().len() >= zones)
+}
+
 impl Course {
     /// The level of a zone that has its whole share.
     pub const FULL: u8 = u8::MAX;
--- a/crates/zones/src/judge.rs
+++ b/crates/zones/src/judge.rs
@@ -153,19 +153,19 @@
         && f.from.len() < rules.zones
 }
 
-/// What the calls of a term say of a zone that was left: two senders' are wanted either way, where there are
-/// two. Only those count that have come as far, so that nobody's old failures or answers do; who gives the
-/// zone its whole share, in whatever term, counts where it is served.
+/// What the calls since a zone was left say of it: two senders' are wanted either way, where there are two.
+/// Only those count that have come as far or further, so that nobody's old failures or answers do; who gives
+/// the zone its whole share, in whatever term, counts where it is served. So senders that are all in different
+/// terms still agree: the first in its term hears what those after it have tried.
 pub(crate) fn trial(zone: Zone, course: Course, words: &[Word<'_>], rules: &Rules, fleet: usize) -> Trial {
     let mut by_dest: BTreeMap<Dest, Sum> = BTreeMap::new();
     let mut all = Sum::default();
     let (mut fail, mut serve) = (0, 0);
     for word in words {
         let theirs = word.taken(zone).course;
-        let same = theirs.term == course.term && theirs.level >= course.level;
         let mut own = Sum::default();
         for s in word.seen.iter().filter(|s| s.zone == zone) {
-            if same || theirs.is_full() && s.failed == 0 {
+            if theirs >= course || theirs.is_full() && s.failed == 0 {
                 by_dest.entry(s.dest).or_default().add(s);
                 own.add(s);
                 all.add(s);
--- a/crates/zones/src/lib.rs
+++ b/crates/zones/src/lib.rs
@@ -18,13 +18,15 @@
 mod course;
 mod evidence;
 mod judge;
+#[cfg(test)]
+mod model;
 mod names;
 mod note;
 mod pace;
 mod pool;
 mod zones;
 
-pub use course::{Course, Look, Trial, Why};
+pub use course::{Course, Look, Trial, Why, followed};
 pub use evidence::{Came, WINDOW};
 pub use judge::{Finding, Rules, Standing};
 pub use names::{Dest, Micros, Place, Zone};
--- a/crates/zones/src/zones.rs
+++ b/crates/zones/src/zones.rs
@@ -1,6 +1,6 @@
 //! The machine as a whole: evidence in; notes, findings, and what each zone is sent, out.
 
-use crate::course::{Course, Look, Trial, Why};
+use crate::course::{Course, Look, Trial, Why, followed};
 use crate::evidence::{Came, Evidence, WINDOW};
 use crate::judge::{Finding, Rules, Standing, asks, doubts_itself, judge, trial};
 use crate::names::{Dest, Micros, Place, Zone};
@@ -26,8 +26,6 @@
 const ALONE: Micros = 4 * QUIET * BEAT + WINDOW;
 /// Zones whose standing is kept: the platform names few.
 const ZONES: usize = 64;
-/// One sender is never followed, however few there are.
-const FOLLOWED: usize = 2;
 /// Waits are drawn out by up to this share, by each sender for itself.
 const SPREAD: f64 = 0.25;
 
@@ -422,15 +420,13 @@
             .filter(|(taken, ..)| taken.course > own)
             .collect();
         ahead.sort_by_key(|a| std::cmp::Reverse(a.0.course));
-        let wanted = self.set.rules.senders.min(self.set.fleet.saturating_sub(1) as usize).max(FOLLOWED);
-        for n in wanted..=ahead.len() {
-            let from: BTreeSet<Zone> = ahead[..n].iter().map(|a| a.2).collect();
-            if from.len() >= self.set.rules.zones {
-                let failed = ahead[..n].iter().map(|a| a.0.failed).min().unwrap_or(0);
-                return (Some(ahead[n - 1].0.course), failed, ahead[..n].iter().map(|a| a.1).collect());
-            }
-        }
-        (None, 0, Vec::new())
+        let words: Vec<(Course, Zone)> = ahead.iter().map(|a| (a.0.course, a.2)).collect();
+        let others = self.set.fleet.saturating_sub(1) as usize;
+        let Some(n) = followed(&words, self.set.rules.senders.min(others), self.set.rules.zones) else {
+            return (None, 0, Vec::new());
+        };
+        let failed = ahead[..n].iter().map(|a| a.0.failed).min().unwrap_or(0);
+        (Some(ahead[n - 1].0.course), failed, ahead[..n].iter().map(|a| a.1).collect())
     }
 
     /// Takes courses further.
