Destinations that serve in a zone that fails for most are spared

Three of five destinations hang there; the other two served, and lost those endpoints with the rest (guard.rs, left_alone, went by zone alone). Change: pooled words part a zone's destinations; those that two senders see serve are spared, until they are seen to fail. A course that was just taken stands in the same beat's note.

--- a/crates/daemon/src/platform/zoning.rs
+++ b/crates/daemon/src/platform/zoning.rs
@@ -12,7 +12,7 @@
     Zone, Zones,
 };
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::mpsc::UnboundedSender;
@@ -34,7 +34,7 @@
     /// The module's numbers of zones.
     zones: Vec<String>,
     /// Where listed endpoints stand, and whose they are.
-    places: RefCell<BTreeMap<EndpointId, (Zone, Dest)>>,
+    places: RefCell<BTreeMap<EndpointId, (Zone, Dest, DestinationId)>>,
     inputs: UnboundedSender<Input>,
     task: RefCell<Option<AbortHandle>>,
 }
@@ -157,7 +157,7 @@
             places.remove(&id);
             return;
         }
-        places.insert(id, (Zone::named(zone), Dest::numbered(dest.0)));
+        places.insert(id, (Zone::named(zone), Dest::numbered(dest.0), dest));
         self.name(zone);
     }
 
@@ -176,7 +176,7 @@
             Outcome::TimedOut | Outcome::ConnectFailed | Outcome::Reset => Came::Failed,
             Outcome::Cancelled | Outcome::Moot => return,
         };
-        if let Some(&(zone, dest)) = self.places.borrow().get(&endpoint) {
+        if let Some(&(zone, dest, _)) = self.places.borrow().get(&endpoint) {
             let now = self.now();
             self.machine.borrow_mut().observe(now, now.saturating_sub(age), zone, dest, came);
         }
@@ -195,7 +195,12 @@
     /// has heard how far others are.
     pub fn begin(self: &Rc<Self>, post: Option<Rc<Post>>) {
         for zone in 0..self.zones.len() as u32 {
-            let _ = self.inputs.send(Input::Event(Event::Zone { zone, share: 1.0, tries: false }));
+            let _ = self.inputs.send(Input::Event(Event::Zone {
+                zone,
+                share: 1.0,
+                tries: false,
+                spared: Vec::new(),
+            }));
         }
         let zoning = self.clone();
         let task = tokio::task::spawn_local(async move {
@@ -212,6 +217,13 @@
         }
     }
 
+    /// The destinations of these short names that the list knows.
+    fn dests(&self, short: &BTreeSet<Dest>) -> Vec<DestinationId> {
+        let places = self.places.borrow();
+        let known = places.values().filter(|p| short.contains(&p.1)).map(|p| p.2);
+        known.collect::<BTreeSet<_>>().into_iter().collect()
+    }
+
     fn carry_out(&self, out: Vec<Output>, post: Option<&Post>) {
         for o in out {
             match o {
@@ -220,11 +232,12 @@
                         post.send(Some(self.numbers.at(to)), &body);
                     }
                 }
-                Output::Lean { zone, share, tries } => {
+                Output::Lean { zone, share, tries, spared } => {
+                    let spared = self.dests(&spared);
                     let name = self.called(zone);
                     if let Some(zone) = self.zones.iter().position(|z| *z == name) {
                         let zone = zone as u32;
-                        let _ = self.inputs.send(Input::Event(Event::Zone { zone, share, tries }));
+                        let _ = self.inputs.send(Input::Event(Event::Zone { zone, share, tries, spared }));
                     }
                 }
                 Output::Say(event) => self.say(&event),
@@ -316,6 +329,7 @@
                     "state": state(s.state()),
                     "term": s.course.term,
                     "share": machine.share(zone),
+                    "spared": self.dests(&s.spared).iter().map(|d| d.0).collect::<Vec<_>>(),
                     "failed_in_a_row": s.failed,
                     "with": { "as_far": s.with.0, "heard": s.with.1 },
                     "calls": f.calls.round(),
--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -7,7 +7,6 @@
     Cancelled, ConnectFailed, Failed, Full, Moot, Reset, Served, Spoilt, TimedOut,
 };
 use crate::interface::*;
-use crate::lean::Lean;
 use crate::note::{self, Word};
 use crate::state::*;
 use notchpoint_limits::Says;
@@ -165,7 +164,7 @@
                 Event::Closed(id) => self.idle(*id, false),
                 Event::Service { endpoint, out } => self.service(*endpoint, *out),
                 Event::Settings(set) => self.retune(set),
-                Event::Zone { zone, share, tries } => self.set_zone(*zone, *share, *tries),
+                Event::Zone { zone, share, tries, spared } => self.set_zone(*zone, *share, *tries, spared),
                 Event::Wake | Event::Probed { .. } => {}
             }
         }
--- a/crates/policy/src/choice/guard.rs
+++ b/crates/policy/src/choice/guard.rs
@@ -83,7 +83,7 @@
     /// It guards against each sender paying for its own time-outs where the fleet knows that a zone fails,
     /// and against all coming back at once.
     fn left_alone(&self, e: &Endpoint) -> bool {
-        let whole = |zone: u32| self.leans.get(&zone).is_none_or(Lean::is_whole);
+        let whole = |zone: u32| self.leans.get(&zone).is_none_or(|l| l.is_whole_for(e.dest));
         let mut others = self.dests[&e.dest].endpoints.iter().map(|o| &self.endpoints[o]);
         !whole(e.zone) && !self.is_due(e) && others.any(|o| o.live && whole(o.zone))
     }
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -358,6 +358,8 @@
         share: f64,
         /// One call to each destination there, whatever the share: it is this sender's turn to try.
         tries: bool,
+        /// Destinations that serve there all the same, and are not concerned.
+        spared: Vec<DestinationId>,
     },
 }
 
--- a/crates/policy/src/lean.rs
+++ b/crates/policy/src/lean.rs
@@ -12,6 +12,7 @@
     pub share: f64,
     credit: BTreeMap<DestinationId, f64>,
     tries: BTreeSet<DestinationId>,
+    spared: BTreeSet<DestinationId>,
 }
 
 impl Lean {
@@ -21,9 +22,10 @@
     }
 
     /// Another share: credit for the last one is void where nothing may go there any more.
-    pub fn turn(&mut self, share: f64) {
+    pub fn turn(&mut self, share: f64, spared: &[DestinationId]) {
         self.share = share;
         self.tries.clear();
+        self.spared = spared.iter().copied().collect();
         if share <= 0.0 {
             self.credit.clear();
         }
@@ -39,21 +41,26 @@
         self.tries.contains(&dest)
     }
 
-    /// Whether a call may go there beside others, as if nothing had been said.
+    /// Whether calls may go there beside others, as if nothing had been said.
     pub fn is_whole(&self) -> bool {
         self.share >= 1.0
     }
 
+    /// The same for one destination.
+    pub fn is_whole_for(&self, dest: DestinationId) -> bool {
+        self.is_whole() || self.spared.contains(&dest)
+    }
+
     /// Whether the next call goes there rather than elsewhere: its share is due, or it is tried.
     pub fn due(&self, dest: DestinationId) -> bool {
         let credit = || self.credit.get(&dest).is_some_and(|&c| c >= 1.0);
-        self.tries(dest) || !self.is_whole() && credit()
+        self.tries(dest) || !self.is_whole_for(dest) && credit()
     }
 
     /// A message came in for a destination that has this part of its endpoints there. All senders begin
     /// somewhere between two calls, or as many as there are would begin with one at once.
     pub fn arrived(&mut self, dest: DestinationId, part: f64, begin: impl FnOnce() -> f64) {
-        if self.share > 0.0 && !self.is_whole() {
+        if self.share > 0.0 && !self.is_whole_for(dest) {
             let credit = self.credit.entry(dest).or_insert_with(begin);
             *credit = (*credit + self.share * part).min(1.0);
         }
@@ -70,5 +77,6 @@
     pub fn keep(&mut self, known: impl Fn(DestinationId) -> bool) {
         self.credit.retain(|&d, _| known(d));
         self.tries.retain(|&d| known(d));
+        self.spared.retain(|&d| known(d));
     }
 }
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -288,10 +288,10 @@
     }
 
     /// Enters what share a zone is sent, and whether it is tried.
-    pub(crate) fn set_zone(&mut self, zone: u32, share: f64, tries: bool) {
+    pub(crate) fn set_zone(&mut self, zone: u32, share: f64, tries: bool, spared: &[DestinationId]) {
         let share = if share.is_finite() { share.clamp(0.0, 1.0) } else { 1.0 };
         let lean = self.leans.entry(zone).or_insert_with(Lean::whole);
-        lean.turn(share);
+        lean.turn(share, spared);
         if tries {
             let there = self.endpoints.values().filter(|e| e.live && e.zone == zone);
             lean.try_all(there.map(|e| e.dest));
--- a/crates/policy/tests/zone.rs
+++ b/crates/policy/tests/zone.rs
@@ -6,7 +6,7 @@
 use notchpoint_policy::*;
 
 fn zone(rig: &mut Rig, zone: u32, share: f64, tries: bool) {
-    rig.feed(&[Event::Zone { zone, share, tries }]);
+    rig.feed(&[Event::Zone { zone, share, tries, spared: Vec::new() }]);
 }
 
 /// How many of so many messages, one after another, go to this endpoint.
@@ -47,6 +47,16 @@
     assert_eq!(sent(&mut rig, 0, 5), 5);
 }
 
+#[test]
+fn a_destination_that_serves_there_all_the_same_is_not_concerned() {
+    let mut rig = Rig::new(settings(), 0, 2);
+    let spared = vec![DestinationId(1)];
+    rig.feed(&[Event::Zone { zone: 0, share: 0.0, tries: false, spared }]);
+    assert_eq!(sent(&mut rig, 0, 20), 20);
+    zone(&mut rig, 0, 0.0, false);
+    assert_eq!(sent(&mut rig, 0, 20), 0);
+}
+
 #[test]
 fn an_endpoint_that_rests_is_used_where_only_a_zone_that_is_left_has_another() {
     let mut rig = Rig::new(settings(), 0, 2);
--- a/crates/zones/src/judge.rs
+++ b/crates/zones/src/judge.rs
@@ -153,18 +153,49 @@
         && f.from.len() < rules.zones
 }
 
+/// Destinations that are seen to serve in a zone, by two senders where there are two, and those that are seen
+/// to fail there: what a zone that fails for some is spared, and what it is not.
+pub(crate) fn parted(
+    zone: Zone,
+    words: &[Word<'_>],
+    rules: &Rules,
+    fleet: usize,
+) -> (BTreeSet<Dest>, BTreeSet<Dest>) {
+    let mut by_dest: BTreeMap<Dest, (Sum, usize)> = BTreeMap::new();
+    for s in words.iter().flat_map(|w| w.seen).filter(|s| s.zone == zone) {
+        let (sum, senders) = by_dest.entry(s.dest).or_default();
+        sum.add(s);
+        *senders += 1;
+    }
+    let enough = |senders: usize, sum: &Sum| senders >= fleet.min(2) && sum.calls >= f64::from(LEAST);
+    let serves = |(sum, senders): &(Sum, usize)| enough(*senders, sum) && sum.failed < SERVES * sum.calls;
+    let fails = |(sum, _): &(Sum, usize)| sum.fails(rules.share);
+    let of = |what: &dyn Fn(&(Sum, usize)) -> bool| {
+        by_dest.iter().filter(|(_, s)| what(s)).map(|(&d, _)| d).collect()
+    };
+    (of(&serves), of(&fails))
+}
+
 /// What the calls since a zone was left say of it: two senders' are wanted either way, where there are two.
 /// Only those count that have come as far or further, so that nobody's old failures or answers do; who gives
 /// the zone its whole share, in whatever term, counts where it is served. So senders that are all in different
 /// terms still agree: the first in its term hears what those after it have tried.
-pub(crate) fn trial(zone: Zone, course: Course, words: &[Word<'_>], rules: &Rules, fleet: usize) -> Trial {
+///
+/// Destinations that are spared there say nothing of the rest.
+pub(crate) fn trial(
+    zone: Zone,
+    (course, spared): (Course, &BTreeSet<Dest>),
+    words: &[Word<'_>],
+    rules: &Rules,
+    fleet: usize,
+) -> Trial {
     let mut by_dest: BTreeMap<Dest, Sum> = BTreeMap::new();
     let mut all = Sum::default();
     let (mut fail, mut serve) = (0, 0);
     for word in words {
         let theirs = word.taken(zone).course;
         let mut own = Sum::default();
-        for s in word.seen.iter().filter(|s| s.zone == zone) {
+        for s in word.seen.iter().filter(|s| s.zone == zone && !spared.contains(&s.dest)) {
             if theirs >= course || theirs.is_full() && s.failed == 0 {
                 by_dest.entry(s.dest).or_default().add(s);
                 own.add(s);
--- a/crates/zones/src/model.rs
+++ b/crates/zones/src/model.rs
@@ -12,7 +12,7 @@
 use crate::note::{Seen, Taken};
 use crate::pool::Word;
 use stateright::{Checker, Expectation, HasDiscoveries, Model, Property};
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::{Arc, Mutex};
 
 const N: usize = 3;
@@ -129,7 +129,7 @@
                 seen: &seen,
             })
             .collect();
-        trial(zone(z), all[i][z], &words, &Rules::default(), N)
+        trial(zone(z), (all[i][z], &BTreeSet::new()), &words, &Rules::default(), N)
     }
 
     /// Whether a fleet in this state comes to leave just the zones that are down, once all hear all.
--- a/crates/zones/src/zones.rs
+++ b/crates/zones/src/zones.rs
@@ -2,7 +2,7 @@
 
 use crate::course::{Course, Look, Trial, Why, followed};
 use crate::evidence::{Came, Evidence, WINDOW};
-use crate::judge::{Finding, Rules, Standing, asks, doubts_itself, judge, trial};
+use crate::judge::{Finding, Rules, Standing, asks, doubts_itself, judge, parted, trial};
 use crate::names::{Dest, Micros, Place, Zone};
 use crate::note::{Report, Taken, read, write};
 use crate::pace::{CALM, Pace, turn};
@@ -62,6 +62,8 @@
         share: f64,
         /// One call to each of its destinations, whatever the share.
         tries: bool,
+        /// Destinations that are seen to serve there: they are sent as if nothing had been said.
+        spared: BTreeSet<Dest>,
     },
     /// To be said in the log.
     Say(Event),
@@ -128,8 +130,10 @@
     tried: Option<Micros>,
     /// The last turn in which this sender tried.
     turn: Option<u64>,
+    /// Destinations that serve there all the same.
+    pub spared: BTreeSet<Dest>,
     /// What was said of it to the caller last.
-    leans: Option<f64>,
+    leans: Option<(f64, BTreeSet<Dest>)>,
 }
 
 /// What a zone is at, by the name that operators know.
@@ -173,6 +177,8 @@
     by: Vec<Place>,
     failed: u8,
     with: (usize, usize),
+    /// Destinations that serve there, and that fail there.
+    parted: (BTreeSet<Dest>, BTreeSet<Dest>),
 }
 
 /// See the crate's page.
@@ -301,7 +307,7 @@
         let unheard = self.set.fleet > 1 && now.saturating_sub(self.heard) > ALONE;
         let alone = cut_off || unheard;
         let looks = if self.set.pace.is_some() { self.looks(now, &words) } else { BTreeMap::new() };
-        self.write(&own, &found, out);
+        let trouble = found.values().any(|f| f.failed > 0.0);
         if std::mem::replace(&mut self.alone, alone) != alone {
             out.push(Output::Say(Event::Alone(alone)));
         }
@@ -314,6 +320,9 @@
             self.ask(now, out);
         }
         self.lean(out);
+        // Last, so that a course that was just taken is heard of a beat earlier.
+        let courses = self.courses();
+        self.write(&Report { courses, ..own }, trouble, out);
     }
 
     /// How far zones are left, those that are not at their whole share first.
@@ -325,9 +334,9 @@
         all
     }
 
-    fn write(&mut self, own: &Report, found: &BTreeMap<Zone, Finding>, out: &mut Vec<Output>) {
-        let trouble = found.values().any(|f| f.failed > 0.0)
-            || self.stands.values().any(|s| s.standing != Standing::Serving || !s.course.is_full());
+    fn write(&mut self, own: &Report, trouble: bool, out: &mut Vec<Output>) {
+        let trouble =
+            trouble || self.stands.values().any(|s| s.standing != Standing::Serving || !s.course.is_full());
         let others = self.set.fleet.saturating_sub(1) as usize;
         if others == 0 || !self.set.writes || !trouble && !self.beats.is_multiple_of(QUIET) {
             return;
@@ -387,6 +396,7 @@
         let others = || words.iter().filter(|w| w.from != self.set.place);
         let told = others().flat_map(|w| w.courses.iter().map(|t| t.zone));
         let zones: BTreeSet<Zone> = self.stands.keys().copied().chain(told).collect();
+        let fleet = self.set.fleet as usize;
         let look = |zone: Zone| {
             let stand = self.stands.get(&zone).cloned().unwrap_or_default();
             let (told, failed, by) = self.told(zone, stand.course, words);
@@ -400,12 +410,13 @@
             // Before it is tried, what comes in is of calls that began before it was left.
             let tried = !stand.course.is_out() || stand.tried.is_some();
             let trial = match tried && !stand.course.is_full() {
-                true => trial(zone, stand.course, words, &self.set.rules, self.set.fleet as usize),
+                true => trial(zone, (stand.course, &stand.spared), words, &self.set.rules, fleet),
                 false => Trial::Open,
             };
             let look = Look { told, trial, waited, ..Look::default() };
             let as_far = others().filter(|w| w.taken(zone).course >= stand.course).count();
-            (zone, Seen { look, by, failed, with: (as_far, others().count()) })
+            let parted = parted(zone, words, &self.set.rules, fleet);
+            (zone, Seen { look, by, failed, with: (as_far, others().count()), parted })
         };
         zones.into_iter().take(ZONES).map(look).collect()
     }
@@ -432,7 +443,7 @@
     /// Takes courses further.
     fn advance(&mut self, now: Micros, looks: BTreeMap<Zone, Seen>, out: &mut Vec<Output>) {
         let Some(pace) = self.set.pace.clone() else { return };
-        for (zone, Seen { look, by, failed, with }) in looks {
+        for (zone, Seen { look, by, failed, with, parted: (serve, fail) }) in looks {
             if !self.stands.contains_key(&zone) && (look.told.is_none() || self.stands.len() >= ZONES) {
                 continue;
             }
@@ -443,6 +454,7 @@
             if stand.course.is_full() && stand.failed > 0 && now.saturating_sub(stand.since) >= CALM {
                 stand.failed = 0;
             }
+            stand.spared.retain(|d| !fail.contains(d));
             let failing = stand.standing == Standing::Failing;
             let look = Look { failing, other, steps: pace.len(), ..look };
             let Some((course, why)) = stand.course.next(&look) else {
@@ -453,6 +465,11 @@
                 continue;
             };
             let before = std::mem::replace(&mut stand.course, course);
+            match (before.is_full(), course.is_full()) {
+                (true, false) => stand.spared = serve,
+                (_, true) => stand.spared.clear(),
+                _ => {}
+            }
             stand.failed = match why {
                 Why::Told => failed,
                 _ => stand.failed.saturating_add(u8::from(course.term > before.term)),
@@ -491,7 +508,7 @@
             let turn = since.and_then(|since| turn(place, fleet, now.saturating_sub(since)));
             if turn.is_some() && turn != stand.turn && !self.set.pinned.contains_key(&zone) {
                 let share = self.set.pace.as_ref().map_or(1.0, |p| p.share(stand.course.level));
-                out.push(Output::Lean { zone, share, tries: true });
+                out.push(Output::Lean { zone, share, tries: true, spared: stand.spared.clone() });
             }
             stand.turn = turn;
         }
@@ -503,9 +520,13 @@
         for zone in self.stands.keys().copied().chain(pinned).collect::<BTreeSet<_>>() {
             let share = self.share(zone);
             let kept = self.stands.len() < ZONES || self.stands.contains_key(&zone);
-            if kept && self.stands.get(&zone).and_then(|s| s.leans).unwrap_or(1.0) != share {
-                self.stands.entry(zone).or_default().leans = Some(share);
-                out.push(Output::Lean { zone, share, tries: false });
+            let pinned = self.set.pinned.contains_key(&zone);
+            let spared = self.stands.get(&zone).filter(|_| share < 1.0 && !pinned).map(|s| s.spared.clone());
+            let now = (share, spared.unwrap_or_default());
+            let said = self.stands.get(&zone).and_then(|s| s.leans.as_ref());
+            if kept && said.map_or(now.0 != 1.0, |said| *said != now) {
+                self.stands.entry(zone).or_default().leans = Some(now.clone());
+                out.push(Output::Lean { zone, share, tries: false, spared: now.1 });
             }
         }
     }
--- a/crates/zones/tests/fleet.rs
+++ b/crates/zones/tests/fleet.rs
@@ -51,6 +51,24 @@
     assert_eq!(left(&|_, z, d| z == 1 && d < 3), 0, "half of them: those keep their own breakers");
 }
 
+#[test]
+fn destinations_that_serve_in_a_zone_that_fails_for_most_are_spared() {
+    let mut fleet = Fleet::new(22, 30, 3);
+    fleet.run(5 * S, &nothing);
+    let most = |_: usize, z: usize, d: u32| z == 1 && d < 4;
+    fleet.run(10 * S, &most);
+    assert_eq!(fleet.left(1), 30);
+    let spared = |fleet: &Fleet| -> Vec<usize> {
+        (0..30).map(|i| fleet.senders[i].stands()[&zone(1)].spared.len()).collect()
+    };
+    assert!(spared(&fleet).iter().all(|&n| n == 2), "{:?}", spared(&fleet));
+    // What is spared and then fails too is left with the rest.
+    fleet.run(10 * S, &z1);
+    assert!(spared(&fleet).iter().all(|&n| n == 0), "{:?}", spared(&fleet));
+    fleet.run(60 * S, &nothing);
+    assert_eq!(fleet.left(1), 0);
+}
+
 #[test]
 fn a_cut_between_two_zones_that_both_live_leaves_neither() {
     // z0 and z1 do not reach each other, and z2 reaches both.
--- a/crates/zones/tests/sim/mod.rs
+++ b/crates/zones/tests/sim/mod.rs
@@ -39,6 +39,8 @@
     credit: f64,
     /// Destinations that it may still try, whatever the share.
     tries: u64,
+    /// Destinations that are sent as if nothing had been said.
+    spared: u64,
 }
 
 pub struct Fleet {
@@ -191,12 +193,13 @@
                 self.tries += 1;
                 return Some(z);
             }
-            if lean.share < 1.0 && lean.credit >= 1.0 {
+            if lean.share < 1.0 && lean.credit >= 1.0 && lean.spared & (1 << dest) == 0 {
                 lean.credit -= 1.0;
                 return Some(z);
             }
         }
-        let whole = |z: &usize| self.leans[i].get(z).is_none_or(|l| l.share >= 1.0);
+        let whole =
+            |z: &usize| self.leans[i].get(z).is_none_or(|l| l.share >= 1.0 || l.spared & (1 << dest) > 0);
         let open: Vec<usize> = listed.into_iter().filter(whole).collect();
         let own = i % self.zones;
         if self.own_only && open.contains(&own) && self.rests[i] < self.now {
@@ -238,11 +241,13 @@
                         self.way.push((at, to, i, body));
                     }
                 }
-                Output::Lean { zone: at, share, tries } => {
+                Output::Lean { zone: at, share, tries, spared } => {
                     let z = (0..self.zones).find(|&z| zone(z) == at).expect("a zone");
                     let credit = self.rng.random_range(0.0..1.0);
-                    let lean = self.leans[i].entry(z).or_insert(Lean { share: 1.0, credit, tries: 0 });
+                    let lean =
+                        self.leans[i].entry(z).or_insert(Lean { share: 1.0, credit, tries: 0, spared: 0 });
                     lean.share = share;
+                    lean.spared = spared.iter().map(|d| 1 << d.0).sum();
                     if tries {
                         lean.tries = (1 << self.dests) - 1;
                     } else {
