Who is behind, or ahead, is written to first; a straggler in a fleet at rest is told

Ruled out: terms (all at 1) and trials (the others' answers were as rare). At fault: write() in zones.rs draws anybody. Change: senders heard with another course come first among the three of a beat, and count as trouble. A new case with 30 and 300 senders and one behind passes with and without it, since its own trials bring it back in 20 s; it stays as the bound.

--- a/crates/zones/src/zones.rs
+++ b/crates/zones/src/zones.rs
@@ -7,7 +7,7 @@
 use crate::note::{Report, Taken, read, write};
 use crate::pace::{CALM, Pace, turn};
 use crate::pool::{Merged, Pool, Word};
-use rand::seq::index::sample;
+use rand::seq::{IteratorRandom, index::sample};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 use std::collections::{BTreeMap, BTreeSet};
@@ -322,7 +322,8 @@
         self.lean(out);
         // Last, so that a course that was just taken is heard of a beat earlier.
         let courses = self.courses();
-        self.write(&Report { courses, ..own }, trouble, out);
+        let apart = if self.set.pace.is_some() { self.apart(now, &courses) } else { Vec::new() };
+        self.write(&Report { courses, ..own }, trouble, apart, out);
     }
 
     /// How far zones are left, those that are not at their whole share first.
@@ -334,20 +335,32 @@
         all
     }
 
-    fn write(&mut self, own: &Report, trouble: bool, out: &mut Vec<Output>) {
-        let trouble =
-            trouble || self.stands.values().any(|s| s.standing != Standing::Serving || !s.course.is_full());
+    fn write(&mut self, own: &Report, trouble: bool, apart: Vec<Place>, out: &mut Vec<Output>) {
+        let trouble = trouble
+            || !apart.is_empty()
+            || self.stands.values().any(|s| s.standing != Standing::Serving || !s.course.is_full());
         let others = self.set.fleet.saturating_sub(1) as usize;
         if others == 0 || !self.set.writes || !trouble && !self.beats.is_multiple_of(QUIET) {
             return;
         }
         let body = write(own);
         let most = if trouble { FANOUT } else { 1 };
-        for n in sample(&mut self.rng, others, most.min(others)) {
-            let n = n as u32;
-            let to = Place(n + u32::from(n >= self.set.place.0));
-            out.push(Output::Send(to, body.clone()));
-        }
+        let to = apart.into_iter().choose_multiple(&mut self.rng, most);
+        let anybody = sample(&mut self.rng, others, most.saturating_sub(to.len()).min(others));
+        let anybody = anybody.into_iter().map(|n| Place(n as u32 + u32::from(n as u32 >= self.set.place.0)));
+        let to: BTreeSet<Place> = to.into_iter().chain(anybody).collect();
+        out.extend(to.into_iter().map(|to| Output::Send(to, body.clone())));
+    }
+
+    /// Others that were heard and have left some zone less far, or further: these are told first of all. One
+    /// that is behind in a fleet that is at rest would else hear too few to follow.
+    fn apart(&self, now: Micros, own: &[Taken]) -> Vec<Place> {
+        let mine = |zone| own.iter().find(|t| t.zone == zone).map_or(Course::default(), |t| t.course);
+        let differs = |w: &Word<'_>| {
+            let zones = own.iter().chain(w.courses).map(|t| t.zone);
+            zones.into_iter().any(|z| w.taken(z).course != mine(z))
+        };
+        self.pool.fresh(now).filter(differs).map(|w| w.from).collect()
     }
 
     /// Takes a standing on that was found long enough.
--- a/crates/zones/tests/fleet.rs
+++ b/crates/zones/tests/fleet.rs
@@ -135,6 +135,22 @@
     assert_eq!((fleet.left(1), fleet.terms(1)), (0, BTreeSet::from([1])));
 }
 
+#[test]
+fn one_that_is_behind_in_a_large_fleet_at_rest_is_told_by_those_that_it_meets() {
+    for n in [30, 300] {
+        let mut fleet = Fleet::new(24, n, 3);
+        fleet.rate = 600.0 / n as f64;
+        fleet.run(5 * S, &nothing);
+        fleet.run(10 * S, &z1);
+        fleet.cut = Box::new(|a, b| a == 7 || b == 7);
+        fleet.run(60 * S, &|i, _, _| i == 7);
+        assert_eq!((fleet.left(1), fleet.share(7, 1)), (1, 0.0), "of {n}");
+        fleet.cut = Box::new(|_, _| false);
+        fleet.run(20 * S, &nothing);
+        assert_eq!(fleet.left(1), 0, "of {n}");
+    }
+}
+
 #[test]
 fn one_that_lies_replays_or_contradicts_itself_is_bounded_and_said_once() {
     let mut fleet = Fleet::new(9, 9, 3);
