Senders in a zone that is left can send their clients elsewhere (zones.give_way)

Need: a sender inside the failing zone that still hears the others should not go on taking clients where operators allow that. Change: the zones' machine says when the own zone is left and a sender that stands in a whole zone is heard; the door can be shut for two reasons now (operators, zone), each told once and taken back by itself; /up answers 503, connections end between two requests, who comes all the same is served. /status says 'gives way'. Off by default, goes with leave, re-read at SIGHUP. Result: a case with six processes and one with 12 senders in virtual time.

--- a/crates/daemon/src/clients/door.rs
+++ b/crates/daemon/src/clients/door.rs
@@ -14,8 +14,9 @@
 pub struct Door {
     /// The parts behind it stand, and what was left open is taken up.
     open: Cell<bool>,
-    /// Operators have taken the sender out: since when. Work goes on, and what comes all the same is served.
-    standby: Cell<Option<Instant>>,
+    /// Clients are sent elsewhere, for one reason or more: since when. Work goes on, and what comes all the same
+    /// is served.
+    shut: [Cell<Option<Instant>>; 2],
     /// The process is about to end: nothing more is taken on.
     pub ending: Cell<bool>,
     /// Another process takes clients; what was read here is recorded there.
@@ -27,6 +28,15 @@
     news: Notify,
 }
 
+/// Why clients are sent elsewhere while the sender works.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Shut {
+    /// Operators have taken the sender out.
+    Operators,
+    /// The fleet has left the zone in which it stands.
+    Zone,
+}
+
 impl Door {
     /// This process takes clients from now on.
     pub fn open(&self) {
@@ -35,25 +45,31 @@
 
     /// Clients may be sent here.
     pub fn is_up(&self) -> bool {
-        self.open.get() && self.standby.get().is_none() && !self.ending.get()
+        self.open.get() && self.since().is_none() && !self.ending.get()
     }
 
     /// A connection ends with its next answer.
     pub fn is_closing(&self) -> bool {
-        self.standby.get().is_some() || self.ending.get() || self.given.get()
+        self.since().is_some() || self.ending.get() || self.given.get()
+    }
+
+    /// Whether it is shut for this reason.
+    pub fn is_shut(&self, why: Shut) -> bool {
+        self.shut[why as usize].get().is_some()
     }
 
-    pub fn is_standby(&self) -> bool {
-        self.standby.get().is_some()
+    /// Since when it is shut, for whatever reason.
+    fn since(&self) -> Option<Instant> {
+        self.shut.iter().filter_map(Cell::get).min()
     }
 
     /// Told twice is told once: the first word counts.
-    pub fn stand_by(&self, wanted: bool) {
-        if wanted == self.is_standby() {
+    pub fn shut(&self, why: Shut, wanted: bool) {
+        if wanted == self.is_shut(why) {
             return;
         }
-        self.standby.set(wanted.then(Instant::now));
-        if !wanted && !self.ending.get() {
+        self.shut[why as usize].set(wanted.then(Instant::now));
+        if self.since().is_none() && !self.ending.get() {
             self.close.unsay();
         }
         self.news.notify_one();
@@ -62,7 +78,7 @@
     /// Asks idle connections to end once the front has stopped dealing out new ones.
     pub async fn watch(&self) {
         loop {
-            match self.standby.get().map(|since| since + COMING) {
+            match self.since().map(|since| since + COMING) {
                 Some(due) if Instant::now() >= due && !self.close.is_said() => self.close.say(),
                 Some(due) if !self.close.is_said() => {
                     tokio::select! {
--- a/crates/daemon/src/input.rs
+++ b/crates/daemon/src/input.rs
@@ -37,6 +37,8 @@
     Parked(MessageId),
     /// A message has rested.
     Rested(MessageId),
+    /// Clients are sent elsewhere, or again here: the zone in which this sender stands was left.
+    GivesWay(bool),
     /// An operator's word, and where it is answered once it holds.
     Operator(Word, Reply),
 }
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -1,7 +1,7 @@
 //! The one owner of the decision module: hands it what happened, once a tick at most, and does what it says.
 
 use crate::calls::{Calls, Item, Target};
-use crate::clients::door::Door;
+use crate::clients::door::{Door, Shut};
 use crate::copies::copying::Copying;
 use crate::input::{Answer, CLOCK_START, Done, Input, Reply};
 use crate::listing::{Listing, Member, State, endpoint};
@@ -116,7 +116,7 @@
         let mut node = Self::build(given.sender, config, &given.text, parts);
         node.origin = given.at + gap;
         let duty = node.journal.borrow().duty().clone();
-        node.door.stand_by(duty.standby);
+        node.door.shut(Shut::Operators, duty.standby);
         duty.out.keys().for_each(|&id| node.calls.set_out(id, true));
         let list = Listing { revision: given.revision, complete: true, members: given.members };
         node.entries(&list, true);
@@ -197,7 +197,7 @@
     /// What operators had set holds before anything is taken up or sent.
     fn restore_marks(&mut self) {
         let duty = self.journal.borrow().duty().clone();
-        self.door.stand_by(duty.standby);
+        self.door.shut(Shut::Operators, duty.standby);
         for (&endpoint, name) in &duty.out {
             tracing::info!("endpoint {name} is out of service, as operators set it");
             self.calls.set_out(endpoint, true);
@@ -335,7 +335,7 @@
 
     fn stand_by(&mut self, wanted: bool) -> Result<String, No> {
         self.enter_mark(Change::Standby(wanted))?;
-        self.door.stand_by(wanted);
+        self.door.shut(Shut::Operators, wanted);
         Ok(if wanted { "standby" } else { "active" }.into())
     }
 
@@ -399,6 +399,7 @@
             },
             Input::Rested(id) => return self.resume(Some(&BTreeSet::from([id]))),
             Input::Operator(word, reply) => return self.word(word, reply),
+            Input::GivesWay(wanted) => return self.door.shut(Shut::Zone, wanted),
             Input::Event(event) => event,
             Input::Taken(mut message, since) => {
                 message.expires_in = message.expires_in.saturating_sub(since.elapsed().as_micros() as Micros);
--- a/crates/daemon/src/operators/admin.rs
+++ b/crates/daemon/src/operators/admin.rs
@@ -1,7 +1,7 @@
 //! The operators' own address. Calls are read by `operations.rs` and answered by the node; here are only
 //! sockets, bounds and times.
 
-use crate::clients::door::Door;
+use crate::clients::door::{Door, Shut};
 use crate::copies::copying::Copying;
 use crate::input::{Input, Reply};
 use crate::io::Observed;
@@ -170,9 +170,11 @@
 }
 
 fn status(desk: &Desk) -> serde_json::Value {
-    let state = match (desk.door.ending.get(), desk.door.is_standby()) {
-        (true, _) => "ending",
-        (_, true) => "standby",
+    let shut = |why| desk.door.is_shut(why);
+    let state = match (desk.door.ending.get(), shut(Shut::Operators), shut(Shut::Zone)) {
+        (true, ..) => "ending",
+        (_, true, _) => "standby",
+        (_, _, true) => "gives way",
         _ => "active",
     };
     let mut said = serde_json::json!({ "ok": true, "name": desk.name, "state": state });
--- a/crates/daemon/src/platform/zoning.rs
+++ b/crates/daemon/src/platform/zoning.rs
@@ -136,7 +136,9 @@
         let wanted = self.wanted.borrow();
         let (wanted, cold) = &*wanted;
         let pace = wanted.leave.then(|| Pace::new(*cold));
-        self.machine.borrow_mut().retune(wanted.rules(self.numbers.fleet as usize), pace, wanted.pinned());
+        let mut machine = self.machine.borrow_mut();
+        machine.retune(wanted.rules(self.numbers.fleet as usize), pace, wanted.pinned());
+        let _ = self.inputs.send(Input::GivesWay(wanted.give_way && machine.gives_way()));
     }
 
     fn now(&self) -> u64 {
@@ -224,6 +226,18 @@
         known.collect::<BTreeSet<_>>().into_iter().collect()
     }
 
+    /// Where operators let it, the front is told to send clients elsewhere.
+    fn give_way(&self, wanted: bool) {
+        if !self.wanted.borrow().0.give_way {
+            return;
+        }
+        match wanted {
+            true => tracing::warn!("zones: this sender's zone is left: clients are sent elsewhere"),
+            false => tracing::info!("zones: clients may come here again"),
+        }
+        let _ = self.inputs.send(Input::GivesWay(wanted));
+    }
+
     fn carry_out(&self, out: Vec<Output>, post: Option<&Post>) {
         for o in out {
             match o {
@@ -240,6 +254,7 @@
                         let _ = self.inputs.send(Input::Event(Event::Zone { zone, share, tries, spared }));
                     }
                 }
+                Output::GiveWay(wanted) => self.give_way(wanted),
                 Output::Say(event) => self.say(&event),
             }
         }
--- a/crates/daemon/src/settings/operator.rs
+++ b/crates/daemon/src/settings/operator.rs
@@ -186,6 +186,8 @@
     pub watch: bool,
     /// A zone that is found failing is left, and returned to step by step.
     pub leave: bool,
+    /// A sender that stands in a zone that is left sends its clients elsewhere.
+    pub give_way: bool,
     /// Zones that get nothing, whatever is found, and those that are never left.
     pub out: Vec<String>,
     /// See `out`.
@@ -211,7 +213,17 @@
     fn default() -> Self {
         let Rules { share, dests, senders, zones } = Rules::default();
         let (out, stay) = (Vec::new(), Vec::new());
-        Self { watch: false, leave: false, out, stay, share, destinations: dests, senders, from_zones: zones }
+        Self {
+            watch: false,
+            leave: false,
+            give_way: false,
+            out,
+            stay,
+            share,
+            destinations: dests,
+            senders,
+            from_zones: zones,
+        }
     }
 }
 
@@ -247,6 +259,9 @@
                 return Err(format!("zones.{key}: a zone without a name"));
             }
         }
+        if self.give_way && !self.leave {
+            return Err("zones.give_way: goes with zones.leave".into());
+        }
         if let Some(both) = self.out.iter().find(|name| self.stay.contains(name)) {
             return Err(format!("zones.stay: {both} stands in zones.out as well"));
         }
@@ -279,6 +294,9 @@
             self.from_zones,
             if self.leave { "it is left, and returned to step by step" } else { "nothing is done about it" }
         )?;
+        if self.give_way {
+            f.write_str("; a sender that stands there sends its clients elsewhere")?;
+        }
         for (names, what) in [(&self.out, "get nothing"), (&self.stay, "are never left")] {
             if !names.is_empty() {
                 write!(f, "; {} {what}", names.join(", "))?;
@@ -478,6 +496,7 @@
             ("[zones]\nleave = \"b\"", "line 2"),
             ("[zones]\nout = [\"b\"]\nstay = [\"b\"]", "zones.stay: b"),
             ("[zones]\nout = [\"\"]", "zones.out"),
+            ("[zones]\ngive_way = true", "zones.give_way"),
             ("[zones]\nfrom_zones = 0", "zones.from_zones"),
             ("[copies]\ncount = 1", "listen"),
             ("[copies]\nlisten = \"127.0.0.1:1\"\nwhen_short = \"perhaps\"", "line 3"),
--- a/crates/daemon/tests/fleet/zones.rs
+++ b/crates/daemon/tests/fleet/zones.rs
@@ -31,7 +31,10 @@
                         return;
                     }
                     let id = 1_000_000 * (i as u64 + 1) + n;
-                    client.hand_in("update", id, 3 + n % 3, 5_000, b"hello");
+                    let heard = client.hand_in("update", id, 3 + n % 3, 5_000, b"hello");
+                    if heard.header("connection") == "close" {
+                        client = Client::new(address);
+                    }
                     std::thread::sleep(Duration::from_millis(15));
                 }
             })
@@ -356,3 +359,21 @@
     calls_pass(&fleet, 2_000);
     assert!((0..SENDERS).all(|i| whole(&fleet, i, "b")));
 }
+
+#[test]
+fn senders_in_a_zone_that_is_left_send_their_clients_elsewhere_and_serve_those_that_come() {
+    let fleet = leaving_with("give_way = true");
+    let _load = Load::on(&fleet, 0..SENDERS);
+    calls_pass(&fleet, 1_000);
+    let up = |i: usize| Client::new(fleet.senders[i].address).ask("GET /up", &[], b"").status() == 200;
+    assert!((0..SENDERS).all(up));
+    fleet.down('b', true);
+    all_left(&fleet, "b");
+    until("those of b give way", || !up(1) && !up(4));
+    assert!([0, 2, 3, 5].into_iter().all(up));
+    // Who comes all the same is served, elsewhere.
+    assert_eq!(fleet.hand_in(1, "update", 77, 5_000).status(), 202);
+    until("it is delivered", || fleet.was_answered(77));
+    fleet.down('b', false);
+    until("they take clients again", || up(1) && up(4));
+}
--- a/crates/zones/src/zones.rs
+++ b/crates/zones/src/zones.rs
@@ -65,6 +65,9 @@
         /// Destinations that are seen to serve there: they are sent as if nothing had been said.
         spared: BTreeSet<Dest>,
     },
+    /// The zone in which this sender stands is left, and others that stand elsewhere are heard: clients had
+    /// better go there. Or no more.
+    GiveWay(bool),
     /// To be said in the log.
     Say(Event),
 }
@@ -199,6 +202,7 @@
     beats: u64,
     due: Micros,
     odd: Vec<Place>,
+    gives_way: bool,
     rng: Pcg64,
 }
 
@@ -223,6 +227,7 @@
             beats: 0,
             due,
             odd: Vec::new(),
+            gives_way: false,
             rng,
         }
     }
@@ -277,6 +282,11 @@
         }
     }
 
+    /// Whether clients had better go to senders elsewhere.
+    pub fn gives_way(&self) -> bool {
+        self.gives_way
+    }
+
     /// Whether this sender doubts itself, and keeps what it had found.
     pub fn is_alone(&self) -> bool {
         self.alone
@@ -320,6 +330,7 @@
             self.ask(now, out);
         }
         self.lean(out);
+        self.give_way(now, out);
         // Last, so that a course that was just taken is heard of a beat earlier.
         let courses = self.courses();
         let apart = if self.set.pace.is_some() { self.apart(now, &courses) } else { Vec::new() };
@@ -527,6 +538,16 @@
         }
     }
 
+    /// Says whether clients had better go elsewhere. Who hears nobody keeps to what it had said.
+    fn give_way(&mut self, now: Micros, out: &mut Vec<Output>) {
+        let own = self.set.stands;
+        let elsewhere = |w: Word<'_>| w.stands != own && self.share(w.stands) >= 1.0;
+        let gives_way = self.share(own) < 1.0 && (self.gives_way || self.pool.fresh(now).any(elsewhere));
+        if !self.alone && std::mem::replace(&mut self.gives_way, gives_way) != gives_way {
+            out.push(Output::GiveWay(gives_way));
+        }
+    }
+
     /// Says what zones are to be sent, where that has changed.
     fn lean(&mut self, out: &mut Vec<Output>) {
         let pinned = self.set.pinned.keys().copied();
--- a/crates/zones/tests/fleet.rs
+++ b/crates/zones/tests/fleet.rs
@@ -279,6 +279,17 @@
     assert!(fleet.tries >= 1);
 }
 
+#[test]
+fn senders_in_a_zone_that_is_left_give_way_while_others_stand_elsewhere() {
+    let mut fleet = Fleet::new(65, 12, 3);
+    fleet.run(5 * S, &nothing);
+    fleet.run(8 * S, &z1);
+    let who: Vec<usize> = (0..12).filter(|&i| fleet.give_way[i]).collect();
+    assert_eq!(who, [1, 4, 7, 10]);
+    fleet.run(40 * S, &nothing);
+    assert!(!fleet.give_way.contains(&true));
+}
+
 #[test]
 fn what_operators_pin_is_out_or_in_whatever_is_found() {
     let mut fleet = Fleet::new(71, 9, 3);
--- a/crates/zones/tests/sim/mod.rs
+++ b/crates/zones/tests/sim/mod.rs
@@ -75,6 +75,8 @@
     got: BTreeMap<(usize, u32), Vec<Micros>>,
     pub pushed_over: usize,
     starts: u64,
+    /// Who sends its clients elsewhere.
+    pub give_way: Vec<bool>,
 }
 
 impl Fleet {
@@ -123,6 +125,7 @@
             got: BTreeMap::new(),
             pushed_over: 0,
             starts: 0,
+            give_way: vec![false; n],
         };
         fleet.list(&(0..zones).collect::<Vec<_>>());
         fleet
@@ -254,6 +257,7 @@
                         lean.tries = 0;
                     }
                 }
+                Output::GiveWay(wanted) => self.give_way[i] = wanted,
                 Output::Say(event) => self.said.push((self.now, i, event)),
             }
         }
