Trials judged and giving way: tests for two guards that had none

The pace's room is held by its clamp as well; two senders for a trial, and nobody elsewhere for giving way, had no test.

--- a/crates/zones/src/judge.rs
+++ b/crates/zones/src/judge.rs
@@ -309,6 +309,42 @@
         assert_eq!(found(&[(A, most()), (A, most()), (B, most())]), Standing::Failing);
     }
 
+    #[test]
+    fn two_senders_that_have_come_as_far_say_what_a_trial_came_to_and_one_or_older_words_do_not() {
+        use crate::note::Taken;
+        let course = Course { term: 2, level: 1 };
+        let at = |term, level| vec![Taken { zone: X, course: Course { term, level }, failed: 1 }];
+        let (answered, failed) =
+            (vec![seen(X, 1, 3, 0), seen(X, 2, 3, 0)], vec![seen(X, 1, 0, 3), seen(X, 2, 0, 3)]);
+        let came = |words: &[(&[Taken], &[Seen])], spared: &[Dest]| {
+            let word = |(n, &(courses, seen)): (usize, &(&[Taken], &[Seen]))| {
+                let seen: &'static [Seen] = seen.to_vec().leak();
+                let courses: &'static [Taken] = courses.to_vec().leak();
+                Word { from: Place(n as u32), stands: A, courses, seen }
+            };
+            let words: Vec<Word<'_>> = words.iter().enumerate().map(word).collect();
+            trial(X, (course, &spared.iter().copied().collect()), &words, &Rules::default(), 9)
+        };
+        let (same, older, later, whole) = (at(2, 1), at(2, 0), at(3, 0), at(1, Course::FULL));
+        assert_eq!(came(&[(&same, &answered)], &[]), Trial::Open, "one sender");
+        assert_eq!(came(&[(&same, &failed)], &[]), Trial::Open, "one sender");
+        assert_eq!(came(&[(&same, &answered), (&same, &answered)], &[]), Trial::Serves);
+        assert_eq!(came(&[(&same, &failed), (&later, &failed)], &[]), Trial::Fails);
+        assert_eq!(came(&[(&same, &failed), (&older, &failed)], &[]), Trial::Open, "of the step before");
+        assert_eq!(
+            came(&[(&same, &answered), (&whole, &answered)], &[]),
+            Trial::Serves,
+            "where it was never left"
+        );
+        assert_eq!(came(&[(&same, &failed), (&whole, &failed)], &[]), Trial::Open, "old failures");
+        let spared = [Dest(1), Dest(2)];
+        assert_eq!(
+            came(&[(&same, &answered), (&same, &answered)], &spared),
+            Trial::Open,
+            "spared ones say nothing"
+        );
+    }
+
     #[test]
     fn where_those_of_one_zone_see_it_serve_it_may_be_the_way_there() {
         let all = [(A, fails()), (A, fails()), (B, fails()), (B, fails()), (C, serves())];
--- a/crates/zones/tests/fleet.rs
+++ b/crates/zones/tests/fleet.rs
@@ -290,6 +290,27 @@
     assert!(!fleet.give_way.contains(&true));
 }
 
+#[test]
+fn a_sender_with_nobody_elsewhere_does_not_give_way() {
+    let set = Set {
+        place: Place(0),
+        fleet: 1,
+        stands: zone(1),
+        writes: false,
+        rules: Rules::default(),
+        pace: Some(sim::pace()),
+        pinned: [(zone(1), false)].into(),
+    };
+    let mut alone = Zones::new(set, 1, 0);
+    alone.list([zone(0), zone(1)].into());
+    let mut out = Vec::new();
+    for now in (0..10 * S).step_by(500 * MS as usize) {
+        alone.tick(now, &mut out);
+    }
+    assert!(out.iter().any(|o| matches!(o, Output::Lean { share: 0.0, .. })));
+    assert!(!out.iter().any(|o| matches!(o, Output::GiveWay(_))));
+}
+
 #[test]
 fn what_operators_pin_is_out_or_in_whatever_is_found() {
     let mut fleet = Fleet::new(71, 9, 3);
