--- a/crates/recorder/src/fleet.rs
+++ b/crates/recorder/src/fleet.rs
@@ -67,9 +67,24 @@
     pub heard: u64,
 }
 
+/// What senders were told of a zone in a second: how many took it to nothing, to a part of its share, to the
+/// whole, and how many turns to try there were.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Zoned {
+    /// Nothing is sent there from now on.
+    pub left: u64,
+    /// A part of its share is.
+    pub part: u64,
+    /// All of it is.
+    pub whole: u64,
+    /// Turns to try.
+    pub tries: u64,
+}
+
 /// The counts of a fleet.
 #[derive(Debug, Default)]
 pub struct Fleet {
+    zones: BTreeMap<(u64, u32), Zoned>,
     cells: BTreeMap<(u64, DestinationId), Cell>,
     common: BTreeMap<u64, Common>,
     senders: u32,
@@ -192,8 +207,25 @@
             }
             Event::Note { .. } => self.common.entry(second).or_default().heard += 1,
             Event::Wake | Event::Unused(_) | Event::Probed { .. } => {}
-            Event::Service { .. } | Event::Settings(_) | Event::Zone { .. } => {}
+            Event::Service { .. } | Event::Settings(_) => {}
+            Event::Zone { zone, share, tries, .. } => self.zone(second, *zone, *share, *tries),
+        }
+    }
+
+    fn zone(&mut self, second: u64, zone: u32, share: f64, tries: bool) {
+        let key = (second, zone);
+        if self.zones.len() >= CELLS && !self.zones.contains_key(&key) {
+            self.left_out += 1;
+            return;
         }
+        let z = self.zones.entry(key).or_default();
+        let count = match share {
+            _ if tries => &mut z.tries,
+            s if s <= 0.0 => &mut z.left,
+            s if s < 1.0 => &mut z.part,
+            _ => &mut z.whole,
+        };
+        *count += 1;
     }
 
     fn action(&mut self, p: &mut Process, second: u64, action: &Action, bundled: &mut BTreeSet<EndpointId>) {
@@ -262,9 +294,15 @@
         self.common.iter().map(|(s, c)| (*s, c))
     }
 
+    /// What senders were told of zones, by Unix second and the zone's place in the configuration.
+    pub fn zones(&self) -> impl Iterator<Item = (u64, u32, &Zoned)> {
+        self.zones.iter().map(|((s, z), c)| (*s, *z, c))
+    }
+
     /// The tables for people; seconds count from the first one. Of one destination, or of all.
     pub fn text(&self, dest: Option<DestinationId>) -> String {
-        let first = self.cells.keys().map(|k| k.0).chain(self.common.keys().copied()).min().unwrap_or(0);
+        let seconds = self.cells.keys().map(|k| k.0).chain(self.common.keys().copied());
+        let first = seconds.chain(self.zones.keys().map(|k| k.0)).min().unwrap_or(0);
         let mut out = format!("{} senders, from Unix second {first} on\n", self.senders);
         let _ = writeln!(
             out,
@@ -326,6 +364,24 @@
                 c.heard
             );
         }
+        if !self.zones.is_empty() {
+            let _ = writeln!(
+                out,
+                "{:>4} {:>5} {:>6} {:>6} {:>6} {:>6}",
+                "s", "zone", "left", "part", "whole", "tries"
+            );
+        }
+        for ((s, zone), z) in &self.zones {
+            let _ = writeln!(
+                out,
+                "{:>4} {zone:>5} {:>6} {:>6} {:>6} {:>6}",
+                s - first,
+                z.left,
+                z.part,
+                z.whole,
+                z.tries
+            );
+        }
         if self.left_out > 0 {
             let _ = writeln!(out, "{} counts found no room and are left out", self.left_out);
         }
--- a/crates/recorder/tests/fleet.rs
+++ b/crates/recorder/tests/fleet.rs
@@ -53,6 +53,9 @@
     }
     turn(now, vec![Event::Note { from: 2, body: vec![0xd1, 0, 1, 0, 0, 0, 0, 0, 0, 0] }]);
     turn(now, vec![Event::List(ListNews::Unavailable)]);
+    for (share, tries) in [(0.0, false), (0.0, true), (0.25, false), (1.0, false)] {
+        turn(now, vec![Event::Zone { zone: 3, share, tries, spared: vec![DestinationId(1)] }]);
+    }
     let mut bytes = Vec::new();
     recorder.dump(&mut bytes).expect("written");
     bytes
@@ -86,6 +89,9 @@
     let both = sums(&fleet);
     assert_eq!((both.taken, both.calls, both.served, both.ended), (10, 2 * one.calls, 6, 4));
     assert_eq!((fleet.senders(), both.senders.len()), (2, 2));
+    let zones: Vec<_> = fleet.zones().map(|(_, zone, z)| (zone, z.left, z.part, z.whole, z.tries)).collect();
+    let senders = u64::from(fleet.senders());
+    assert_eq!(zones, [(3, senders, senders, senders, senders)]);
     let heard: u64 = fleet.common().map(|(_, c)| c.heard).sum();
     let failed: u64 = fleet.common().map(|(_, c)| c.unavailable).sum();
     let entries: u64 = fleet.common().map(|(_, c)| c.entries).sum();
