--- a/crates/daemon/src/clients/door.rs
+++ b/crates/daemon/src/clients/door.rs
@@ -14,8 +14,8 @@
 pub struct Door {
     /// The parts behind it stand, and what was left open is taken up.
     open: Cell<bool>,
-    /// Clients are sent elsewhere, for one reason or more: since when. Work goes on, and what comes all the same
-    /// is served.
+    /// Clients are sent elsewhere, for one reason or more: since when. Work goes on, and what comes all the
+    /// same is served.
     shut: [Cell<Option<Instant>>; 2],
     /// The process is about to end: nothing more is taken on.
     pub ending: Cell<bool>,
--- a/crates/daemon/src/platform/zoning.rs
+++ b/crates/daemon/src/platform/zoning.rs
@@ -294,8 +294,8 @@
             }
             Said::Takes { zone, before, course, share, why, failed, on } => {
                 let text = format!(
-                    "zones: {} {} (term {}): {:.0} % of its share from now on; {}; failed {failed} times in a \
-                     row; on the word of {}",
+                    "zones: {} {} (term {}): {:.0} % of its share from now on; {}; failed {failed} times in \
+                     a row; on the word of {}",
                     self.called(*zone),
                     match (before.is_full(), course.level) {
                         (true, _) => "is left",
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -2,8 +2,8 @@
 //! what to turn away. A caller hands [`Sender::handle`] what happened at one moment and does what it says.
 //!
 //! `choice.rs` decides, `interface.rs` is what goes in and out, `state.rs` what is remembered,
-//! `credit.rs` and `lean.rs` the arithmetic of what a returning route, or zone, is sent, `note.rs` the form of
-//! notes between senders.
+//! `credit.rs` and `lean.rs` the arithmetic of what a returning route, or zone, is sent, `note.rs` the form
+//! of notes between senders.
 #![warn(missing_docs)]
 
 pub mod choice;
--- a/crates/rehearsal/src/run.rs
+++ b/crates/rehearsal/src/run.rs
@@ -204,7 +204,7 @@
                     endpoint: (destination, endpoint),
                     id: format!("{}-{number}-{n}", p.name),
                     address,
-                    hall: p.hall.clone(),
+                    hall: p.hall_of(n).to_owned(),
                     kind: p.name.clone(),
                     phase: "up",
                     revision: 1,
@@ -430,7 +430,9 @@
             let shell = self.shells[d].clone();
             let all = shell.endpoints();
             let one = e.endpoint.map_or(all.clone(), |n| all.get(n).copied().into_iter().collect());
-            one.into_iter().map(move |n| (shell.clone(), n)).collect::<Vec<_>>()
+            let partner = self.scenario.partner[self.scenario.destinations()[d].0].get_ref();
+            let there = |n: &usize| e.hall.as_deref().is_none_or(|h| partner.hall_of(*n) == h);
+            one.into_iter().filter(there).map(move |n| (shell.clone(), n)).collect::<Vec<_>>()
         };
         if e.hall.is_none() && e.partner.is_none() {
             Vec::new()
--- a/crates/rehearsal/src/scenario.rs
+++ b/crates/rehearsal/src/scenario.rs
@@ -105,6 +105,8 @@
     pub copies: usize,
     /// Senders write notes to each other. Virtual time only.
     pub notes: bool,
+    /// Senders leave a zone (a hall) that fails together, and return step by step. It takes notes.
+    pub zones: bool,
     /// What a message over its tenant's allowance is worth, as a share.
     pub over_share_worth: f64,
     /// How worth falls after the wanted time: "even" or "by_half".
@@ -131,6 +133,7 @@
             parallel_tries: false,
             copies: 0,
             notes: true,
+            zones: false,
             over_share_worth: 0.2,
             fades: "by_half".into(),
             client_retries: 3,
@@ -175,6 +178,18 @@
     pub allowance_per_s: Option<f64>,
 }
 
+impl Partner {
+    /// The halls in which its endpoints stand.
+    pub fn halls(&self) -> impl Iterator<Item = &String> {
+        std::iter::once(&self.hall).chain(&self.also_in)
+    }
+
+    /// Where the n-th endpoint of a destination stands.
+    pub fn hall_of(&self, n: usize) -> &str {
+        self.halls().nth(n % (1 + self.also_in.len())).unwrap_or(&self.hall)
+    }
+}
+
 /// Partners of one kind in one hall.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -184,6 +199,10 @@
     /// Where their endpoints stand: what can go silent together.
     #[serde(default = "hall")]
     pub hall: String,
+    /// Further halls: of each destination the first endpoint stands in `hall`, the next ones in these, round
+    /// and round.
+    #[serde(default)]
+    pub also_in: Vec<String>,
     /// How many such destinations.
     #[serde(default = "single")]
     pub destinations: usize,
@@ -688,9 +707,9 @@
     /// The halls, in the order in which they are named first.
     pub fn halls(&self) -> Vec<String> {
         let mut halls: Vec<String> = Vec::new();
-        for p in &self.partner {
-            if !halls.contains(&p.get_ref().hall) {
-                halls.push(p.get_ref().hall.clone());
+        for hall in self.partner.iter().flat_map(|p| p.get_ref().halls()) {
+            if !halls.contains(hall) {
+                halls.push(hall.clone());
             }
         }
         halls
@@ -705,7 +724,7 @@
     ) -> Vec<usize> {
         let fits = |(n, d): (usize, usize)| {
             let p = self.partner[n].get_ref();
-            hall.is_none_or(|h| p.hall == h)
+            hall.is_none_or(|h| p.halls().any(|its| its == h))
                 && partner.is_none_or(|name| p.name == name)
                 && destination.is_none_or(|x| x == d)
         };
--- a/crates/rehearsal/src/virt/mod.rs
+++ b/crates/rehearsal/src/virt/mod.rs
@@ -8,7 +8,7 @@
 use crate::scenario::Scenario;
 use disk::Store;
 use net::{Host, Net};
-use notchpoint::settings::operator::{Copies, Operator, Other, Recorder, Store as Recording};
+use notchpoint::settings::operator::{Copies, Operator, Other, Recorder, Store as Recording, Zones};
 use notchpoint_seam::{Clock, Network, Signal, World};
 use std::cell::{Cell, RefCell};
 use std::future::Future;
@@ -44,6 +44,7 @@
     record: Option<PathBuf>,
     /// Copies of each message, and where each sender stands.
     copies: usize,
+    leave: bool,
     zones: Vec<String>,
 }
 
@@ -93,6 +94,7 @@
             beats,
             record: options.record.clone(),
             copies: s.senders.copies,
+            leave: s.senders.zones,
             zones: s.halls(),
         })
     }
@@ -102,6 +104,11 @@
         &self.net
     }
 
+    /// What the operator's file says of zones.
+    fn leaving(&self) -> Zones {
+        Zones { watch: self.leave, leave: self.leave, ..Zones::default() }
+    }
+
     /// What the operator's file says of copies.
     fn copies(&self, sender: usize) -> Option<Copies> {
         let senders = self.senders.borrow().len();
@@ -191,7 +198,7 @@
         };
         let ended = Rc::new(RefCell::new(None));
         let local = LocalSet::new();
-        let mut operator = Operator { copies, ..Operator::default() };
+        let mut operator = Operator { copies, zones: self.leaving(), ..Operator::default() };
         if let Some(folder) = &self.record {
             let folder = Some(folder.join(format!("n{sender}")));
             operator.recorder = Recorder { store: Recording::Folder, folder, limit_mb: RECORDING_MB };
--- a/crates/rehearsal/tests/world/main.rs
+++ b/crates/rehearsal/tests/world/main.rs
@@ -8,6 +8,7 @@
 mod limits;
 mod mutants;
 mod shown;
+mod zones;
 
 use notchpoint_rehearsal::checker::{Breach, check};
 use notchpoint_rehearsal::score::{Score, score};
--- a/crates/zones/src/course.rs
+++ b/crates/zones/src/course.rs
@@ -71,8 +71,8 @@
 /// One sender is never followed, however few there are.
 const FEWEST: usize = 2;
 
-/// How many of these words, newest course first, are enough to follow the last of them: so many senders', that
-/// stand in so many zones. One sender that is wrong or lies is not followed, nor are those of one zone.
+/// How many of these words, newest course first, are enough to follow the last of them: so many senders',
+/// that stand in so many zones. One sender that is wrong or lies is not followed, nor are those of one zone.
 pub fn followed(words: &[(Course, Zone)], senders: usize, zones: usize) -> Option<usize> {
     (senders.max(FEWEST)..=words.len())
         .find(|&n| words[..n].iter().map(|w| w.1).collect::<BTreeSet<_>>().len() >= zones)
--- a/crates/zones/src/judge.rs
+++ b/crates/zones/src/judge.rs
@@ -107,8 +107,8 @@
     }
 }
 
-/// Whether a sender's own word counts: one to which everything fails, and not in one zone alone, has more likely
-/// lost its own link. One with little traffic may have called nothing else of late.
+/// Whether a sender's own word counts: one to which everything fails, and not in one zone alone, has more
+/// likely lost its own link. One with little traffic may have called nothing else of late.
 pub(crate) fn doubts_itself(seen: &[Seen]) -> bool {
     let zones: BTreeSet<Zone> = seen.iter().map(|s| s.zone).collect();
     zones.len() > 1 && seen.iter().all(|s| s.answered == 0)
@@ -201,8 +201,8 @@
 
 /// What the calls since a zone was left say of it: two senders' are wanted either way, where there are two.
 /// Only those count that have come as far or further, so that nobody's old failures or answers do; who gives
-/// the zone its whole share, in whatever term, counts where it is served. So senders that are all in different
-/// terms still agree: the first in its term hears what those after it have tried.
+/// the zone its whole share, in whatever term, counts where it is served. So senders that are all in
+/// different terms still agree: the first in its term hears what those after it have tried.
 ///
 /// Destinations that are spared there say nothing of the rest.
 pub(crate) fn trial(
--- a/crates/zones/src/note.rs
+++ b/crates/zones/src/note.rs
@@ -1,7 +1,7 @@
 //! What a sender writes to others: what it saw of late and how far it has left zones, in one datagram.
 //!
-//! It speaks for itself alone. Words of others are not passed on: nobody could tell who made them up, and each
-//! sender hears enough of the fleet at first hand.
+//! It speaks for itself alone. Words of others are not passed on: nobody could tell who made them up, and
+//! each sender hears enough of the fleet at first hand.
 
 use crate::course::Course;
 use crate::names::{Dest, Zone};
--- a/crates/zones/src/pool.rs
+++ b/crates/zones/src/pool.rs
@@ -57,8 +57,8 @@
 }
 
 impl Pool {
-    /// Takes a sender's report in. The same reports in any order, any number of times, give the same pool, but
-    /// for when each seems to have come.
+    /// Takes a sender's report in. The same reports in any order, any number of times, give the same pool,
+    /// but for when each seems to have come.
     pub fn merge(&mut self, now: Micros, from: Place, report: Report) -> Merged {
         let Some(known) = self.known.get_mut(&from) else {
             if self.known.len() >= SENDERS {
--- a/crates/zones/tests/fleet.rs
+++ b/crates/zones/tests/fleet.rs
@@ -1,5 +1,5 @@
-//! A fleet in virtual time: what each sender finds, and how far it leaves zones, while zones fail, senders lose
-//! their links, and notes are lost, late, doubled, or wrong.
+//! A fleet in virtual time: what each sender finds, and how far it leaves zones, while zones fail, senders
+//! lose their links, and notes are lost, late, doubled, or wrong.
 
 mod sim;
 
--- a/crates/zones/tests/sim/mod.rs
+++ b/crates/zones/tests/sim/mod.rs
@@ -193,7 +193,8 @@
         }
     }
 
-    /// Where a message of a sender goes: to a zone that is tried, to one that has credit, or to any whole one.
+    /// Where a message of a sender goes: to a zone that is tried, to one that has credit, or to any whole
+    /// one.
     fn choose(&mut self, i: usize, dest: u32) -> Option<usize> {
         let part = 1.0 / self.listed.len().max(1) as f64;
         for lean in self.leans[i].values_mut() {
