--- a/crates/daemon/src/settings/operator.rs
+++ b/crates/daemon/src/settings/operator.rs
@@ -297,9 +297,9 @@
         if self.give_way {
             f.write_str("; a sender that stands there sends its clients elsewhere")?;
         }
-        for (names, what) in [(&self.out, "get nothing"), (&self.stay, "are never left")] {
+        for (names, what) in [(&self.out, "nothing goes to"), (&self.stay, "never left")] {
             if !names.is_empty() {
-                write!(f, "; {} {what}", names.join(", "))?;
+                write!(f, "; {what}: {}", names.join(", "))?;
             }
         }
         Ok(())
