Nothing is written of a zone that is left alone, nor of single calls that fail elsewhere

Change: a sender writes often while its own calls fail, a zone is doubted, tried or returned to, or senders differ; not while a zone that all have left is left alone (zones.rs, write).

--- a/crates/zones/src/zones.rs
+++ b/crates/zones/src/zones.rs
@@ -317,7 +317,9 @@
         let unheard = self.set.fleet > 1 && now.saturating_sub(self.heard) > ALONE;
         let alone = cut_off || unheard;
         let looks = if self.set.pace.is_some() { self.looks(now, &words) } else { BTreeMap::new() };
-        let trouble = found.values().any(|f| f.failed > 0.0);
+        // A call that failed elsewhere, and no more, is no reason to write.
+        let doubted = found.values().any(|f| f.standing != Standing::Serving);
+        let trouble = doubted || own.seen.iter().any(|s| s.failed > 0);
         if std::mem::replace(&mut self.alone, alone) != alone {
             out.push(Output::Say(Event::Alone(alone)));
         }
@@ -334,7 +336,7 @@
         // Last, so that a course that was just taken is heard of a beat earlier.
         let courses = self.courses();
         let apart = if self.set.pace.is_some() { self.apart(now, &courses) } else { Vec::new() };
-        self.write(&Report { courses, ..own }, trouble, apart, out);
+        self.write(now, &Report { courses, ..own }, trouble || !apart.is_empty(), apart, out);
     }
 
     /// How far zones are left, those that are not at their whole share first.
@@ -346,10 +348,13 @@
         all
     }
 
-    fn write(&mut self, own: &Report, trouble: bool, apart: Vec<Place>, out: &mut Vec<Output>) {
-        let trouble = trouble
-            || !apart.is_empty()
-            || self.stands.values().any(|s| s.standing != Standing::Serving || !s.course.is_full());
+    fn write(&mut self, now: Micros, own: &Report, trouble: bool, apart: Vec<Place>, out: &mut Vec<Output>) {
+        // While a zone that all have left is left alone there is nothing to be told of it.
+        let moves = |s: &Stand| {
+            let rests = s.course.is_out() && s.tried.is_none() && now.saturating_sub(s.since) > WINDOW;
+            s.standing != Standing::Serving || !s.course.is_full() && !rests
+        };
+        let trouble = trouble || self.stands.values().any(moves);
         let others = self.set.fleet.saturating_sub(1) as usize;
         if others == 0 || !self.set.writes || !trouble && !self.beats.is_multiple_of(QUIET) {
             return;
