--- a/crates/zones/examples/fleet.rs
+++ b/crates/zones/examples/fleet.rs
@@ -1,6 +1,6 @@
 //! Fleets in virtual time through zones that fail, are cut, flap, or fail two seconds apart: who leaves, who
-//! is left behind, what is pushed over, and what it costs, beside senders that each find out for themselves; and
-//! what trials and notes come to by the fleet's size.
+//! is left behind, what is pushed over, and what it costs, beside senders that each find out for themselves;
+//! and what trials and notes come to by the fleet's size.
 //!
 //! `cargo run --release -p notchpoint-zones --example fleet -- FOLDER [SEEDS [SENDERS]]` writes
 //! `zones-size.csv`, `zones-size.svg` and `zones-return.svg`.
--- a/crates/zones/src/model.rs
+++ b/crates/zones/src/model.rs
@@ -3,8 +3,8 @@
 //! are judged.
 //!
 //! A note that is late is one that was heard when it was sent and acted on later, so between what a sender
-//! has heard and what is true any number of steps may lie; one that is lost was never heard. Which evidence comes
-//! when is left open, within what a zone that is up or down can give.
+//! has heard and what is true any number of steps may lie; one that is lost was never heard. Which evidence
+//! comes when is left open, within what a zone that is up or down can give.
 
 use crate::course::{Course, Look, Trial, Why, followed};
 use crate::judge::{Rules, trial};
