A zone that operators no longer pin out is called again

Found on reading docs/zones.md against the code: a zone pinned out gets no calls, so after 3 s nothing was known of it, its entry was dropped (zones.rs, settle) and with it what had been said to the module; unpinned, the module stayed at nought. The test had pinned for 2 s only, and the one with processes looks at what the machine says, not at calls. Change: an entry is kept while the caller sends less than the whole share. Result: the case pins for 10 s and counts calls afterwards: none before, hundreds now.

--- a/crates/zones/src/zones.rs
+++ b/crates/zones/src/zones.rs
@@ -415,8 +415,10 @@
         }
         // What nothing is known of any more stands as it did at first. A course is kept: its term may not
         // begin anew while others remember it.
+        // And one that is sent less than its whole share, since operators had pinned it, has to be told of.
         self.stands.retain(|_, s| {
-            s.standing != Standing::Serving || s.finding.calls > 0.0 || s.course != Course::default()
+            let less = s.leans.as_ref().is_some_and(|l| l.0 < 1.0);
+            s.standing != Standing::Serving || s.finding.calls > 0.0 || s.course != Course::default() || less
         });
     }
 
--- a/crates/zones/tests/fleet.rs
+++ b/crates/zones/tests/fleet.rs
@@ -320,13 +320,17 @@
     for s in &mut fleet.senders {
         s.retune(Rules::default(), Some(sim::pace()), pins(2, false));
     }
-    fleet.run(2 * S, &nothing);
+    fleet.run(10 * S, &nothing);
     assert_eq!((fleet.left(1), fleet.left(2)), (0, 9));
     for s in &mut fleet.senders {
         s.retune(Rules::default(), Some(sim::pace()), pins(1, true));
     }
     fleet.run(10 * S, &z1);
     assert_eq!((fleet.left(1), fleet.left(2)), (0, 0));
+    // And what was pinned out is called again, also by whom nothing else was known of it.
+    let before = fleet.called[2];
+    fleet.run(5 * S, &nothing);
+    assert!(fleet.called[2] > before + 100, "{} calls", fleet.called[2] - before);
 }
 
 #[test]
