--- a/crates/daemon/tests/sockets/upgrade.rs
+++ b/crates/daemon/tests/sockets/upgrade.rs
@@ -43,8 +43,8 @@
     assert_eq!(node.hand_in("payment", 2, 3, LONG, b"x").status(), 202);
     say.send(ok()).expect("it waits");
     until("the second call", || endpoint.calls() == 2);
-    // Delivered means that nothing is owed: a restart finds nothing to end or to send. Told to end it waits for
-    // the answer that is under way; killed before it is read, the payment would rightly be ended.
+    // Delivered means that nothing is owed: a restart finds nothing to end or to send. Told to end it waits
+    // for the answer that is under way; killed before it is read, the payment would rightly be ended.
     node.terminate();
     assert!(node.exit());
     node.start_again();
