A reason for a course that nobody gives is taken out

Need: found on the last read: Why::Pinned was named and never given, since pins act on the share and not on the course. Change: the variant and its words in the log are gone; nothing is said or decided otherwise.

--- a/crates/daemon/src/platform/zoning.rs
+++ b/crates/daemon/src/platform/zoning.rs
@@ -310,7 +310,6 @@
                         Why::Told => "enough other senders have come as far",
                         Why::FellBack => "what was tried failed",
                         Why::Held => "what was tried held",
-                        Why::Pinned => "operators want it",
                     },
                     senders(on),
                 );
--- a/crates/zones/src/course.rs
+++ b/crates/zones/src/course.rs
@@ -64,8 +64,6 @@
     FellBack,
     /// The step before held.
     Held,
-    /// Operators want it.
-    Pinned,
 }
 
 /// One sender is never followed, however few there are.
