A call is over with its first message, which is the one with most time left

Lines at fault: `over` and the unguarded `answer = &mut exchange` in Calls::call.

Ruled out: half a first line (mended beside it, losses went on), notices that are late or not told, answers spoilt behind the first line, requests ended without an answer, messages forgotten at a restart.

Change: the message with most time leads its call; the call ends at that message's time less 20 ms, for all in it, and no answer counts from then on, also one that is there at the same look. What is known of one call stands in calls/call.rs. Tests of calls moved to calls/tests.rs.

--- a/crates/daemon/src/calls.rs
+++ b/crates/daemon/src/calls.rs
@@ -1,6 +1,7 @@
 //! Connections and calls to endpoints: what a call came to, and whether it can have run.
 
 mod answer;
+mod call;
 mod exchange;
 mod passing;
 mod pool;
@@ -16,11 +17,12 @@
 use answer::Answer;
 pub use answer::End;
 use bytes::Bytes;
+use call::{Call, take};
 use notchpoint_policy::*;
 use notchpoint_seam::Network;
 use pool::{Connection, Idle};
-use progress::Progress;
 use std::cell::{Cell, RefCell};
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -34,9 +36,11 @@
 /// A destination whose last endpoint left the list is known for so long: a replacement may be under way.
 const LATELY: Duration = Duration::from_secs(60);
 const SWEEP: Duration = Duration::from_millis(500);
-/// A message whose time is up so soon (in microseconds) will have ended before anything else can be done
-/// with it.
-const TURN: u64 = 20_000;
+/// An answer that comes so shortly before the end of a message's time may have been written after it: a
+/// client's time began a little before its message was read here.
+const TURN: Duration = Duration::from_millis(20);
+/// No message lives longer.
+const FOREVER: Duration = Duration::from_secs(365 * 24 * 60 * 60);
 
 /// A message in a call.
 #[derive(Clone, Debug)]
@@ -265,51 +269,40 @@
         used: Option<Connection>,
         mut cancelled: UnboundedReceiver<AttemptId>,
     ) {
-        let started = Instant::now();
-        let waiting = RefCell::new(items);
-        let connection = RefCell::new(None);
-        // Nothing of an earlier request counts: the progress is this one's once the connection is there.
-        let progress: RefCell<Option<Rc<Progress>>> = RefCell::new(None);
-        let written = || progress.borrow().as_ref().is_some_and(|p| p.complete());
-        let answered = || progress.borrow().as_ref().is_some_and(|p| p.came.borrow().since.is_some());
-        // A single message is delivered once the first line says so, whatever becomes of the rest.
-        let batch = waiting.borrow().len() > 1;
-        let settled = || !batch && progress.borrow().as_ref().is_some_and(|p| p.says_ok());
+        let call = Call::new(items);
         let mut last = Vec::new();
         let answer = {
-            let exchange = self.exchange(endpoint, started, used, &waiting, &connection, &progress);
+            let exchange = self.exchange(endpoint, used, &call);
             tokio::pin!(exchange);
             loop {
-                let next = waiting.borrow().iter().map(|i| started + i.timeout).min();
-                let Some(next) = next else { break None };
+                let Some(next) = call.next_due() else { break None };
                 let outcome = tokio::select! {
                     biased;
                     answer = &mut exchange => break Some(answer),
+                    () = call.news.notified() => continue,
                     Some(one) = cancelled.recv() => {
-                        let outcome = match (settled(), written()) {
+                        let outcome = match (self.is_settled(&call), call.is_written()) {
                             (true, _) => Outcome::Served,
                             (_, true) => Outcome::Cancelled,
                             _ => Outcome::Moot,
                         };
-                        last = take(&waiting, |i| (i.id, i.attempt) == one);
+                        last = take(&call.waiting, |i| (i.id, i.attempt) == one);
                         outcome
                     }
                     () = sleep_until(next) => {
-                        let outcome = match (settled(), written()) {
+                        let outcome = match (self.is_settled(&call), call.is_written()) {
                             (true, _) => Outcome::Served,
                             (_, true) => Outcome::TimedOut,
                             _ => Outcome::ConnectFailed,
                         };
-                        // Whole calls are given up, never a message of one: an answer that comes after a
-                        // message has ended would count for it as well, or for none of its call.
-                        let due = |i: &Item| started + i.timeout <= next;
-                        let over = waiting.borrow().iter().any(|i| due(i) && self.is_over(i.id));
-                        last = take(&waiting, |i| over || due(i));
+                        // With its first message the whole call is over.
+                        let over = call.is_over();
+                        last = take(&call.waiting, |i| over || call.started + i.timeout <= next);
                         outcome
                     }
                 };
                 let ended = std::mem::take(&mut last).into_iter().map(|i| (i, End::from(outcome)));
-                if waiting.borrow().is_empty() {
+                if call.waiting.borrow().is_empty() {
                     // The connection goes first: the call holds its slot for as long as that is open.
                     last = ended.map(|(i, _)| i).collect();
                     break Some(Ok(Answer::Alike(outcome.into())));
@@ -317,29 +310,44 @@
                 ended.for_each(|(i, end)| self.report(endpoint, &i, end));
             }
         };
-        let open = connection.borrow_mut().take();
+        let open = call.connection.borrow_mut().take();
         if let Some(c) = open {
             c.close().await;
         }
-        last.extend(waiting.take());
+        last.extend(call.waiting.take());
         for item in last {
             let end = match &answer {
                 Some(Ok(Answer::Alike(end))) => *end,
                 Some(Ok(Answer::Each(ends))) => ends.get(&item.id).copied().unwrap_or(Outcome::Spoilt.into()),
-                _ if settled() => Outcome::Served.into(),
-                _ if written() && answered() => Outcome::Spoilt.into(),
-                _ if written() => Outcome::Reset.into(),
+                _ if self.is_settled(&call) => Outcome::Served.into(),
+                _ if call.is_written() && call.is_answered() => Outcome::Spoilt.into(),
+                _ if call.is_written() => Outcome::Reset.into(),
                 _ => Outcome::ConnectFailed.into(),
             };
             self.report(endpoint, &item, end);
         }
     }
 
-    /// A message has had its end, or its time is up.
-    fn is_over(&self, id: MessageId) -> bool {
+    /// Whether the first line of its answer has settled a call of a single message: that one is delivered,
+    /// whatever becomes of the rest, and over from now on also for the next process.
+    fn is_settled(&self, call: &Call) -> bool {
+        let says_ok = || call.progress.borrow().as_ref().is_some_and(|p| p.says_ok());
+        if !call.settled.get() && !call.batch.get() && says_ok() && !call.is_over() {
+            call.settled.set(true);
+            call.waiting.borrow().iter().for_each(|i| self.journal.borrow_mut().end(i.id));
+        }
+        call.settled.get()
+    }
+
+    /// The message that has the most time left goes first: a call is over with its first message. Gives when
+    /// that is.
+    fn lead(&self, items: &mut [Item]) -> Option<Instant> {
         let journal = self.journal.borrow();
-        let soon = journal.unix_now() + TURN;
-        journal.get(id).is_none_or(|m| m.verdict.is_some() || m.deadline <= soon)
+        let deadline = |i: &Item| journal.get(i.id).map_or(0, |m| m.deadline);
+        let (first, at) = items.iter().map(deadline).enumerate().max_by_key(|&(n, at)| (at, Reverse(n)))?;
+        items[..=first].rotate_right(1);
+        let left = Duration::from_micros(at.saturating_sub(journal.unix_now())).min(FOREVER);
+        Some(Instant::now() + left.saturating_sub(TURN))
     }
 
     fn report(&self, endpoint: EndpointId, item: &Item, end: End) {
@@ -384,200 +392,5 @@
     }
 }
 
-fn take(waiting: &RefCell<Vec<Item>>, which: impl FnMut(&mut Item) -> bool) -> Vec<Item> {
-    waiting.borrow_mut().extract_if(.., which).collect()
-}
-
 #[cfg(test)]
-mod tests {
-    use super::answer::read_batch;
-    use super::*;
-    use crate::io::Observer;
-    use crate::state::journal::{Open, tests::journal};
-    use notchpoint_seam::real::Sockets;
-    use tokio::io::AsyncReadExt;
-    use tokio::net::TcpListener;
-
-    #[test]
-    fn a_request_is_complete_with_its_last_byte_and_not_before() {
-        let bytes = b"POST / HTTP/1.1\r\nA: b\r\r\n\r\nbo\r\n\r\ndy";
-        for cut in 0..bytes.len() {
-            let progress = Rc::new(Progress::default());
-            progress.expect(8);
-            for part in [&bytes[..cut], &bytes[cut..]] {
-                assert!(!progress.complete());
-                progress.wrote(part);
-            }
-            assert!(progress.complete(), "cut at {cut}");
-            progress.expect(0);
-            assert!(!progress.complete(), "a new request");
-        }
-    }
-
-    #[test]
-    fn a_batch_answer_is_read_as_far_as_it_makes_sense() {
-        let body = b"000000000000000a done\r\n000000000000000a failed\r\nxyz done\r\n000000000000000b\r\n\
-            000000000000000c busy\r\n000000000000000d void\r\n\xff\xfe\r\n000000000000000e used_up";
-        let ends = read_batch(body, Some(5), None);
-        let mut found: Vec<_> = ends.iter().map(|(id, e)| (id.0, e.outcome, e.over)).collect();
-        found.sort_by_key(|f| f.0);
-        let full = Outcome::Full { wait: Some(5) };
-        let (served, moot) = (Outcome::Served, Outcome::Moot);
-        assert_eq!(found, [(10, served, true), (12, full, false), (13, moot, true), (14, moot, false)]);
-    }
-
-    /// Calls to one endpoint, whose part a test plays itself, and what stands round them.
-    struct Place {
-        calls: Rc<Calls>,
-        journal: Rc<RefCell<Journal>>,
-        received: UnboundedReceiver<Input>,
-        listener: TcpListener,
-        _folder: tempfile::TempDir,
-    }
-
-    const ENDPOINT: EndpointId = EndpointId(2);
-
-    impl Place {
-        async fn new(bundle: usize) -> Self {
-            let folder = tempfile::tempdir().expect("a folder");
-            let mut config =
-                crate::settings::config::read(crate::settings::config::tests::TEXT).expect("sound");
-            config.settings.second_copies = true;
-            let journal = Rc::new(RefCell::new(journal(folder.path())));
-            let (inputs, received) = unbounded_channel();
-            let safety = Safety::new(journal.clone());
-            let calls =
-                Calls::new(&config, Rc::new(Sockets::default()), journal.clone(), safety, None, inputs);
-            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-            let address = listener.local_addr().expect("an address");
-            let target = Target { address, dest: DestinationId(3), live: true, apart: false, bundle };
-            calls.list(ENDPOINT, Some(target));
-            Self { calls, journal, received, listener, _folder: folder }
-        }
-
-        /// A message that is taken on, to be waited for so long.
-        fn take(&self, id: u64, deadline: u64, timeout: Duration, body: Bytes) -> Item {
-            let open = Open::new("payment", "acme", 3, deadline, Bytes::new());
-            self.journal.borrow_mut().take(MessageId(id), open).expect("room");
-            Item { id: MessageId(id), attempt: 0, timeout, body }
-        }
-
-        /// The end of the next attempt.
-        async fn ended(&mut self) -> (u64, Outcome) {
-            loop {
-                let input = self.received.recv().await.expect("each attempt ends");
-                if let Input::Event(Event::Ended { id, outcome, .. }) = input {
-                    return (id.0, outcome);
-                }
-            }
-        }
-    }
-
-    /// Plays on sockets.
-    fn on_sockets<T>(play: impl Future<Output = T>) -> T {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-        tokio::task::LocalSet::new().block_on(&runtime, play)
-    }
-
-    /// One call with a body so long that no socket takes it whole, to an endpoint that reads one byte.
-    /// Gives the outcome, and whether the journal holds that the attempt never ran.
-    async fn long_call(cut: bool, patience: Duration, cancel: bool) -> (Outcome, bool) {
-        let mut place = Place::new(1).await;
-        let item = place.take(1, u64::MAX, patience, Bytes::from(vec![0; 64 << 20]));
-        place.calls.start(ENDPOINT, vec![item]);
-        let (mut stream, _) = place.listener.accept().await.expect("a call");
-        stream.read_u8().await.expect("its first byte");
-        let never_ran = |p: &Place| p.journal.borrow().get(MessageId(1)).expect("open").attempts[0].never_ran;
-        assert!(!never_ran(&place), "it is under way");
-        if cancel {
-            place.calls.cancel(MessageId(1), 0);
-        }
-        let kept = (!cut).then_some(stream);
-        let (_, outcome) = place.ended().await;
-        drop(kept);
-        (outcome, never_ran(&place))
-    }
-
-    /// Reads one request without a body, and writes `answer`.
-    async fn answer_one(stream: &mut tokio::net::TcpStream, answer: &[u8]) {
-        let mut head = Vec::new();
-        while !head.ends_with(b"\r\n\r\n") {
-            head.push(stream.read_u8().await.expect("a request"));
-        }
-        tokio::io::AsyncWriteExt::write_all(stream, answer).await.expect("written");
-    }
-
-    const LONG: Duration = Duration::from_secs(600);
-
-    #[test]
-    fn what_comes_between_choice_and_use_is_no_answer_to_the_new_call() {
-        // A second copy of an earlier answer that comes once the connection was chosen: taken for the new
-        // call's, a message would count as delivered that no partner has seen.
-        on_sockets(async {
-            let mut place = Place::new(1).await;
-            let ok = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
-            place.calls.start(ENDPOINT, vec![place.take(1, u64::MAX, LONG, Bytes::new())]);
-            let (mut first, _) = place.listener.accept().await.expect("a call");
-            answer_one(&mut first, ok).await;
-            while place.calls.idle().is_empty() {
-                place.received.recv().await.expect("its end, and an idle connection");
-            }
-            let stream = place.calls.pool.borrow()[&ENDPOINT][0].connection.stream.clone();
-            place.calls.start(ENDPOINT, vec![place.take(2, u64::MAX, LONG, Bytes::new())]);
-            assert!(place.calls.idle().is_empty(), "it is chosen");
-            // Nothing of the call has had its turn: this test waits without giving the thread away.
-            first.try_write(ok).expect("written");
-            while stream.is_quiet() {
-                std::thread::yield_now();
-            }
-            drop(stream);
-            let accepted = tokio::select! {
-                accepted = place.listener.accept() => accepted,
-                () = async { while place.calls.out() > 0 { place.received.recv().await; } } => {
-                    panic!("the call ended without a connection of its own")
-                }
-            };
-            let (mut second, _) = accepted.expect("a connection of its own");
-            answer_one(&mut second, b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n").await;
-            let end = loop {
-                let end = place.ended().await;
-                if end.0 == 2 {
-                    break end.1;
-                }
-            };
-            assert_eq!(end, Outcome::Full { wait: None });
-            assert!(place.journal.borrow().get(MessageId(2)).is_some(), "it is still owed");
-        });
-    }
-
-    #[test]
-    fn a_call_is_given_up_whole_once_one_of_its_messages_is_over() {
-        // The answer to such a call counts for none of its messages: those still waited for were lost.
-        on_sockets(async {
-            let mut place = Place::new(3).await;
-            let now = place.journal.borrow().unix_now();
-            // The first has a shorter try than time: its end alone ends nothing. The second's time is up.
-            let items = [(1, 50, 600_000), (2, 100, 100), (3, 300, 600_000)].map(|(id, wait_ms, left_ms)| {
-                place.take(id, now + left_ms * 1_000, Duration::from_millis(wait_ms), Bytes::new())
-            });
-            place.calls.start(ENDPOINT, items.to_vec());
-            let (mut stream, _) = place.listener.accept().await.expect("a call");
-            for (id, out) in [(1, 2), (2, 0), (3, 0)] {
-                assert_eq!(place.ended().await, (id, Outcome::TimedOut));
-                assert_eq!(place.calls.attempts_out(), out, "with the second all are over: {id}");
-            }
-            // And its connection is closed: that is how a call is given up.
-            let mut rest = Vec::new();
-            stream.read_to_end(&mut rest).await.expect("its end");
-        });
-    }
-
-    #[test]
-    fn a_call_that_ends_before_its_last_byte_never_ran() {
-        // Guards unsafe messages: taken for a reset or a time-out, they would be lost.
-        let play = |cut, patience, cancel| on_sockets(long_call(cut, patience, cancel));
-        assert_eq!(play(true, LONG, false), (Outcome::ConnectFailed, true));
-        assert_eq!(play(false, LONG, true), (Outcome::Moot, true));
-        assert_eq!(play(false, Duration::from_millis(200), false), (Outcome::ConnectFailed, true));
-    }
-}
+mod tests;
--- a/crates/daemon/src/calls/exchange.rs
+++ b/crates/daemon/src/calls/exchange.rs
@@ -1,9 +1,10 @@
 //! One call: what is looked at before its first byte, the request, and the wait for its answer.
 
 use super::answer::{Answer, read_answer};
+use super::call::{Call, take};
 use super::pool::Connection;
 use super::progress::Progress;
-use super::{Calls, Item, take};
+use super::{Calls, Item};
 use crate::copies::copying::Asked;
 use crate::input::Input;
 use bytes::Bytes;
@@ -13,9 +14,8 @@
 use notchpoint_policy::*;
 use std::cell::RefCell;
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::{Instant, sleep_until};
+use tokio::time::sleep_until;
 
 /// An attempt whose record is not safe by then is not made.
 const SAFE_WITHIN: Duration = Duration::from_secs(1);
@@ -30,12 +30,10 @@
     pub(super) async fn exchange(
         &self,
         endpoint: EndpointId,
-        started: Instant,
         mut used: Option<Connection>,
-        waiting: &RefCell<Vec<Item>>,
-        connection: &RefCell<Option<Connection>>,
-        progress: &RefCell<Option<Rc<Progress>>>,
+        call: &Call,
     ) -> Result<Answer, ()> {
+        let Call { started, waiting, connection, progress, .. } = call;
         let moot = Ok(Answer::Alike(Outcome::Moot.into()));
         let Some(target) = self.target(endpoint) else {
             if let Some(conn) = used {
@@ -91,6 +89,8 @@
                     false => {}
                 }
             }
+            let over_at = self.lead(&mut waiting.borrow_mut());
+            call.begin(over_at);
             let sent = waiting.borrow().clone();
             let Some(request) = request(target.address, &sent, started.elapsed(), &conn.progress) else {
                 self.release(endpoint, conn).await;
@@ -103,9 +103,12 @@
             let answer = tokio::select! {
                 biased;
                 answer = read_answer(response, sent.len() > 1, &passed) => answer,
-                () = self.overdue(&sent, &passed) => Err(()),
+                () = self.overdue(call, &passed) => Err(()),
             };
             match answer {
+                Ok(_) if !self.is_settled(call) && call.is_over() => {
+                    return Ok(Answer::Alike(Outcome::TimedOut.into()));
+                }
                 Ok((answer, keep)) => {
                     let conn = connection.borrow_mut().take();
                     if let Some(conn) = conn.filter(|_| keep) {
@@ -140,20 +143,15 @@
         waits
     }
 
-    /// Ends once no more of an answer that has begun is to be waited for. A message that its first line
-    /// settles is over from then on, also for the next process.
-    async fn overdue(&self, sent: &[Item], passed: &Progress) {
+    /// Ends once no more of an answer that has begun is to be waited for.
+    async fn overdue(&self, call: &Call, passed: &Progress) {
         loop {
             let since = passed.came.borrow().since;
             let Some(since) = since else {
                 passed.news.notified().await;
                 continue;
             };
-            let settled = passed.says_ok() && sent.len() == 1;
-            if settled {
-                sent.iter().for_each(|i| self.journal.borrow_mut().end(i.id));
-            }
-            let until = since + if settled { REST } else { WHOLE };
+            let until = since + if self.is_settled(call) { REST } else { WHOLE };
             tokio::select! {
                 biased;
                 () = passed.news.notified() => {}
--- a/crates/daemon/src/calls/progress.rs
+++ b/crates/daemon/src/calls/progress.rs
@@ -43,12 +43,14 @@
         if self.head.is_some() || (self.line.is_empty() && matches!(byte, b'\r' | b'\n')) {
             return;
         }
-        if self.line.len() < LINE {
-            // A line that ends early stays short, and says nothing.
-            self.line.push(byte);
-            if self.line.len() == LINE || end {
+        if self.status.is_none() && self.line.len() <= LINE {
+            // Only a whole line says something: a sender that fell silent within it may not have meant this.
+            if self.line.len() < LINE {
+                self.line.push(byte);
+            }
+            if end {
                 self.status = read_line(&self.line);
-                self.line.resize(LINE, 0);
+                self.line.resize(LINE + 1, 0);
             }
         }
         match (end, self.column) {
