--- a/crates/copies/src/copies.rs
+++ b/crates/copies/src/copies.rs
@@ -10,7 +10,7 @@
 
 use crate::frame::{Frame, MOST, ago};
 use crate::keeper::{Came, Held, Keeper};
-use crate::ledger::{Change, Ledger, Lives, Me, Place, Row, gone, put, read};
+use crate::ledger::{Change, Ledger, Lives, Me, Place, Row, gone, put, read, read_copy};
 use crate::names::{FIRST, Holder, Home, Id, Key, Micros, Peer, Reign, Term};
 use crate::owner::{Asked, Consent, Owed, Own, Owner, free_attempts};
 use crate::record::{CLOSED, DOUBT, Record, Tried, Verdict};
@@ -381,7 +381,7 @@
             }
             Row::Peer(peer) => drop(self.lives.insert(peer, read(value)?)),
             Row::Own(id) => drop(self.places.insert(id, read(value)?)),
-            Row::Copy(key) => self.keeper.restore(key, read(value)?),
+            Row::Copy(key) => self.keeper.restore(key, read_copy(value)?),
             Row::Sure(key) => self.sure.push(key),
             Row::Home(home) => self.witness.restore_home(home, read(value)?),
             Row::Seat(key) => self.witness.restore_seat(key, read(value)?),
--- a/crates/copies/src/frame.rs
+++ b/crates/copies/src/frame.rs
@@ -11,7 +11,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Raised with every change of the frames. The version before this one is understood; there is none yet.
-pub const VERSION: u16 = 1;
+pub const VERSION: u16 = 2;
 const MAGIC: [u8; 6] = *b"NPCOPY";
 /// The greeting's length, the same in every version.
 pub const HELLO: usize = 40;
@@ -274,6 +274,7 @@
             sure: false,
             tried: vec![tried],
             verdict: None,
+            idempotency_key: "k-1".into(),
         };
         Frame::Keep { key: Key { home, id: Id(4) }, term: FIRST, record: Box::new(record) }
     }
--- a/crates/copies/src/ledger.rs
+++ b/crates/copies/src/ledger.rs
@@ -90,3 +90,8 @@
 pub(crate) fn read<T: DeserializeOwned>(bytes: &[u8]) -> Option<T> {
     postcard::from_bytes(bytes).ok()
 }
+
+/// A copy's row, which before idempotency keys were kept ended where they stand: an empty one is meant.
+pub(crate) fn read_copy<T: DeserializeOwned>(bytes: &[u8]) -> Option<T> {
+    read(bytes).or_else(|| read(&[bytes, &[0]].concat()))
+}
--- a/crates/copies/src/record.rs
+++ b/crates/copies/src/record.rs
@@ -55,6 +55,9 @@
     pub tried: Vec<Tried>,
     /// What was decided, and may not have been told.
     pub verdict: Option<Verdict>,
+    /// By which the destination knows a repeat; empty where its client gave none. It stands last: rows of
+    /// builds before it end here.
+    pub idempotency_key: String,
 }
 
 impl Record {
@@ -77,7 +80,7 @@
     /// What it takes of the room for copies: its strings, its row, and the maps' share.
     pub(crate) fn weight(&self) -> usize {
         const ROW: usize = 256;
-        self.body.len() + self.class.len() + self.tenant.len() + ROW
+        self.body.len() + self.class.len() + self.tenant.len() + self.idempotency_key.len() + ROW
     }
 
     /// Enters an attempt; of two accounts of one, that it never ran counts.
--- a/crates/copies/tests/sim/mod.rs
+++ b/crates/copies/tests/sim/mod.rs
@@ -499,6 +499,7 @@
             sure: false,
             tried: vec![],
             verdict: None,
+            idempotency_key: String::new(),
         };
         self.facts.insert(id, Fact { careful, deadline: self.now + time, ..Fact::default() });
         if !self.is_running(i) || self.nodes[i].folder.full {
--- a/crates/daemon/src/calls.rs
+++ b/crates/daemon/src/calls.rs
@@ -48,6 +48,7 @@
     pub id: MessageId,
     pub attempt: u32,
     pub timeout: Duration,
+    pub idempotency_key: String,
     pub body: Bytes,
 }
 
--- a/crates/daemon/src/calls/exchange.rs
+++ b/crates/daemon/src/calls/exchange.rs
@@ -172,11 +172,16 @@
         .header(HOST, host.to_string())
         .header("X-Timeout-Ms", patience);
     let (builder, body) = match items {
-        [one] => (builder.header("X-Request-ID", format!("{:016x}", one.id.0)), one.body.clone()),
+        [one] => {
+            let builder = builder.header("X-Request-ID", format!("{:016x}", one.id.0));
+            let key = Some(&one.idempotency_key).filter(|key| !key.is_empty());
+            (key.into_iter().fold(builder, |b, key| b.header("Idempotency-Key", key)), one.body.clone())
+        }
         many => {
             let mut lines = Vec::new();
             for i in many {
-                lines.extend(format!("{:016x} - {}\r\n", i.id.0, i.body.len()).into_bytes());
+                let key = if i.idempotency_key.is_empty() { "-" } else { &i.idempotency_key };
+                lines.extend(format!("{:016x} {key} {}\r\n", i.id.0, i.body.len()).into_bytes());
                 lines.extend(&i.body);
                 lines.extend(b"\r\n");
             }
--- a/crates/daemon/src/calls/tests.rs
+++ b/crates/daemon/src/calls/tests.rs
@@ -68,7 +68,8 @@
     fn take(&self, id: u64, deadline: u64, timeout: Duration, body: Bytes) -> Item {
         let open = Open::new("payment", "acme", 3, deadline, Bytes::new());
         self.journal.borrow_mut().take(MessageId(id), open).expect("room");
-        Item { id: MessageId(id), attempt: 0, timeout, body }
+        let idempotency_key = String::new();
+        Item { id: MessageId(id), attempt: 0, timeout, idempotency_key, body }
     }
 
     /// The end of the next attempt.
--- a/crates/daemon/src/clients/inbound.rs
+++ b/crates/daemon/src/clients/inbound.rs
@@ -32,6 +32,8 @@
 use tokio::time::{Instant, sleep_until, timeout_at};
 
 const BODY: usize = 64 << 10;
+/// The longest idempotency key: it is kept with each message.
+const KEY: usize = 255;
 /// A head is a few hundred bytes; the rest is room for what fronts add.
 const HEAD: usize = 16 << 10;
 /// How often a connection that is to end is looked at for the gap between two requests.
@@ -316,7 +318,8 @@
 ) -> Result<Response<Full<Bytes>>, StatusCode> {
     let left = handed.time.saturating_sub(since.elapsed()).as_micros() as Micros;
     let (id, tenant, dest) = (handed.id, handed.tenant_name, handed.dest);
-    let passed = Passed { id, tag, tenant, dest, left, body: body.to_vec() };
+    let (idempotency_key, body) = (handed.idempotency_key, body.to_vec());
+    let passed = Passed { id, tag, tenant, dest, left, idempotency_key, body };
     let (class, left) = match successor.take(passed).await {
         Taken::Yes { class, left } => (class, left),
         Taken::ComeBack => return Ok(come_back(inbound)),
@@ -339,6 +342,7 @@
         dest: passed.dest,
         again: false,
         time: Duration::from_micros(passed.left),
+        idempotency_key: passed.idempotency_key,
     };
     let left = match record(inbound, &handed, &passed.tag, passed.body.into(), Instant::now()) {
         Ok(Some(left)) => left,
@@ -386,6 +390,7 @@
     }
     let left = left.as_micros() as Micros;
     let mut open = Open::new(tag, &handed.tenant_name, handed.dest.0, journal.unix_now() + left, body);
+    open.idempotency_key.clone_from(&handed.idempotency_key);
     // Until others have it, a process that ends here has promised nothing.
     open.sure = inbound.copies.is_none() || !inbound.terms.borrow().is_careful(tag);
     // The record comes before the answer. Without a record there is no promise.
@@ -487,6 +492,7 @@
     dest: DestinationId,
     again: bool,
     time: Duration,
+    idempotency_key: String,
 }
 
 fn read_headers(terms: &Terms, headers: &HeaderMap, name: &str, class: usize) -> Result<Handed, StatusCode> {
@@ -495,7 +501,7 @@
     let text = |name: &str| {
         let mut values = headers.get_all(name).iter();
         match (values.next(), values.next()) {
-            (value, None) => Ok(value.and_then(|v| v.to_str().ok()).map(str::trim)),
+            (value, None) => value.map(|v| v.to_str().map(str::trim)).transpose().map_err(|_| bad),
             _ => Err(bad),
         }
     };
@@ -517,6 +523,10 @@
     let fields = text("X-Envelope")?.ok_or(bad)?.split([',', ';', '&', ' ']);
     let mut dests = fields.filter_map(|f| f.trim().strip_prefix("dest="));
     let (Some(dest), None) = (dests.next(), dests.next()) else { return Err(bad) };
+    let idempotency_key = text("Idempotency-Key")?.unwrap_or("");
+    if !fits_a_line(idempotency_key) {
+        return Err(bad);
+    }
     Ok(Handed {
         id: read_id(id).ok_or(bad)?,
         tenant,
@@ -524,9 +534,15 @@
         dest: DestinationId(read_number(dest).ok_or(bad)?),
         again: text("X-Retried")?.is_some_and(|v| !v.is_empty() && v != "0"),
         time: Duration::from_millis(ms),
+        idempotency_key: idempotency_key.to_owned(),
     })
 }
 
+/// A key goes on unchanged, also as one word of a batch's line, where `-` stands for none.
+fn fits_a_line(key: &str) -> bool {
+    key.len() <= KEY && key != "-" && key.bytes().all(|b| b.is_ascii_graphic())
+}
+
 /// Digits and nothing else: Rust's own reading lets a sign pass.
 fn read_number(text: &str) -> Option<u64> {
     text.parse().ok().filter(|_| text.bytes().all(|b| b.is_ascii_digit()))
--- a/crates/daemon/src/copies/rows.rs
+++ b/crates/daemon/src/copies/rows.rs
@@ -19,6 +19,7 @@
         sure: open.sure,
         tried: open.attempts.iter().map(tried).collect(),
         verdict: open.verdict.map(told),
+        idempotency_key: open.idempotency_key.clone(),
     }
 }
 
@@ -42,6 +43,7 @@
         attempts,
         verdict,
         sure: true,
+        idempotency_key: record.idempotency_key.clone(),
         ..Open::new(&record.class, &record.tenant, record.dest, deadline, body)
     }
 }
@@ -78,6 +80,7 @@
     #[test]
     fn a_message_is_the_same_once_it_was_a_copy() {
         let mut message = Open::new("payment", "acme", 3, 1_000, vec![7; 9].into());
+        message.idempotency_key = "k-1".into();
         for (number, never_ran) in [(0, true), (1, false)] {
             message.attempts.push(Attempt { number, endpoint: EndpointId(4), at: 9, never_ran });
         }
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -586,9 +586,11 @@
         timeout: Micros,
     ) {
         let most = self.calls.bundle(endpoint);
-        let body = self.journal.borrow().get(id).map(|m| m.body.clone()).unwrap_or_default();
+        let known = |m: &Open| (m.idempotency_key.clone(), m.body.clone());
+        let (idempotency_key, body) = self.journal.borrow().get(id).map(known).unwrap_or_default();
         let made = self.attempts.entry(id).or_default();
-        let item = Item { id, attempt: made.made, timeout: Duration::from_micros(timeout), body };
+        let timeout = Duration::from_micros(timeout);
+        let item = Item { id, attempt: made.made, timeout, idempotency_key, body };
         made.made += 1;
         made.out += 1;
         match loads.iter_mut().find(|(e, items)| *e == endpoint && items.len() < most) {
--- a/crates/daemon/src/state/record.rs
+++ b/crates/daemon/src/state/record.rs
@@ -40,6 +40,8 @@
     /// Unix time in microseconds.
     pub deadline: u64,
     pub body: Bytes,
+    /// By which its destination knows a repeat; empty where its client gave none.
+    pub idempotency_key: String,
     pub attempts: Vec<Attempt>,
     pub verdict: Option<Verdict>,
     /// Its client may have heard 202. Where copies are kept, that stands in the store before it can.
@@ -49,7 +51,9 @@
 impl Open {
     pub fn new(class: &str, tenant: &str, dest: u64, deadline: u64, body: Bytes) -> Self {
         let (class, tenant) = (class.to_owned(), tenant.to_owned());
-        Self { class, tenant, dest, deadline, body, attempts: Vec::new(), verdict: None, sure: true }
+        let (idempotency_key, attempts) = Default::default();
+        let (verdict, sure) = (None, true);
+        Self { class, tenant, dest, deadline, body, idempotency_key, attempts, verdict, sure }
     }
 
     /// Attempts made so far: the next one's number. One that is only presumed counts as one.
@@ -63,6 +67,7 @@
 pub const TRIED: u8 = b'A';
 pub const JUDGED: u8 = b'V';
 pub const UNSURE: u8 = b'U';
+pub const KEYED: u8 = b'K';
 
 pub fn key(id: MessageId, what: u8, number: Option<u32>) -> Vec<u8> {
     let mut key = id.0.to_be_bytes().to_vec();
@@ -82,6 +87,9 @@
     for a in &m.attempts {
         batch.put(MESSAGES, &key(id, TRIED, Some(a.number)), &tried(a));
     }
+    if !m.idempotency_key.is_empty() {
+        batch.put(MESSAGES, &key(id, KEYED, None), m.idempotency_key.as_bytes());
+    }
     if !m.sure {
         batch.put(MESSAGES, &key(id, UNSURE, None), &[]);
     }
@@ -172,6 +180,7 @@
             let (endpoint, at) = (EndpointId(f.number()?), f.number()?);
             m.attempts.push(Attempt { number, endpoint, at, never_ran: f.bytes()? != [0] });
         }
+        [KEYED] => m.idempotency_key = String::from_utf8(f.0.to_vec()).ok()?,
         [UNSURE] => m.sure = false,
         [JUDGED] => {
             m.verdict = Some(if f.0.is_empty() { Verdict::Dead } else { Verdict::Bounced(f.number()?) });
--- a/crates/daemon/src/upgrade/handover.rs
+++ b/crates/daemon/src/upgrade/handover.rs
@@ -15,7 +15,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Raised with every change of the frames; the form of the module's state has a number of its own.
-pub const VERSION: u16 = 1;
+pub const VERSION: u16 = 2;
 const MAGIC: [u8; 6] = *b"NPHAND";
 /// The first word of both sides, the same in every version.
 pub const HELLO: usize = 16;
@@ -59,6 +59,7 @@
     pub dest: DestinationId,
     /// What is left of its time, in microseconds.
     pub left: Micros,
+    pub idempotency_key: String,
     pub body: Vec<u8>,
 }
 
--- a/crates/daemon/tests/sockets/main.rs
+++ b/crates/daemon/tests/sockets/main.rs
@@ -1,6 +1,7 @@
 //! The program on loopback sockets, as clients, endpoints and the platform see it.
 
 mod flight;
+mod keys;
 mod operations;
 mod store;
 mod upgrade;
--- a/crates/daemon/tests/sockets/upgrade.rs
+++ b/crates/daemon/tests/sockets/upgrade.rs
@@ -61,6 +61,7 @@
     let (id, ms, dest) = (format!("{:016x}", 7), LONG.to_string(), "dest=3".to_owned());
     let lines: String =
         headers(&id, "update", &ms, &dest).iter().map(|(n, v)| format!("{n}: {v}\r\n")).collect();
+    let lines = format!("Idempotency-Key: k-1\r\n{lines}");
     let head = format!("POST /update HTTP/1.1\r\nHost: api\r\nContent-Length: 4\r\n{lines}\r\n");
     let whole = [head.as_bytes(), b"body"].concat();
     // One is cut in its head on a connection that has served, one in its body on a new one.
@@ -80,6 +81,7 @@
     assert!(old.left());
     [ok(), ok()].into_iter().for_each(|r| say.send(r).expect("it waits"));
     until("both at the partner", || endpoint.calls() == 2);
+    assert!((0..2).all(|n| endpoint.call(n).header("idempotency-key") == "k-1"), "they came with it");
 }
 
 #[test]
