The watch reads whole values, and is renewed in time whatever failed before

Need: a change counts as told 6 s after the list service had it and could be reached, whatever was refused or given up before; lists may come indented. Found by tests over real connections: an indented list was cut at each line's end and dropped piece by piece; silence (4.1 s), the rest before the next watch (1.5 to 2.5 s), connecting (1.5 s) and a head that never comes (4.1 s) added up to over 11 s; bytes that complete nothing kept a dead watch alive; the end of a watch that had been replaced meanwhile delayed the new one. Lines at fault: follow() in platform/discovery.rs, WATCH_AGAIN in the module.

Change: platform/values.rs cuts the stream into objects, compact or indented, and heartbeats; a cut value costs none of the whole lists behind it. A watch silent for 2.6 s is replaced at once, an attempt has 2.5 s up to the head, the module rests 0.6 to 1 s after a failure and gives up what is not answered in 3 s. Only values and heartbeats are life. Watches are numbered; an older change does not take the revision back. The margin before a message's end is 10 ms, since the rehearsed edge of 20 ms is to count.

Ruled out: a line of an old watch that is still queued must be taken in, since the next watch begins behind it. Without its guard each of silence, rest and cut values fails a test; mutations of the head's and connection's bounds survive, since the module's own bound of 3 s stands behind them.

--- a/crates/daemon/src/calls.rs
+++ b/crates/daemon/src/calls.rs
@@ -38,7 +38,7 @@
 const SWEEP: Duration = Duration::from_millis(500);
 /// An answer that comes so shortly before the end of a message's time may have been written after it: a
 /// client's time began a little before its message was read here.
-const TURN: Duration = Duration::from_millis(20);
+const TURN: Duration = Duration::from_millis(10);
 /// No message lives longer.
 const FOREVER: Duration = Duration::from_secs(365 * 24 * 60 * 60);
 
--- a/crates/daemon/src/input.rs
+++ b/crates/daemon/src/input.rs
@@ -19,8 +19,8 @@
     /// A message was taken on, and its client can have heard it; the time left counts from then.
     Taken(Message, Instant),
     Listed(Listing),
-    /// The watch failed or ended.
-    Unlisted,
+    /// The watch with this number failed or ended.
+    Unlisted(u64),
     /// A new configuration, checked whole, and its text.
     Configured(Box<Config>, String),
     /// The client of a message that was recorded did not hear of it; the record is gone.
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -410,7 +410,9 @@
                 let entries = self.entries(&news, news.complete);
                 Event::List(if news.complete { ListNews::Whole(entries) } else { ListNews::Changes(entries) })
             }
-            Input::Unlisted => Event::List(ListNews::Unavailable),
+            // It may have ended just before another took its place.
+            Input::Unlisted(number) if !self.discovery.is_current(number) => return,
+            Input::Unlisted(_) => Event::List(ListNews::Unavailable),
         };
         if let Event::Ended { id, .. } = event {
             let open = self.journal.borrow().get(id).is_some_and(|m| m.verdict.is_none());
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -5,4 +5,5 @@
 pub mod peers;
 pub mod post;
 pub mod reports;
+pub mod values;
 pub mod zoning;
--- a/crates/daemon/src/platform/discovery.rs
+++ b/crates/daemon/src/platform/discovery.rs
@@ -1,8 +1,14 @@
 //! The watch on the list of endpoints. When to watch again after a failure is the module's decision.
+//!
+//! A change counts as told 6 s after the service had it and could be reached, whatever failed before. Of
+//! that, finding out that a watch is silent takes [`SILENCE`], after which the next one begins at once; an attempt
+//! that began before the service could be reached takes [`ANSWER`], and the module's rest after it at most a
+//! second. Either way two seconds and more are left for the attempt that succeeds.
 
 use crate::input::Input;
 use crate::io::Observed;
 use crate::listing::Listing;
+use crate::platform::values::{Piece, Values};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty};
 use hyper::Request;
@@ -15,16 +21,15 @@
 use std::time::Duration;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::task::AbortHandle;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout, timeout_at};
 
-/// Two heartbeats of 2 s, and a little for the way: a watch silent for longer is dead. A change counts as
-/// told 6 s after it at the latest, so the next watch must not be much later.
-const SILENCE: Duration = Duration::from_millis(4_100);
-/// Nothing is heard of a connection over a cut, also once that is over: it is made anew sooner than a watch
-/// that is silent. Together with the silence before and the rest after it, that stays under the 6 s.
+/// A heartbeat comes every 2 s; this is a little for the way. Only whole values and heartbeats count: bytes
+/// that complete nothing keep no watch alive.
+const SILENCE: Duration = Duration::from_millis(2_600);
+/// An attempt has brought an answer's head by then, or it failed. Connecting has its part of that: nothing is
+/// heard of a connection over a cut, also once that is over.
+const ANSWER: Duration = Duration::from_millis(2_500);
 const CONNECTING: Duration = Duration::from_millis(1_500);
-/// A longer line is no list.
-const LONGEST: usize = 4 << 20;
 
 pub struct Discovery {
     net: Rc<dyn Network>,
@@ -32,6 +37,8 @@
     revision: Rc<Cell<u64>>,
     inputs: UnboundedSender<Input>,
     watch: RefCell<Option<AbortHandle>>,
+    /// The number of the watch in force: the end of one before it means nothing any more.
+    number: Cell<u64>,
 }
 
 impl Discovery {
@@ -42,7 +49,7 @@
         inputs: UnboundedSender<Input>,
     ) -> Self {
         let (address, revision) = (Cell::new(address), Rc::new(Cell::new(revision)));
-        Self { net, address, revision, inputs, watch: RefCell::default() }
+        Self { net, address, revision, inputs, watch: RefCell::default(), number: Cell::new(0) }
     }
 
     /// The list is kept elsewhere from now on. The watch begins there at once: what it tells counts as told
@@ -69,26 +76,45 @@
     pub fn watch(&self) {
         let (address, revision, inputs) = (self.address.get(), self.revision.clone(), self.inputs.clone());
         let net = self.net.clone();
+        let number = self.number.get() + 1;
+        self.number.set(number);
         let task = tokio::task::spawn_local(async move {
-            if let Err(why) = follow(&*net, address, &revision, &inputs).await {
-                tracing::warn!("discovery: {why}");
+            loop {
+                let ended = follow(&*net, address, &revision, &inputs).await;
+                match ended {
+                    // What it missed is due: the next one begins at once.
+                    Ok(Silent) => tracing::warn!("discovery: the watch fell silent; watching anew"),
+                    Err(why) => {
+                        tracing::warn!("discovery: {why}");
+                        break;
+                    }
+                }
             }
-            let _ = inputs.send(Input::Unlisted);
+            let _ = inputs.send(Input::Unlisted(number));
         });
         if let Some(old) = self.watch.borrow_mut().replace(task.abort_handle()) {
             old.abort();
         }
     }
+
+    /// Whether this is the watch in force.
+    pub fn is_current(&self, number: u64) -> bool {
+        self.number.get() == number
+    }
 }
 
 type Failure = Box<dyn std::error::Error>;
 
+/// A watch that had begun brought nothing for too long.
+struct Silent;
+
 async fn follow(
     net: &dyn Network,
     address: SocketAddr,
     revision: &Cell<u64>,
     inputs: &UnboundedSender<Input>,
-) -> Result<(), Failure> {
+) -> Result<Silent, Failure> {
+    let begun = Instant::now();
     let stream = timeout(CONNECTING, net.connect(address)).await??;
     stream.set_nodelay()?;
     let (mut sender, driver) = http1::handshake(Observed::new(stream, ())).await?;
@@ -97,34 +123,38 @@
     let request = Request::get(format!("/discovery/hosts?stream=1&index={}", revision.get()))
         .header(HOST, address.to_string())
         .body(Empty::<Bytes>::new())?;
-    let response = timeout(SILENCE, sender.send_request(request)).await??;
+    let response = timeout_at(begun + ANSWER, sender.send_request(request)).await??;
     if response.status() != 200 {
         return Err(format!("a watch was answered {}", response.status()).into());
     }
     let mut body = response.into_body();
-    let mut pending = Vec::new();
-    while let Some(frame) = timeout(SILENCE, body.frame()).await? {
-        let Ok(data) = frame?.into_data() else { continue };
-        pending.extend(&data);
-        while let Some(end) = pending.iter().position(|&b| b == b'\n') {
-            let line: Vec<u8> = pending.drain(..=end).collect();
-            let line = line.trim_ascii();
-            // Also an empty line answers the watch: nothing has changed.
-            let empty = Listing { revision: revision.get(), ..Listing::default() };
-            match if line.is_empty() { Ok(empty) } else { serde_json::from_slice::<Listing>(line) } {
-                Ok(news) => {
-                    revision.set(news.revision);
-                    let _ = inputs.send(Input::Listed(news));
+    let (mut values, mut pieces) = (Values::default(), Vec::new());
+    let mut alive = Instant::now();
+    loop {
+        let Ok(frame) = timeout_at(alive + SILENCE, body.frame()).await else { return Ok(Silent) };
+        let Ok(data) = frame.ok_or("the watch ended")??.into_data() else { continue };
+        let cut = values.push(&data, &mut pieces);
+        for piece in pieces.drain(..) {
+            let news = match piece {
+                Piece::List(news) if !news.complete && news.revision < revision.get() => {
+                    tracing::warn!("discovery: changes of {}, which is known", news.revision);
+                    continue;
                 }
-                // The lines after it may well be sound.
-                Err(why) => tracing::warn!("discovery: a line: {why}"),
-            }
-        }
-        if pending.len() > LONGEST {
-            return Err("a line is too long".into());
+                Piece::List(news) => news,
+                // Also an empty line answers the watch.
+                Piece::Heartbeat => Listing { revision: revision.get(), ..Listing::default() },
+                // The values after it may well be sound.
+                Piece::Spoilt(why) => {
+                    tracing::warn!("discovery: a value: {why}");
+                    continue;
+                }
+            };
+            alive = Instant::now();
+            revision.set(news.revision);
+            let _ = inputs.send(Input::Listed(news));
         }
+        cut?;
     }
-    Err("the watch ended".into())
 }
 
 struct AbortOnDrop(AbortHandle);
--- a/crates/daemon/tests/sockets/main.rs
+++ b/crates/daemon/tests/sockets/main.rs
@@ -5,6 +5,7 @@
 mod operations;
 mod store;
 mod upgrade;
+mod watch;
 mod world;
 
 use std::net::TcpListener;
--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -79,8 +79,10 @@
 const IDLE_SHARE: f64 = 0.75;
 /// A message that failed by itself waits so long before its next attempt, doubling.
 const AGAIN: Micros = 150 * MS;
-/// A watch that failed is asked for again after this, and one without an answer after twice as long.
-const WATCH_AGAIN: Micros = 2 * SEC;
+/// A watch that failed is asked for again after this, and one without an answer is given up after the second.
+/// Together with what an attempt takes it stays well under the 6 s after which changes count as told.
+const WATCH_AGAIN: Micros = 800 * MS;
+const WATCH_LAST: Micros = 3 * SEC;
 /// What was known of a route apart that left the list is kept for so long.
 const FORGET: Micros = 60 * SEC;
 /// How long a note of an outage waits for a second, and the least time between two written about a route.
@@ -170,7 +172,7 @@
         }
         if self.now >= self.watch_at {
             self.out.push(Action::Watch);
-            self.watch_at = self.now + 2 * WATCH_AGAIN;
+            self.watch_at = self.now + WATCH_LAST;
         }
         self.expire();
         self.find_silent();
