An attempt has a latest start, looked at last before its first byte

Need: between a decision and the first byte lie connecting (up to 1.5 s), a sync, a second dial. A repeat of a keyed message with a window of 1 s that was decided in time could arrive once its key was forgotten, and take effect twice; a call decided just before the last start of a process that ends could begin after it, too late to end in time.

Change: the module says with each send for how long it may begin (a repeat: until 100 ms before its key is forgotten; else the message's time), SIGTERM sets the last start of the process, and the last look before the first byte takes out what is too late.

Ruled out: waits, lists and operators' marks are looked at there already; complete() cannot be false once the last byte was given to the system, since it counts what the system took. Measured: tests with a connection that comes up only when the test says so, and of the module's bound; without each of the two guards in the call they fail.

--- a/crates/daemon/src/calls.rs
+++ b/crates/daemon/src/calls.rs
@@ -48,6 +48,8 @@
     pub id: MessageId,
     pub attempt: u32,
     pub timeout: Duration,
+    /// Its first byte may be written for so long.
+    pub within: Duration,
     pub idempotency_key: String,
     pub body: Bytes,
 }
@@ -88,6 +90,8 @@
     adopted: RefCell<BTreeMap<AttemptId, EndpointId>>,
     /// Where to tell it to stop waiting for one.
     before: RefCell<Option<UnboundedSender<Frame>>>,
+    /// After that no call begins: this process ends.
+    last_start: Cell<Option<Instant>>,
     /// Another process decides: what is out ends here, and connections are not kept.
     given: Cell<bool>,
     out: Cell<usize>,
@@ -125,6 +129,7 @@
             cancels: RefCell::default(),
             adopted: RefCell::default(),
             before: RefCell::default(),
+            last_start: Cell::new(None),
             given: Cell::new(false),
             out: Cell::new(0),
             journal,
@@ -158,6 +163,11 @@
         self.inputs.clone()
     }
 
+    /// This process ends: what has not begun by then is left to the next one.
+    pub fn start_until(&self, last: Instant) {
+        self.last_start.set(Some(last));
+    }
+
     /// Calls that are out.
     pub fn out(&self) -> usize {
         self.out.get()
--- a/crates/daemon/src/calls/exchange.rs
+++ b/crates/daemon/src/calls/exchange.rs
@@ -15,7 +15,7 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::time::sleep_until;
+use tokio::time::{Instant, sleep_until};
 
 /// An attempt whose record is not safe by then is not made.
 const SAFE_WITHIN: Duration = Duration::from_secs(1);
@@ -89,6 +89,15 @@
                     false => {}
                 }
             }
+            // Nothing waits from here to the first byte: what came too late for it is not begun.
+            let now = Instant::now();
+            let ends = self.last_start.get().is_some_and(|last| now >= last);
+            let late = take(waiting, |i| ends || now >= *started + i.within);
+            late.iter().for_each(|i| self.report(endpoint, i, Outcome::Moot.into()));
+            if waiting.borrow().is_empty() {
+                self.release(endpoint, conn).await;
+                return moot;
+            }
             let over_at = self.lead(&mut waiting.borrow_mut());
             call.begin(over_at);
             let sent = waiting.borrow().clone();
--- a/crates/daemon/src/calls/tests.rs
+++ b/crates/daemon/src/calls/tests.rs
@@ -5,9 +5,12 @@
 use super::*;
 use crate::io::Observer;
 use crate::state::journal::{Open, tests::journal};
+use notchpoint_seam::net::Connecting;
 use notchpoint_seam::real::Sockets;
+use notchpoint_seam::{Datagrams, Listener};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
 
 #[test]
 fn a_request_is_complete_with_its_last_byte_and_not_before() {
@@ -50,13 +53,17 @@
 
 impl Place {
     async fn new(bundle: usize) -> Self {
+        Self::on(Rc::new(Sockets::default()), bundle).await
+    }
+
+    async fn on(net: Rc<dyn Network>, bundle: usize) -> Self {
         let folder = tempfile::tempdir().expect("a folder");
         let mut config = crate::settings::config::read(crate::settings::config::tests::TEXT).expect("sound");
         config.settings.second_copies = true;
         let journal = Rc::new(RefCell::new(journal(folder.path())));
         let (inputs, received) = unbounded_channel();
         let safety = Safety::new(journal.clone());
-        let calls = Calls::new(&config, Rc::new(Sockets::default()), journal.clone(), safety, None, inputs);
+        let calls = Calls::new(&config, net, journal.clone(), safety, None, inputs);
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("an address");
         let target = Target { address, dest: DestinationId(3), live: true, apart: false, bundle };
@@ -68,8 +75,8 @@
     fn take(&self, id: u64, deadline: u64, timeout: Duration, body: Bytes) -> Item {
         let open = Open::new("payment", "acme", 3, deadline, Bytes::new());
         self.journal.borrow_mut().take(MessageId(id), open).expect("room");
-        let idempotency_key = String::new();
-        Item { id: MessageId(id), attempt: 0, timeout, idempotency_key, body }
+        let (within, idempotency_key) = (timeout, String::new());
+        Item { id: MessageId(id), attempt: 0, timeout, within, idempotency_key, body }
     }
 
     /// The end of the next attempt.
@@ -305,3 +312,106 @@
     assert_eq!(play(false, LONG, true), (Outcome::Moot, true));
     assert_eq!(play(false, Duration::from_millis(200), false), (Outcome::ConnectFailed, true));
 }
+
+/// The system's sockets, but each connection to an endpoint comes up only when the test says so.
+#[derive(Default)]
+struct Held {
+    sockets: Sockets,
+    dials: Rc<Cell<usize>>,
+    up: Rc<Notify>,
+}
+
+impl Network for Held {
+    fn connect(&self, to: SocketAddr) -> Connecting {
+        let (made, up) = (self.sockets.connect(to), self.up.clone());
+        self.dials.set(self.dials.get() + 1);
+        Box::pin(async move {
+            let stream = made.await;
+            up.notified().await;
+            stream
+        })
+    }
+
+    fn listen(&self, at: SocketAddr) -> std::io::Result<Rc<dyn Listener>> {
+        self.sockets.listen(at)
+    }
+
+    fn listen_within(&self, name: &str) -> std::io::Result<Rc<dyn Listener>> {
+        self.sockets.listen_within(name)
+    }
+
+    fn connect_within(&self, name: &str) -> Connecting {
+        self.sockets.connect_within(name)
+    }
+
+    fn datagrams(&self, at: SocketAddr) -> std::io::Result<Rc<dyn Datagrams>> {
+        self.sockets.datagrams(at)
+    }
+}
+
+/// One call of two messages whose connection comes up late: the first may begin for `within`, the second
+/// without end. Gives the ends of both, and what the endpoint read of the request, if one came.
+async fn late_connection(within: Duration, ends: bool) -> (Vec<(u64, Outcome)>, Option<Vec<u8>>) {
+    let net = Rc::new(Held::default());
+    let mut place = Place::on(net.clone(), 2).await;
+    let items = [(1, within), (2, LONG)]
+        .map(|(id, within)| Item { within, ..place.take(id, u64::MAX, LONG, Bytes::new()) });
+    if ends {
+        place.calls.start_until(Instant::now() + Duration::from_millis(20));
+    }
+    place.calls.start(ENDPOINT, items.to_vec());
+    let (mut stream, _) = place.listener.accept().await.expect("a connection");
+    assert_eq!(net.dials.get(), 1);
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    net.up.notify_one();
+    let mut got = Vec::new();
+    let mut body = None;
+    tokio::select! {
+        (_, sent) = request(&mut stream) => {
+            stream.write_all(all_done(&[1, 2]).as_bytes()).await.expect("written");
+            body = Some(sent);
+            got.push(place.ended().await);
+            got.push(place.ended().await);
+        }
+        first = place.ended() => {
+            got.push(first);
+            let second = place.ended();
+            tokio::select! {
+                end = second => got.push(end),
+                (_, sent) = request(&mut stream) => {
+                    stream.write_all(OK).await.expect("written");
+                    body = Some(sent);
+                }
+            }
+            if got.len() == 1 {
+                got.push(place.ended().await);
+            }
+        }
+    }
+    let moot = |id: u64| got.contains(&(id, Outcome::Moot));
+    let journal = place.journal.borrow();
+    let never = |id| journal.get(MessageId(id)).is_some_and(|m| m.attempts.iter().all(|a| a.never_ran));
+    assert!([1, 2].into_iter().all(|id| moot(id) == never(id)), "what is moot has never run");
+    drop(journal);
+    (got, body)
+}
+
+const OK: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+
+#[test]
+fn an_attempt_that_comes_too_late_for_its_first_byte_is_not_begun() {
+    // Between the decision and the first byte lies dialling: a repeat that arrives once its key is forgotten
+    // takes effect twice.
+    on_sockets(async {
+        let (ends, body) = late_connection(Duration::from_millis(20), false).await;
+        assert_eq!(ends, [(1, Outcome::Moot), (2, Outcome::Served)]);
+        assert_eq!(body.expect("a call"), b"", "of the second alone");
+        let (ends, body) = late_connection(LONG, false).await;
+        assert_eq!(ends, [(1, Outcome::Served), (2, Outcome::Served)]);
+        assert!(!body.expect("a call").is_empty());
+        // A process that ends leaves what has not begun to the next one: all of it.
+        let (ends, body) = late_connection(LONG, true).await;
+        assert_eq!(ends, [(1, Outcome::Moot), (2, Outcome::Moot)]);
+        assert!(body.is_none(), "nothing was written");
+    });
+}
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -520,7 +520,10 @@
         let mut loads: Vec<(EndpointId, Vec<Item>)> = Vec::new();
         for action in actions {
             match action {
-                Action::Send { id, endpoint, timeout } => self.load(&mut loads, id, endpoint, timeout),
+                Action::Send { id, endpoint, timeout, within } => {
+                    let waits = [timeout, within].map(Duration::from_micros);
+                    self.load(&mut loads, id, endpoint, waits);
+                }
                 Action::Cancel { id, attempt } => self.calls.cancel(id, attempt),
                 Action::Refuse { id, after } => self.end(id, Verdict::Bounced(after.div_ceil(1_000))),
                 Action::Fail { id } => self.end(id, Verdict::Dead),
@@ -585,14 +588,13 @@
         loads: &mut Vec<(EndpointId, Vec<Item>)>,
         id: MessageId,
         endpoint: EndpointId,
-        timeout: Micros,
+        [timeout, within]: [Duration; 2],
     ) {
         let most = self.calls.bundle(endpoint);
         let known = |m: &Open| (m.idempotency_key.clone(), m.body.clone());
         let (idempotency_key, body) = self.journal.borrow().get(id).map(known).unwrap_or_default();
         let made = self.attempts.entry(id).or_default();
-        let timeout = Duration::from_micros(timeout);
-        let item = Item { id, attempt: made.made, timeout, idempotency_key, body };
+        let item = Item { id, attempt: made.made, timeout, within, idempotency_key, body };
         made.made += 1;
         made.out += 1;
         match loads.iter_mut().find(|(e, items)| *e == endpoint && items.len() < most) {
--- a/crates/daemon/src/sender.rs
+++ b/crates/daemon/src/sender.rs
@@ -379,6 +379,7 @@
         }
         let told = Instant::now();
         door.ending.set(true);
+        calls.start_until(told + SENDING);
         let _ = timeout_at(told + COMING, node.run()).await;
         // Idle connections end between two requests; one that crosses this comes again on a new connection.
         door.close.say();
--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -79,6 +79,8 @@
 const IDLE_SHARE: f64 = 0.75;
 /// A message that failed by itself waits so long before its next attempt, doubling.
 const AGAIN: Micros = 150 * MS;
+/// A repeat has arrived so long after its first byte was written.
+const ARRIVES: Micros = 100 * MS;
 /// A watch that failed is asked for again after this, and one without an answer is given up after the second.
 /// Together with what an attempt takes it stays well under the 6 s after which changes count as told.
 const WATCH_AGAIN: Micros = 800 * MS;
@@ -329,6 +331,13 @@
         }
     }
 
+    /// For how long an attempt that is decided now may still begin: a repeat has to arrive while it is known.
+    fn start_within(&self, h: &Held) -> Micros {
+        let c = &self.set.classes[h.class];
+        let known = h.ran.filter(|_| c.effect == Effect::Keyed).map(|(since, _)| since + c.memory - ARRIVES);
+        known.map_or(h.expires, |at| at.min(h.expires)).saturating_sub(self.now)
+    }
+
     /// For a keyed message that may have run: only to who would drop the repeat.
     fn may_go_to(&self, h: &Held, id: EndpointId) -> bool {
         let c = &self.set.classes[h.class];
@@ -817,7 +826,8 @@
         for &id in &load {
             let timeout = self.timeout(&self.held[&id], &self.routes[&route_id]);
             fresh.until = fresh.until.max(now.saturating_add(timeout));
-            self.out.push(Action::Send { id, endpoint, timeout });
+            let within = self.start_within(&self.held[&id]);
+            self.out.push(Action::Send { id, endpoint, timeout, within });
             if let Some(h) = self.held.get_mut(&id) {
                 h.attempts.push(call);
                 h.out += 1;
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -374,6 +374,9 @@
         endpoint: EndpointId,
         /// Give up waiting after this time.
         timeout: Micros,
+        /// Its first byte may be written for so long. After that it is moot: nobody would drop a repeat any
+        /// more, or the message's time is up.
+        within: Micros,
     },
     /// Stop waiting for an attempt.
     Cancel {
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -110,7 +110,7 @@
         self.sender.handle(self.now, events, &mut actions);
         for a in &actions {
             match *a {
-                Action::Send { id, endpoint, timeout } => {
+                Action::Send { id, endpoint, timeout, .. } => {
                     let n = self.attempts.entry(id.0).or_default();
                     let (attempt, at) = (*n, self.now);
                     *n += 1;
--- a/crates/policy/tests/common/world.rs
+++ b/crates/policy/tests/common/world.rs
@@ -137,7 +137,7 @@
         for a in &actions {
             self.trace.push(format!("{} {a:?}", self.now));
             match a {
-                Action::Send { id, endpoint, timeout } => self.send(id.0, endpoint.0 as u32, *timeout),
+                Action::Send { id, endpoint, timeout, .. } => self.send(id.0, endpoint.0 as u32, *timeout),
                 Action::Refuse { id, .. } => self.answer(id.0, true),
                 Action::Fail { id } => self.answer(id.0, false),
                 Action::WakeAt(at) => {
--- a/crates/policy/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -248,3 +248,28 @@
     let (rig, id) = earlier(SAFE, settings().max_attempts, ran);
     assert!(rig.out.is_empty() && rig.answers(id) == 1);
 }
+
+#[test]
+fn a_repeat_may_begin_only_as_long_as_it_arrives_while_its_first_run_is_known() {
+    // Between the decision and the first byte may lie a connection that comes up late, with a window of 1 s.
+    let mut set = settings();
+    set.classes[KEYED as usize].memory = SEC;
+    let mut rig = Rig::new(set, 0, 1);
+    let within = |rig: &Rig| {
+        let sends = rig.said.iter().filter_map(|(at, a)| match a {
+            Action::Send { within, .. } => Some((*at, *within)),
+            _ => None,
+        });
+        sends.collect::<Vec<_>>()
+    };
+    let id = rig.take_for(KEYED, 1, None, 20 * SEC);
+    let first = within(&rig)[0];
+    assert_eq!(first.1, 20 * SEC, "the first one for as long as its message lives");
+    rig.end(id, Outcome::Reset);
+    rig.pass(400 * MS);
+    let all = within(&rig);
+    assert_eq!(all.len(), 2, "it is tried again");
+    let (at, most) = all[1];
+    assert!(at + most < first.0 + SEC, "{} after the first", at + most - first.0);
+    assert!(most > 0);
+}
--- a/crates/policy/tests/stall.rs
+++ b/crates/policy/tests/stall.rs
@@ -96,7 +96,7 @@
         self.sender.handle(now, &events, &mut actions);
         for a in actions {
             match a {
-                Action::Send { id, endpoint, timeout } => {
+                Action::Send { id, endpoint, timeout, .. } => {
                     let n = self.attempts.entry(id).or_default();
                     let attempt = std::mem::replace(n, *n + 1);
                     if !self.calls.contains_key(&(endpoint, now)) {
--- a/crates/simhost/src/host.rs
+++ b/crates/simhost/src/host.rs
@@ -231,7 +231,7 @@
     let address = |e: &EndpointId| addresses.get(e).map_or("-", String::as_str);
     // Writing to a String does not fail.
     let _ = match action {
-        Action::Send { id, endpoint, timeout } => {
+        Action::Send { id, endpoint, timeout, .. } => {
             writeln!(text, "CALL_OUT\t{i}\t{:016x}\t{}\t{}", id.0, stamp(*timeout), address(endpoint))
         }
         Action::Cancel { id, attempt } => writeln!(text, "RETRACT\t{i}\t{:016x}\t{attempt}", id.0),
