--- a/crates/policy/tests/fleet.rs
+++ b/crates/policy/tests/fleet.rs
@@ -59,6 +59,71 @@
     assert!(rate(back + 20 * SEC, back + 30 * SEC) > 4.0, "and is used again in full");
 }
 
+/// Calls that all senders together make to a destination that is back from an outage, by the moment after it:
+/// seven messages a second come in for it, of which each sender has its part. One of `restarted` senders
+/// begins anew in the middle of the ramp, and knows nothing of the outage.
+fn returning(senders: u64, seed: u64, restarted: u64) -> Vec<Micros> {
+    let (mut calls, gap) = (Vec::new(), senders * SEC / 7);
+    // Each has seen the outage before it ends.
+    let back = 30 * SEC + gap;
+    let again = back + 2 * SEC;
+    for n in 0..senders {
+        let anew = restarted > 0 && n % restarted == 0;
+        let seeded = |life: u64| Rig::seeded(thin(senders as u32), 0, 1, seed * 1_000 + 2 * n + life);
+        let mut rig = seeded(0);
+        let (start, mut next, mut life) = (rig.now, rig.now + gap * n / senders, 0);
+        let mut now = 0;
+        while now < back + 10 * SEC {
+            if anew && life == 0 && now >= again {
+                life = 1;
+                rig = seeded(1);
+            }
+            rig.pass(50 * MS);
+            now += 50 * MS;
+            if start + now >= next {
+                rig.take_for(SAFE, 1, None, 60 * SEC);
+                next += gap;
+            }
+            for o in rig.out.clone() {
+                // Who began anew was told nothing of the outage: what those send is not to be helped.
+                if now >= back && life == 0 {
+                    calls.push(now - back);
+                }
+                rig.end(o.id, if now >= back { Outcome::Served } else { Outcome::ConnectFailed });
+            }
+        }
+    }
+    calls
+}
+
+#[test]
+fn a_cold_destination_gets_what_it_can_bear_from_all_senders_together() {
+    // Beyond what the settings allow in a window, only twice its root and two are chance.
+    let set = thin(1);
+    let window = set.fall_after;
+    for (senders, seeds) in [(10, 1..=6), (20, 1..=6), (30, 1..=6), (100, 1..=2), (300, 1..=1)] {
+        for restarted in [0, 3] {
+            for seed in seeds.clone() {
+                let calls = returning(senders, seed, restarted);
+                for from in (0..8 * SEC).step_by(100_000) {
+                    let came = calls.iter().filter(|&&t| t >= from && t < from + window).count() as f64;
+                    // Ten a second when warm; what it can do grows evenly meanwhile.
+                    let warm = (from as f64 / set.cold as f64).min(1.0);
+                    let can = 10.0 * (set.start_share + (1.0 - set.start_share) * warm);
+                    let n = set.fall_multiple * can * window as f64 / SEC as f64;
+                    let most = n + 2.0 * n.sqrt() + 2.0;
+                    let ms = from / MS;
+                    assert!(
+                        came <= most,
+                        "{senders} senders, seed {seed}, one of {restarted} anew: {came} calls from {ms} ms \
+                         on, where {n:.1} are allowed and {most:.1} are chance"
+                    );
+                }
+            }
+        }
+    }
+}
+
 #[test]
 fn a_destination_that_refused_before_its_outage_is_begun_with_more_slowly() {
     // Two messages a second, more than are let through: calls in the six seconds after it is back.
