Tests: SIGTERM at each step of a start, and SIGHUPs in a row that move the list service

No fault was found: a process told to end once, twice, or between two SIGHUPs, while it opens its operators' address, after it has read its store and once it listens, ends in order and gives nothing up; what it found is sent by the next one. Two SIGHUPs in a row through a place that says nothing and one that refuses leave the last place in force, and what it tells is acted on within 4 s.

--- a/crates/daemon/tests/sockets/restart.rs
+++ b/crates/daemon/tests/sockets/restart.rs
@@ -81,3 +81,23 @@
     let (_listener, address) = silent();
     restarted(&address);
 }
+
+#[test]
+fn told_to_end_at_any_step_of_its_start_a_process_ends_in_order_and_leaves_what_it_found() {
+    let endpoint = Endpoint::new(|_| answer("200 OK", "", ""));
+    let mut node = Node::new(&[member("s-8", endpoint.address, "shop", 9, "draining")], |text| text);
+    assert_eq!(node.hand_in("payment", 1, 9, LONG, b"x").status(), 202);
+    node.kill();
+    for step in ["operators at", "journal:", "listening on"] {
+        for signals in [&["-TERM"][..], &["-TERM", "-TERM"], &["-HUP", "-TERM", "-HUP"]] {
+            assert!(node.starts_until(step, signals), "{step}, {signals:?}: it ends as it should");
+        }
+    }
+    assert!(!node.platform.has_notice(1), "nothing was given up");
+    let config = node.folder.path().join("config.json");
+    let text = std::fs::read_to_string(&config).expect("a file").replace("\"draining\"", "\"up\"");
+    std::fs::write(config, text).expect("a file");
+    node.start_again();
+    assert_eq!(endpoint.call(0).header("x-request-id"), format!("{:016x}", 1));
+    assert_eq!(endpoint.calls(), 1);
+}
--- a/crates/daemon/tests/sockets/watch.rs
+++ b/crates/daemon/tests/sockets/watch.rs
@@ -245,3 +245,26 @@
     assert_eq!(node.say("GET /status").status(), 200, "operators are answered");
     assert_eq!(node.hand_in("update", 2, 3, 50_000, b"x").status(), 202, "and clients that have a message");
 }
+
+#[test]
+fn signals_in_a_row_that_move_the_service_leave_the_last_place_in_force() {
+    // Between two: a place that takes the watch and says nothing, and one that refuses it. The end of a watch
+    // that was begun there must not delay the one in force.
+    let (mute, _) = service(vec![silent(String::new())], String::new());
+    let refused = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let nowhere = refused.local_addr().expect("an address").to_string();
+    drop(refused);
+    for between in [[&mute, &nowhere], [&nowhere, &mute]] {
+        let (first, _) = service(vec![], "\n".into());
+        let (node, endpoint, told) = waiting(&first);
+        let up = list(42, &[member("s-1", endpoint.address, "shop", 3, "up")]);
+        let (last_place, _) = service(vec![], up);
+        let begun = Instant::now();
+        for place in between.into_iter().chain([&last_place]) {
+            node.reload(&at(place)(node.config()));
+        }
+        let acted = told.recv_timeout(LONG).expect("the change is acted on");
+        // After SIGHUP what is told there counts 4 s later.
+        assert!(acted - begun < Duration::from_secs(4), "{:?}", acted - begun);
+    }
+}
--- a/crates/daemon/tests/sockets/world.rs
+++ b/crates/daemon/tests/sockets/world.rs
@@ -321,6 +321,17 @@
         (self.child, self.address, self.admin) = start(&self.folder, self.held.as_ref());
     }
 
+    /// Starts it, and sends these signals once it says that it has come to this step. Whether it then ends as
+    /// it should.
+    pub fn starts_until(&mut self, step: &str, signals: &[&str]) -> bool {
+        self.child = command(&self.folder, self.held.as_ref()).spawn().expect("the program");
+        let mut lines = BufReader::new(self.child.stdout.take().expect("its output")).lines();
+        while !lines.next().expect("it started").expect("text").contains(step) {}
+        signals.iter().for_each(|signal| self.signal(signal));
+        thread::spawn(move || lines.for_each(drop));
+        self.exit()
+    }
+
     /// Starts the next process beside this one, and gives the old one once the new one is ready.
     pub fn upgrade(&mut self) -> Old {
         let (child, address, admin) = start(&self.folder, self.held.as_ref());
@@ -418,7 +429,7 @@
     }
 }
 
-fn start(folder: &tempfile::TempDir, held: Option<&TcpListener>) -> (Child, SocketAddr, SocketAddr) {
+fn command(folder: &tempfile::TempDir, held: Option<&TcpListener>) -> Command {
     let mut command = Command::new(env!("CARGO_BIN_EXE_notchpoint"));
     let operator = folder.path().join("operator.toml");
     if operator.exists() {
@@ -429,13 +440,16 @@
         let socket: std::os::fd::OwnedFd = held.try_clone().expect("a descriptor").into();
         command.stdin(Stdio::from(socket)).env("BALANCER_ACCEPT_FD", "0");
     }
-    let mut child = command
+    command
         .env("TMPDIR", folder.path())
         .env("BALANCER_CONFIG", folder.path().join("config.json"))
         .env("BALANCER_STATE", folder.path().join("state"))
-        .stdout(Stdio::piped())
-        .spawn()
-        .expect("the program");
+        .stdout(Stdio::piped());
+    command
+}
+
+fn start(folder: &tempfile::TempDir, held: Option<&TcpListener>) -> (Child, SocketAddr, SocketAddr) {
+    let mut child = command(folder, held).spawn().expect("the program");
     let mut lines = BufReader::new(child.stdout.take().expect("its output")).lines();
     let mut admin = None;
     let address = loop {
