--- a/crates/daemon/src/platform/discovery.rs
+++ b/crates/daemon/src/platform/discovery.rs
@@ -1,9 +1,9 @@
 //! The watch on the list of endpoints. When to watch again after a failure is the module's decision.
 //!
 //! A change counts as told 6 s after the service had it and could be reached, whatever failed before. Of
-//! that, finding out that a watch is silent takes [`SILENCE`], after which the next one begins at once; an attempt
-//! that began before the service could be reached takes [`ANSWER`], and the module's rest after it as much at
-//! most. Either way the attempt that succeeds begins a second before at the latest.
+//! that, finding out that a watch is silent takes [`SILENCE`], after which the next one begins at once. An
+//! attempt that began before the service could be reached takes [`ANSWER`], and the module's rest after it
+//! as much at most. Either way the attempt that succeeds begins a second before at the latest.
 
 use crate::input::Input;
 use crate::io::Observed;
