--- a/crates/daemon/src/operators/admin.rs
+++ b/crates/daemon/src/operators/admin.rs
@@ -7,6 +7,7 @@
 use crate::io::Observed;
 use crate::operations::{self, Asked, No, Word};
 use crate::platform::zoning::Zoning;
+use crate::settings::descriptors::OPERATORS;
 use crate::state::safety::Safety;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -26,8 +27,6 @@
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
-/// Connections at once: a few operators and their tools. Who has sent no whole call gives way to the next.
-pub const MOST: usize = 24;
 /// A head is a few hundred bytes.
 const HEAD: usize = 8 << 10;
 /// A call comes whole and its answer is read within this, or its connection ends.
@@ -42,13 +41,13 @@
 /// taken over.
 pub struct Admin {
     desk: RefCell<Option<Rc<Desk>>>,
-    /// Connections at once.
+    /// Connections at once. Who has sent no whole call gives way to the next.
     most: Cell<usize>,
 }
 
 impl Default for Admin {
     fn default() -> Self {
-        Self { desk: RefCell::default(), most: Cell::new(MOST) }
+        Self { desk: RefCell::default(), most: Cell::new(OPERATORS) }
     }
 }
 
--- a/crates/daemon/src/settings/descriptors.rs
+++ b/crates/daemon/src/settings/descriptors.rs
@@ -1,6 +1,5 @@
 //! Who may hold how many of the process's descriptors: one sum, so that no part can take another's.
 
-use crate::operators::admin;
 use crate::settings::config::Config;
 
 /// The process's own: standard streams, the event loop, signals, listening sockets, datagrams, the store's
@@ -12,7 +11,8 @@
 const POSTS: usize = 7;
 /// The socket for hand-overs, and the connection of one.
 const HAND_OVER: usize = 2;
-/// Operators' connections are one of so many at most.
+/// Operators' connections: a few of them and their tools. They are one of the second at most.
+pub const OPERATORS: usize = 24;
 const OPERATORS_PART: usize = 16;
 
 /// What connections that others open, or that may wait, are held to.
@@ -35,7 +35,7 @@
 
     /// Clients may fill their part: the watch, notices, calls, the store and operators have theirs beside it.
     fn of(all: usize, slots: usize) -> Self {
-        let operators = admin::MOST.min(all / OPERATORS_PART).max(1);
+        let operators = OPERATORS.min(all / OPERATORS_PART).max(1);
         let left = all.saturating_sub(OWN + WATCHES + POSTS + HAND_OVER + operators + slots);
         let clients = (all / 2).min(left * 2 / 3).max(1);
         let idle = (all / 4).min(left.saturating_sub(clients));
