--- a/crates/daemon/tests/sockets/restart.rs
+++ b/crates/daemon/tests/sockets/restart.rs
@@ -29,13 +29,8 @@
 /// that serve. The list service is where `discovery` says.
 fn restarted(discovery: &str) {
     let endpoint = Endpoint::new(|_| answer("200 OK", "", ""));
-    let at = |text: String| {
-        let (before, rest) = text.split_once("\"discovery\": \"").expect("there");
-        let (_, after) = rest.split_once('"').expect("there");
-        format!("{before}\"discovery\": \"{discovery}\"{after}")
-    };
     let known = [member("s-8", endpoint.address, "shop", 9, "draining")];
-    let mut nodes: Vec<Node> = (0..PROCESSES).map(|_| Node::new(&known, at)).collect();
+    let mut nodes: Vec<Node> = (0..PROCESSES).map(|_| Node::new(&known, at(discovery))).collect();
     for (n, node) in nodes.iter_mut().enumerate() {
         for i in 0..EACH {
             let class = if i % 2 == 0 { "update" } else { "payment" };
--- a/crates/daemon/tests/sockets/watch.rs
+++ b/crates/daemon/tests/sockets/watch.rs
@@ -73,15 +73,6 @@
     format!("{{\"revision\":{revision},\"complete\":false,\"members\":[{}]}}\n", members.join(","))
 }
 
-/// The configuration with the service there.
-fn at(address: &str) -> impl Fn(String) -> String {
-    move |text| {
-        let (before, rest) = text.split_once("\"discovery\": \"").expect("there");
-        let (_, after) = rest.split_once('"').expect("there");
-        format!("{before}\"discovery\": \"{address}\"{after}")
-    }
-}
-
 /// A node with this service, whose destination 3 serves only as the service says, and a message for it.
 fn waiting(address: &str) -> (Node, Endpoint, Receiver<Instant>) {
     let (tell, told) = channel();
--- a/crates/daemon/tests/sockets/world.rs
+++ b/crates/daemon/tests/sockets/world.rs
@@ -253,6 +253,15 @@
     )
 }
 
+/// The configuration with the list service there.
+pub fn at(address: &str) -> impl Fn(String) -> String {
+    move |text| {
+        let (before, rest) = text.split_once("\"discovery\": \"").expect("there");
+        let (_, after) = rest.split_once('"').expect("there");
+        format!("{before}\"discovery\": \"{address}\"{after}")
+    }
+}
+
 /// The program, with its folder. It is killed when dropped.
 pub struct Node {
     pub folder: tempfile::TempDir,
