Cold destinations: the sum of all senders' calls stays under what they bear, also after waits

Causes, each seen in the calls by sender: (1) `Route::served` began the ramp a quarter of the outage before the first served call, so that it ended before the destination was warm for certain, and what was held went at once. (2) Trials of an open route took twice the first share (`Route::share`), and credit comes up by messages and by time. (3) Senders whose credit came up by the same messages called in step. (4) Credit came up while a destination that failed had told to wait: ten senders called 19 times at the wait's end. Ruled out: a ramp whole from the first served call (too slow for 100 senders: 6.1 a second for 7 that come in), a correction of the flow of young senders (nothing), more than the gap between two trials as the guess of when it came back (20 and 30 senders pass it).

Change: the ramp's share follows from the gap between two trials and the time since the first served call, whose sum over senders that find it one after another is what the destination can do (docs/design/fleet.md); it ends a whole cold time after that call. Trials take the first share. A call takes 0.75 to 1.25 of the credit. No credit while a destination that fails has told to wait.

The test before it asked for 12 calls a second of 100 senders from the fourth second on.

--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -97,7 +97,7 @@
         self.fails > 0 || !matches!(self.health, Health::Closed) || self.latency.is_slow(SLOW_TIMES)
     }
 
-    fn served(&mut self, now: Micros, took: Micros, low: bool, ceiling: f64) {
+    fn served(&mut self, now: Micros, took: Micros, low: bool, ceiling: f64, trials: f64) {
         self.latency.observe(took);
         if !low && self.last_cut.is_none_or(|t| now >= t + COOLDOWN) {
             self.window = (self.window + STEP).min(ceiling.max(FLOOR));
@@ -108,8 +108,9 @@
         (self.fails, self.errors, self.fulls) = (0, 0, 0);
         match self.health {
             Health::Open { failed: true, .. } if gap >= OUTAGE_LEAST => {
-                // It came back at some time since the last failure: a quarter of that is a cautious guess.
-                self.health = Health::Ramp { since: now - (now - self.failed_at) / 4 };
+                // Who had nothing to try with, or was told to wait, learns no more by that than by a trial.
+                let gap = (now - self.failed_at).min((SEC as f64 / trials) as Micros);
+                self.health = Health::Ramp { since: now, gap };
             }
             Health::Open { .. } => self.health = Health::Closed,
             _ => {}
@@ -235,7 +236,7 @@
         e.rests.clear();
         let apart = self.dests.get(&e.dest).is_some_and(|d| d.apart).then_some(id);
         if let Some(r) = self.routes.get_mut(&(e.dest, apart)).filter(|_| !others) {
-            (r.health, r.fails, r.errors) = (Health::Ramp { since: self.now }, 0, 0);
+            (r.health, r.fails, r.errors) = (Health::Ramp { since: self.now, gap: 0 }, 0, 0);
             (r.credit, r.credit_at) = (r.credit.min(1.0), self.now);
         }
     }
@@ -491,6 +492,7 @@
         let span = self.rest_span(route);
         let (rest, trial_wait) = (self.jitter(span), self.jitter(TRIAL_WAIT));
         let ceiling = self.ceiling(route.0);
+        let flow = self.dests.get(&route.0).map_or(0.0, |d| d.flow(now));
         let alone = self.dests.get(&route.0).is_none_or(|d| d.apart || d.endpoints.len() < 2);
         let Some(r) = self.routes.get_mut(&route) else { return };
         let Some(e) = self.endpoints.get_mut(&call.endpoint) else { return };
@@ -523,7 +525,7 @@
                 // It was the message that was slow, not the connection that was gone.
                 self.idle_safe.1 *= Micros::from(call.idle < FAR);
                 let low = told.is_some_and(|a| a.left < LOW_ALLOWANCE && a.limit > 0.0);
-                r.served(now, now.saturating_sub(sent), low, ceiling);
+                r.served(now, now.saturating_sub(sent), low, ceiling, r.refill(&self.set, now, flow));
             }
             Failed => {
                 r.errors += 1;
@@ -613,7 +615,7 @@
                 (r.heard, r.fails, r.told) = (None, 0, now);
                 if let Health::Open { since, .. } = r.health {
                     let long = now >= since + OUTAGE_LEAST;
-                    r.health = if long { Health::Ramp { since: now } } else { Health::Closed };
+                    r.health = if long { Health::Ramp { since: now, gap: 0 } } else { Health::Closed };
                     // What turned connections away was the outage.
                     let of = |id, e: &Endpoint| e.dest == route.0 && route.1.is_none_or(|only| only == id);
                     let ends = self.endpoints.iter_mut().filter(|(id, e)| of(**id, e));
@@ -821,6 +823,7 @@
             }
             idle = e.idle.pop().map_or(0, |t| now - t);
         }
+        let takes = 0.75 + 0.5 * self.rng.f64();
         let (route, sent) = (route_id, now);
         let mut fresh = Call { route, endpoint, sent, overdue, late, idle, open, ..Call::default() };
         self.passed.insert(dest);
@@ -848,7 +851,7 @@
         if let Some(r) = self.routes.get_mut(&route_id) {
             r.out += 1;
             r.rate.sent(now);
-            r.credit -= f64::from(u8::from(r.metered()));
+            r.credit -= f64::from(u8::from(r.metered())) * takes;
             if let Health::Open { trial, .. } = &mut r.health {
                 *trial = Some(call);
             }
--- a/crates/policy/src/credit.rs
+++ b/crates/policy/src/credit.rs
@@ -10,28 +10,31 @@
 /// by what comes in for it; and all senders together make at least so many trials a second.
 const METER: f64 = 0.4;
 /// The same where it refused nothing in the last minute: what came in is then no more than it can do.
-const METER_ROOM: f64 = 0.7;
+const METER_ROOM: f64 = 0.6;
 const TRIALS_LEAST: f64 = 1.5;
 
 impl Route {
     /// The share of what comes in that a destination held back or returning may be sent.
     pub fn share(&self, set: &Settings, now: Micros) -> f64 {
         let warm = match self.health {
-            Health::Ramp { since } => (now - since) as f64 / set.cold.max(1) as f64,
-            // The older the last failure seen, the longer it may be back; at most twice the first share.
-            Health::Open { .. } if !set.may_note => {
-                ((now - self.failed_at) as f64 / 2.0 / set.cold.max(1) as f64).min(set.start_share)
-            }
+            // Senders find it back one after another, each within the gap between two of its trials. Where each
+            // goes on as if it had been back for all of that, and then grows with time, what all of them send
+            // together grows as fast as what it can do. It is warm for certain, and this ends, only a whole
+            // cold time after a call was served.
+            Health::Ramp { since, gap } => (now - since + gap / 2).max(gap) as f64 / set.cold.max(1) as f64,
+            // It may be back since just now, and the trials of all senders add up.
             Health::Open { .. } => 0.0,
             Health::Closed => return self.pace,
         };
         let meter = if self.rate.estimate().is_none() { METER_ROOM } else { METER };
-        meter * set.fall_multiple * (set.start_share + (1.0 - set.start_share) * warm.min(1.0))
+        meter * set.fall_multiple * (set.start_share + (1.0 - set.start_share) * warm)
     }
 
     /// Credit that time brings, in calls a second.
     pub fn refill(&self, set: &Settings, now: Micros, rate: f64) -> f64 {
-        (self.share(set, now) * rate).max(TRIALS_LEAST / f64::from(set.senders))
+        let share = self.share(set, now);
+        // A message that comes in brings one call at the most; time brings the rest.
+        ((share + (share - 1.0).max(0.0)) * rate).max(TRIALS_LEAST / f64::from(set.senders))
     }
 
     pub fn metered(&self) -> bool {
@@ -50,10 +53,14 @@
         if !self.metered() {
             return;
         }
-        let dt = now.saturating_sub(self.credit_at) as f64 / 1e6;
+        // While one that fails has told to wait, no credit comes up: all senders would have a trial ready for the
+        // very moment at which the wait ends.
+        let waits = if matches!(self.health, Health::Open { .. }) { self.rest_until } else { 0 };
+        let dt = now.saturating_sub(self.credit_at.max(waits)) as f64 / 1e6;
+        let more = if now < waits { 0.0 } else { more };
         let more = self.share(set, now) * more + self.refill(set, now, rate) * dt;
         (self.credit, self.credit_at) = ((self.credit + more).min(1.0), now);
-        if matches!(self.health, Health::Ramp { since } if now >= since + set.cold) {
+        if matches!(self.health, Health::Ramp { since, .. } if now >= since + set.cold) {
             self.health = Health::Closed;
         }
     }
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -70,8 +70,10 @@
         failed: bool,
         trial: Option<u64>,
     },
+    /// It serves again since then, after it had last failed so long before, and is cold.
     Ramp {
         since: Micros,
+        gap: Micros,
     },
 }
 
--- a/crates/policy/tests/fleet.rs
+++ b/crates/policy/tests/fleet.rs
@@ -8,92 +8,115 @@
     Settings { slots: 3, senders, fall_multiple: 2.0, cold: 10 * SEC, start_share: 0.2, ..settings() }
 }
 
-/// So many senders with one message every fifteen seconds each, for destination 1, which refuses connections
-/// until `back` and serves from then on. Gives the moments of all calls.
-fn fleet(senders: u64, back: Micros, end: Micros) -> Vec<Micros> {
-    let mut calls = Vec::new();
-    for n in 0..senders {
-        let mut rig = Rig::seeded(thin(senders as u32), 0, 1, n + 1);
-        let start = rig.now;
-        let mut next = start + 15 * SEC * n / senders;
-        while rig.now < start + end {
-            rig.pass(100 * MS);
-            if rig.now >= next {
-                rig.take_for(SAFE, 1, None, 60 * SEC);
-                next += 15 * SEC;
-            }
-            for o in rig.out.clone() {
-                calls.push(rig.now - start);
-                let up = rig.now - start >= back;
-                rig.end(o.id, if up { Outcome::Served } else { Outcome::ConnectFailed });
+/// Many senders before destination 1, which refuses connections until `back` and serves from then on. Each has
+/// its part of what comes in, seven messages a second.
+struct Fleet {
+    senders: u64,
+    seed: u64,
+    back: Micros,
+    /// Played for so long after that.
+    after: Micros,
+    /// One of so many begins anew two seconds after the return, and knows nothing of the outage; 0 for none.
+    restarted: u64,
+    /// For its last twenty seconds down it turns calls away, and tells all to wait until it is back.
+    waits: bool,
+    /// Senders write notes to each other, and each that hears one loses so many of a hundred.
+    lost: Option<u64>,
+}
+
+impl Fleet {
+    fn of(senders: u64, seed: u64) -> Self {
+        // Each has had a message, and seen the outage, before it ends.
+        let back = 30 * SEC + senders * SEC / 7;
+        Self { senders, seed, back, after: 10 * SEC, restarted: 0, waits: false, lost: None }
+    }
+
+    /// The moments of all calls but those of senders that began anew, from the return on: before it they are
+    /// below nought.
+    fn play(&self) -> Vec<i64> {
+        let gap = self.senders * SEC / 7;
+        let set = || Settings { may_note: self.lost.is_some(), ..thin(self.senders as u32) };
+        let seeded = |n: u64, life: u64| Rig::seeded(set(), 0, 1, self.seed * 1_000 + 2 * n + life);
+        let mut rigs: Vec<(Rig, Micros, bool)> =
+            (0..self.senders).map(|n| (seeded(n, 0), gap * n / self.senders, false)).collect();
+        let mut dice = fastrand::Rng::with_seed(self.seed);
+        let (mut calls, mut notes) = (Vec::new(), Vec::<(u32, Vec<u8>)>::new());
+        let mut now = 0;
+        while now < self.back + self.after {
+            now += 50 * MS;
+            let (heard, up) = (std::mem::take(&mut notes), now >= self.back);
+            for (n, (rig, next, anew)) in rigs.iter_mut().enumerate() {
+                let restarts = self.restarted > 0 && (n as u64).is_multiple_of(self.restarted);
+                if restarts && !*anew && now >= self.back + 2 * SEC {
+                    (*rig, *anew) = (seeded(n as u64, 1), true);
+                    rig.now += now - 50 * MS;
+                }
+                for (from, body) in heard.iter().filter(|(from, _)| *from != n as u32) {
+                    if dice.u64(..100) >= self.lost.unwrap_or(0) {
+                        note(rig, *from, body);
+                    }
+                }
+                rig.pass(50 * MS);
+                if now >= *next {
+                    rig.take_for(SAFE, 1, None, 60 * SEC);
+                    *next += gap;
+                }
+                for o in rig.out.clone() {
+                    if !*anew {
+                        calls.push(now as i64 - self.back as i64);
+                    }
+                    let told = self.waits && now + 20 * SEC >= self.back;
+                    rig.end(
+                        o.id,
+                        match (up, told) {
+                            (true, _) => Outcome::Served,
+                            (false, true) => Outcome::Full { wait: Some(self.back - now) },
+                            (false, false) => Outcome::ConnectFailed,
+                        },
+                    );
+                }
+                notes.extend(self::notes(rig).into_iter().map(|body| (n as u32, body)));
+                rig.said.clear();
             }
         }
+        calls
     }
-    calls
+}
+
+/// Calls a second between two moments.
+fn rate(calls: &[i64], from: Micros, to: Micros) -> f64 {
+    let n = calls.iter().filter(|&&t| t >= from as i64 && t < to as i64).count();
+    n as f64 / ((to - from) as f64 / SEC as f64)
 }
 
 #[test]
 fn hundreds_of_senders_together_do_not_push_a_returning_destination() {
     // Seven messages a second come in; the destination can do ten a second when warm, two when it comes back.
-    let (senders, back) = (100, 30 * SEC);
-    let calls = fleet(senders, back, 60 * SEC);
-    let rate = |from: Micros, to: Micros| {
-        let n = calls.iter().filter(|&&t| t >= from && t < to).count();
-        n as f64 / ((to - from) as f64 / SEC as f64)
-    };
-    assert!(rate(0, 10 * SEC) > 5.0, "who has seen nothing fail sends: {}", rate(0, 10 * SEC));
-    for second in 0..4 {
-        let from = back + second * SEC;
-        // Twice what it can do within two seconds pushes it over; some slack for chance.
-        let can = 10.0 * (0.2 + 0.8 * second as f64 / 10.0);
+    for (lost, least) in [(None, 9.0), (Some(0), 12.0), (Some(50), 12.0)] {
+        let fleet = Fleet { back: 30 * SEC, after: 30 * SEC, lost, ..Fleet::of(100, 1) };
+        let calls = fleet.play();
+        let before: Vec<i64> = calls.iter().map(|t| t + fleet.back as i64).collect();
+        let seen = rate(&before, 0, 10 * SEC);
+        // Who has heard of it sends no more than trials.
+        assert_eq!(seen > 5.0, lost.is_none(), "who has seen nothing fail sends: {seen}, notes {lost:?}");
+        for second in 0..4 {
+            let from = second * SEC;
+            // Twice what it can do within two seconds pushes it over; some slack for chance.
+            let can = 10.0 * (0.2 + 0.8 * second as f64 / 10.0);
+            let came = rate(&calls, from, from + 2 * SEC);
+            assert!(came < 2.0 * can * 1.5, "second {second}: {came}, notes {lost:?}");
+        }
+        assert!(rate(&calls, 0, 10 * SEC) > 1.0, "it comes back all the same");
+        // What was held meanwhile is not left to run out: more goes than the seven a second that come in. Where
+        // senders tell each other, nearly all that the destination can do meanwhile; where each has to find out
+        // by a trial of its own, and these may not push it over, no more than has been found by then.
+        let ramp = rate(&calls, 4 * SEC, 14 * SEC);
         assert!(
-            rate(from, from + 2 * SEC) < 2.0 * can * 1.5,
-            "second {second}: {}",
-            rate(from, from + 2 * SEC)
+            ramp > least,
+            "a destination that refused nothing is used by what it can do: {ramp}, notes {lost:?}"
         );
+        assert!(rate(&calls, 20 * SEC, 30 * SEC) > 4.0, "and is used again in full");
     }
-    assert!(rate(back, back + 10 * SEC) > 1.0, "it comes back all the same");
-    // What was held meanwhile is not left to run out: more goes than the seven a second that come in.
-    let ramp = rate(back + 4 * SEC, back + 14 * SEC);
-    assert!(ramp > 12.0, "a destination that refused nothing is used by what it can do: {ramp}");
-    assert!(rate(back + 20 * SEC, back + 30 * SEC) > 4.0, "and is used again in full");
-}
-
-/// Calls that all senders together make to a destination that is back from an outage, by the moment after it:
-/// seven messages a second come in for it, of which each sender has its part. One of `restarted` senders
-/// begins anew in the middle of the ramp, and knows nothing of the outage.
-fn returning(senders: u64, seed: u64, restarted: u64) -> Vec<Micros> {
-    let (mut calls, gap) = (Vec::new(), senders * SEC / 7);
-    // Each has seen the outage before it ends.
-    let back = 30 * SEC + gap;
-    let again = back + 2 * SEC;
-    for n in 0..senders {
-        let anew = restarted > 0 && n % restarted == 0;
-        let seeded = |life: u64| Rig::seeded(thin(senders as u32), 0, 1, seed * 1_000 + 2 * n + life);
-        let mut rig = seeded(0);
-        let (start, mut next, mut life) = (rig.now, rig.now + gap * n / senders, 0);
-        let mut now = 0;
-        while now < back + 10 * SEC {
-            if anew && life == 0 && now >= again {
-                life = 1;
-                rig = seeded(1);
-            }
-            rig.pass(50 * MS);
-            now += 50 * MS;
-            if start + now >= next {
-                rig.take_for(SAFE, 1, None, 60 * SEC);
-                next += gap;
-            }
-            for o in rig.out.clone() {
-                // Who began anew was told nothing of the outage: what those send is not to be helped.
-                if now >= back && life == 0 {
-                    calls.push(now - back);
-                }
-                rig.end(o.id, if now >= back { Outcome::Served } else { Outcome::ConnectFailed });
-            }
-        }
-    }
-    calls
 }
 
 #[test]
@@ -102,11 +125,20 @@
     let set = thin(1);
     let window = set.fall_after;
     for (senders, seeds) in [(10, 1..=6), (20, 1..=6), (30, 1..=6), (100, 1..=2), (300, 1..=1)] {
-        for restarted in [0, 3] {
+        let cases = [
+            (0, false, None),
+            (3, false, None),
+            (0, true, None),
+            (0, false, Some(0)),
+            (0, true, Some(0)),
+            (0, false, Some(50)),
+            (3, true, Some(50)),
+        ];
+        for (restarted, waits, lost) in cases {
             for seed in seeds.clone() {
-                let calls = returning(senders, seed, restarted);
+                let calls = Fleet { restarted, waits, lost, ..Fleet::of(senders, seed) }.play();
                 for from in (0..8 * SEC).step_by(100_000) {
-                    let came = calls.iter().filter(|&&t| t >= from && t < from + window).count() as f64;
+                    let came = rate(&calls, from, from + window) * window as f64 / SEC as f64;
                     // Ten a second when warm; what it can do grows evenly meanwhile.
                     let warm = (from as f64 / set.cold as f64).min(1.0);
                     let can = 10.0 * (set.start_share + (1.0 - set.start_share) * warm);
@@ -115,8 +147,8 @@
                     let ms = from / MS;
                     assert!(
                         came <= most,
-                        "{senders} senders, seed {seed}, one of {restarted} anew: {came} calls from {ms} ms \
-                         on, where {n:.1} are allowed and {most:.1} are chance"
+                        "{senders} senders, seed {seed}, one of {restarted} anew, waits {waits}, notes {lost:?}: {came} calls \
+                         from {ms} ms on, where {n:.1} are allowed and {most:.1} are chance"
                     );
                 }
             }
