--- /dev/null
+++ b/crates/daemon/src/clients/inbound/tests.rs
@@ -0,0 +1,117 @@
+use super::*;
+use crate::calls::Target;
+use notchpoint_seam::Stream;
+use notchpoint_seam::real::Sockets;
+use std::collections::{BTreeMap, BTreeSet};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
+
+/// What connections share, with a folder and nothing else behind it.
+fn behind(folder: &std::path::Path) -> (Rc<Inbound>, UnboundedReceiver<Input>) {
+    let config = crate::settings::config::read(crate::settings::config::tests::TEXT).expect("sound");
+    let journal = Rc::new(RefCell::new(crate::state::journal::tests::journal(folder)));
+    let (inputs, received) = unbounded_channel();
+    let safety = Safety::new(journal.clone());
+    let net = Rc::new(Sockets::default());
+    let inbound = Inbound {
+        places: places(&config),
+        most_reading: most_reading(&config),
+        reading: Cell::new(0),
+        calls: Calls::new(&config, net, journal.clone(), safety.clone(), None, inputs.clone()),
+        copies: None,
+        safety,
+        terms: Rc::new(RefCell::new(Terms::new(&config, &BTreeMap::new(), &BTreeSet::new()).0)),
+        journal,
+        inputs,
+        door: Rc::default(),
+        successor: RefCell::default(),
+    };
+    (Rc::new(inbound), received)
+}
+
+#[test]
+fn the_time_of_a_message_that_waited_in_the_queue_ran_meanwhile() {
+    // Guards against telling its end as much too late. The wait is as long as the message's time, so that
+    // no speed matters: the first of the connection has no time left, and the next one did not wait.
+    let local = tokio::task::LocalSet::new();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    local.block_on(&runtime, async {
+        let folder = tempfile::tempdir().expect("a folder");
+        let (inbound, _received) = behind(folder.path());
+        let address = "127.0.0.1:4".parse().expect("an address");
+        let target = Target { address, dest: DestinationId(3), live: true, apart: false, bundle: 1 };
+        inbound.calls.list(EndpointId(1), Some(target));
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let mut client =
+            TcpStream::connect(listener.local_addr().expect("its address")).await.expect("a connection");
+        let (stream, _) = listener.accept().await.expect("a connection");
+        let seat = Rc::new(Seat::new(Rc::new(stream), Duration::from_secs(6)));
+        tokio::task::spawn_local(connection(inbound.clone(), seat));
+        for (id, status) in [("00000000000000a1", "503"), ("00000000000000a2", "202")] {
+            let request = format!(
+                "POST /update HTTP/1.1\r\nX-Request-ID: {id}\r\nX-Priority-Class: update\r\n\
+                 X-Tenant-Id: acme\r\nX-Timeout-Ms: 6000\r\nX-Envelope: dest=3\r\n\
+                 Content-Length: 1\r\n\r\nb"
+            );
+            client.write_all(request.as_bytes()).await.expect("written");
+            let (mut answer, mut block) = (String::new(), [0; 256]);
+            while !answer.ends_with("\r\n\r\n") {
+                let n = client.read(&mut block).await.expect("an answer");
+                assert!(n > 0, "no answer");
+                answer.push_str(std::str::from_utf8(&block[..n]).expect("text"));
+            }
+            assert!(answer.starts_with(&format!("HTTP/1.1 {status} ")), "{id}: {answer}");
+        }
+    });
+}
+
+#[test]
+fn a_message_counts_only_once_its_client_can_have_heard() {
+    // Guards against sending what its client, gone before the answer, has handed in elsewhere by now.
+    let local = tokio::task::LocalSet::new();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    local.block_on(&runtime, async {
+        let folder = tempfile::tempdir().expect("a folder");
+        let (inbound, mut received) = behind(folder.path());
+        let journal = inbound.journal.clone();
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let stream: Rc<dyn Stream> = Rc::new(TcpStream::connect(address).await.expect("a connection"));
+        let receive = || {
+            let seat = Rc::new(Seat::new(stream.clone(), Duration::ZERO));
+            Rc::new(Receipt { due: RefCell::default(), seat, inbound: inbound.clone() })
+        };
+        let take = |receipt: &Receipt, id: u64| {
+            let (id, class, tenant, dest) = (MessageId(id), 0, None, DestinationId(3));
+            let open = Open::new("update", "acme", 3, u64::MAX, Bytes::new());
+            journal.borrow_mut().take(id, open).expect("room");
+            let (again, key, expires_in) = (false, None, 1_000_000);
+            let message = Message { id, class, tenant, key, dest, again, expires_in };
+            receipt.due.borrow_mut().push(Due { message, since: Instant::now(), begun: false });
+        };
+        // The connection ends before anything, or before all of the answer is written.
+        for begun in [false, true] {
+            let receipt = receive();
+            take(&receipt, 1);
+            receipt.flushed();
+            if begun {
+                receipt.wrote(b"HTTP/1.1 2");
+            }
+            drop(receipt);
+            assert!(journal.borrow().get(MessageId(1)).is_none());
+            assert!(matches!(received.try_recv(), Ok(Input::Unheard(MessageId(1)))));
+        }
+        // Two requests sent without waiting, and both answers flushed at once: neither is forgotten.
+        let receipt = receive();
+        take(&receipt, 2);
+        take(&receipt, 3);
+        receipt.wrote(b"HTTP/1.1 202 Accepted\r\n\r\nHTTP/1.1 202 Accepted\r\n\r\n");
+        receipt.flushed();
+        drop(receipt);
+        for id in [2, 3] {
+            assert!(journal.borrow().get(MessageId(id)).is_some());
+            assert!(matches!(received.try_recv(), Ok(Input::Taken(m, _)) if m.id == MessageId(id)));
+        }
+    });
+}
--- /dev/null
+++ b/crates/daemon/src/clients/seats/tests.rs
@@ -0,0 +1,33 @@
+use super::*;
+use tokio::net::{TcpListener, TcpStream};
+
+#[test]
+fn a_place_is_taken_from_who_is_idle_longest_and_never_across_a_request() {
+    // Guards against ending a connection on which a request has come that was not read yet.
+    let local = tokio::task::LocalSet::new();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    local.block_on(&runtime, async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let seats = Seats::default();
+        let mut clients = Vec::new();
+        let long_ago = Instant::now() - 3 * UNUSED;
+        for age in [0, 1, 2, 3] {
+            clients.push(TcpStream::connect(address).await.expect("a connection"));
+            let (stream, _) = listener.accept().await.expect("a connection");
+            let seat = Rc::new(Seat::new(Rc::new(stream), Duration::ZERO));
+            seat.since.set(long_ago + Duration::from_millis(age));
+            seats.take(&seat);
+        }
+        // The oldest has a request that was not read, the next one whose answer is under way.
+        clients[0].writable().await.expect("open");
+        clients[0].try_write(b"P").expect("written");
+        let first = seats.taken.borrow()[&0].clone();
+        std::future::poll_fn(|cx| first.stream.poll_read_ready(cx)).await.expect("it comes");
+        seats.taken.borrow()[&1].stage.set(Stage::Answering);
+        seats.free(4).await;
+        assert_eq!(seats.taken.borrow().keys().copied().collect::<Vec<_>>(), [0, 1, 3]);
+        clients[2].readable().await.expect("its end");
+        assert_eq!(clients[2].try_read(&mut [0; 1]).expect("its end"), 0);
+    });
+}
