Clients' connections end in an orderly way: what still comes is read for a while, then closed

Confirmed over real sockets: a client that writes on after the last answer (a body of 16 MiB answered 413; requests sent without waiting at SIGTERM) has its connection reset, since `connection` (clients/inbound.rs) returned, and the socket was closed, over bytes that nobody had read. A reset may take with it the answer that was written last.

Change: `Seat::end` shuts the writing side, reads on and throws away for 0.5 s at most, then closes; `Seats::free` takes such a place first, once its answer has had 50 ms. One way to end, used for all ends of a client's connection. Ruled out: a bound by bytes in place of time (a long body in one piece is sound, and time bounds a flood as well); answering a client that has shut its own side (it looks like one that has left, and what that handed in is withdrawn on purpose).

--- a/crates/daemon/src/clients/inbound.rs
+++ b/crates/daemon/src/clients/inbound.rs
@@ -155,7 +155,8 @@
         tokio::task::spawn_local(async move {
             let inside = &inbound.door.inside;
             inside.set(inside.get() + 1);
-            connection(inbound.clone(), seat).await;
+            connection(inbound.clone(), seat.clone()).await;
+            seat.end().await;
             inside.set(inside.get() - 1);
             seats.leave(number);
         });
--- a/crates/daemon/src/clients/inbound/tests.rs
+++ b/crates/daemon/src/clients/inbound/tests.rs
@@ -3,6 +3,9 @@
 use notchpoint_seam::Stream;
 use notchpoint_seam::real::Sockets;
 use std::collections::{BTreeMap, BTreeSet};
+use std::io;
+use std::net::Shutdown;
+use std::task::{Context, Poll};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
@@ -115,3 +118,85 @@
         }
     });
 }
+
+/// A connection that always looks as if nothing had come on it: what came did so right after the look.
+struct Crossed(TcpStream);
+
+impl Stream for Crossed {
+    fn poll_read_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.0.poll_read_ready(cx)
+    }
+
+    fn try_read(&self, buf: &mut [u8]) -> io::Result<usize> {
+        self.0.try_read(buf)
+    }
+
+    fn poll_write_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.0.poll_write_ready(cx)
+    }
+
+    fn try_write(&self, buf: &[u8]) -> io::Result<usize> {
+        self.0.try_write(buf)
+    }
+
+    fn is_quiet(&self) -> bool {
+        true
+    }
+
+    fn shutdown(&self, how: Shutdown) -> io::Result<()> {
+        Stream::shutdown(&self.0, how)
+    }
+
+    fn set_nodelay(&self) -> io::Result<()> {
+        Stream::set_nodelay(&self.0)
+    }
+}
+
+#[test]
+fn a_request_that_crosses_the_end_of_its_connection_is_not_sent_on() {
+    let local = tokio::task::LocalSet::new();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    local.block_on(&runtime, async {
+        // Its place is wanted by another client; or the process is told to end its connections.
+        for wanted in [true, false] {
+            let folder = tempfile::tempdir().expect("a folder");
+            let (inbound, mut received) = behind(folder.path());
+            let address = "127.0.0.1:4".parse().expect("an address");
+            let target = Target { address, dest: DestinationId(3), live: true, apart: false, bundle: 1 };
+            inbound.calls.list(EndpointId(1), Some(target));
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+            let mut client =
+                TcpStream::connect(listener.local_addr().expect("its address")).await.expect("a connection");
+            let (stream, _) = listener.accept().await.expect("a connection");
+            let request = "POST /update HTTP/1.1\r\nX-Request-ID: 00000000000000a1\r\nX-Priority-Class: update\r\n\
+                           X-Tenant-Id: acme\r\nX-Timeout-Ms: 6000\r\nX-Envelope: dest=3\r\n\
+                           Content-Length: 1\r\n\r\nb";
+            client.write_all(request.as_bytes()).await.expect("written");
+            poll_fn(|cx| stream.poll_read_ready(cx)).await.expect("it has come, and nobody has read it");
+            let seat = Rc::new(Seat::new(Rc::new(Crossed(stream)), Duration::ZERO));
+            let seats = Seats::default();
+            seats.take(&seat);
+            if wanted {
+                tokio::time::sleep(Duration::from_millis(60)).await;
+                seats.free(1).await;
+            } else {
+                inbound.door.close.say();
+            }
+            let (behind, ended) = (inbound.clone(), seat.clone());
+            let served = tokio::task::spawn_local(async move {
+                connection(behind, ended.clone()).await;
+                ended.end().await;
+            });
+            let mut said = Vec::new();
+            let _ = client.read_to_end(&mut said).await;
+            drop(client);
+            served.await.expect("it ended");
+            let said = String::from_utf8(said).expect("text");
+            let taken = matches!(received.try_recv(), Ok(Input::Taken(..)));
+            // Promised or not: what is sent on has been promised, and what was not promised is forgotten.
+            assert_eq!(taken, said.starts_with("HTTP/1.1 202"), "{said}");
+            assert_eq!(inbound.journal.borrow().get(MessageId(0xa1)).is_some(), taken);
+            assert!(!(wanted && taken), "its place was gone before it was read");
+        }
+    });
+}
--- a/crates/daemon/src/clients/seats.rs
+++ b/crates/daemon/src/clients/seats.rs
@@ -1,6 +1,7 @@
 //! The places that clients' connections take: how long each may be held, and who gives way where all are
 //! taken.
 
+use crate::io::read_some;
 use notchpoint_seam::Stream;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -8,7 +9,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, timeout, timeout_at};
 
 /// A request may come in pieces over more than 2 s; who takes longer than this from its first byte to its
 /// last, or to read the answer, has given up.
@@ -25,6 +26,11 @@
 const UNUSED: Duration = Duration::from_millis(50);
 /// Beyond its end a connection is read for so long at most, while something comes.
 pub const GRACE: Duration = Duration::from_millis(100);
+/// So long a connection that has ended on this side is still read, and what comes is thrown away: closed over
+/// bytes that nobody has read it would be reset, and a reset takes with it the answer that was written last.
+const LINGER: Duration = Duration::from_millis(500);
+/// Thrown away at a time.
+const BLOCK: usize = 16 << 10;
 /// How often it is looked for a place while there is none.
 pub const LOOK: Duration = Duration::from_millis(20);
 
@@ -39,6 +45,8 @@
     Serving,
     /// The answer is written.
     Answering,
+    /// It has ended on this side.
+    Lingering,
 }
 
 /// The place that a connection takes.
@@ -88,13 +96,32 @@
             Stage::Idle => self.since.get() + SILENT,
             Stage::Reading => self.whole_by(),
             Stage::Serving | Stage::Answering => self.whole_by() + SLOW,
+            Stage::Lingering => self.since.get() + LINGER,
         }
     }
 
+    /// Ends the connection in an orderly way: its writing side first, and all of it once the client has ended
+    /// its own, or has had the time for that.
+    pub async fn end(&self) {
+        self.enter(Stage::Lingering);
+        self.since.set(Instant::now());
+        if self.stream.shutdown(Shutdown::Write).is_err() {
+            return;
+        }
+        let mut block = vec![0; BLOCK];
+        let read = async { while read_some(&*self.stream, &mut block).await.is_ok_and(|n| n > 0) {} };
+        let _ = timeout_at(self.ends_at(), read).await;
+    }
+
     /// No request is open on it, nor waits unread.
     pub fn is_unused(&self) -> bool {
         self.stage.get() == Stage::Idle && self.stream.is_quiet()
     }
+
+    /// Nothing that comes on it would be served.
+    fn is_over(&self) -> bool {
+        self.stage.get() == Stage::Lingering
+    }
 }
 
 /// The connections that there are, by their number.
@@ -111,7 +138,8 @@
     pub async fn free(&self, most: usize) {
         while self.taken.borrow().len() >= most {
             if let Some((number, seat)) = self.unused() {
-                // Ended here and now: between the look and the end nothing can come in.
+                // A request that comes between the look and the end may still be read: its answer cannot be
+                // written, and so it is never sent on.
                 let _ = seat.stream.shutdown(Shutdown::Both);
                 self.taken.borrow_mut().remove(&number);
                 return;
@@ -124,10 +152,11 @@
         let taken = self.taken.borrow();
         let mut idle: Vec<_> = taken
             .iter()
-            .filter(|(_, s)| s.stage.get() == Stage::Idle && s.since.get().elapsed() >= UNUSED)
+            .filter(|(_, s)| s.stage.get() == Stage::Idle || s.is_over())
+            .filter(|(_, s)| s.since.get().elapsed() >= UNUSED)
             .collect();
         idle.sort_by_key(|(_, s)| s.since.get());
-        idle.into_iter().find(|(_, s)| s.is_unused()).map(|(&n, s)| (n, s.clone()))
+        idle.into_iter().find(|(_, s)| s.is_over() || s.is_unused()).map(|(&n, s)| (n, s.clone()))
     }
 
     pub fn take(&self, seat: &Rc<Seat>) -> u64 {
--- a/crates/daemon/src/clients/seats/tests.rs
+++ b/crates/daemon/src/clients/seats/tests.rs
@@ -31,3 +31,28 @@
         assert_eq!(clients[2].try_read(&mut [0; 1]).expect("its end"), 0);
     });
 }
+
+#[test]
+fn a_place_is_taken_from_a_connection_that_is_over_whatever_comes_on_it() {
+    // Guards against clients that keep their side open, or send without end, filling the places for as long.
+    let local = tokio::task::LocalSet::new();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    local.block_on(&runtime, async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let client = TcpStream::connect(address).await.expect("a connection");
+        let (stream, _) = listener.accept().await.expect("a connection");
+        let (seats, seat) = (Seats::default(), Rc::new(Seat::new(Rc::new(stream), Duration::ZERO)));
+        seats.take(&seat);
+        seat.stage.set(Stage::Answering);
+        let (ended, begun) = (seat.clone(), Instant::now());
+        let ending = tokio::task::spawn_local(async move { ended.end().await });
+        client.writable().await.expect("open");
+        client.try_write(b"more").expect("written");
+        let gives_way = timeout(Duration::from_secs(20), seats.free(1));
+        gives_way.await.expect("it does not wait for the client's end");
+        assert!(begun.elapsed() >= UNUSED, "after the time that an answer takes");
+        ending.await.expect("it ended");
+        assert!(seats.taken.borrow().is_empty());
+    });
+}
