Tests of kills: at many points with calls out, and while a connection comes up

Read: an attempt is recorded once its connection stands, and nothing waits from there to its first byte (calls/exchange.rs), so a kill between the two should hardly fall there. No fault found. A kill while an endpoint's queue of connections is full and a call waits for its connection: all four unsafe messages are called after the restart.

--- a/crates/daemon/tests/sockets/restart.rs
+++ b/crates/daemon/tests/sockets/restart.rs
@@ -96,3 +96,72 @@
     assert_eq!(endpoint.call(0).header("x-request-id"), format!("{:016x}", 1));
     assert_eq!(endpoint.calls(), 1);
 }
+
+#[test]
+fn what_a_kill_at_any_moment_leaves_untried_is_tried_after_the_restart() {
+    // Killed behind its first, second, ... promise, with calls out and as many messages waiting.
+    const KILLS: u64 = 24;
+    let mut seed = 1_u64;
+    let endpoint = Endpoint::new(move |_| {
+        // Between nought and three milliseconds, so that the kill finds a call at another point each time.
+        seed = seed.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+        thread::sleep(Duration::from_micros((seed >> 33) % 3_000));
+        answer("200 OK", "", "")
+    });
+    let room = |text: String| text.replace("\"mostHeld\": 230", "\"mostHeld\": 5000");
+    let mut node = Node::new(&[member("s-1", endpoint.address, "shop", 3, "up")], room);
+    let mut promised = Vec::new();
+    for kill in 0..KILLS {
+        let before = endpoint.calls() as u64;
+        let mut client = Client::new(node.address);
+        for i in 0..=kill + 3 {
+            let (class, id) = (if i % 2 == 0 { "payment" } else { "update" }, kill * 100 + i);
+            let heard = client.hand_in(class, id, 3, LONG, b"x");
+            assert_eq!(heard.status(), 202, "kill {kill}, message {i}: {heard:?}");
+            promised.push((class, id));
+        }
+        until("some are called, and most wait", || endpoint.calls() as u64 >= before + kill % 4);
+        node.restart();
+    }
+    let heard = || -> BTreeMap<String, usize> {
+        let mut calls = BTreeMap::new();
+        for n in 0..endpoint.calls() {
+            *calls.entry(endpoint.call(n).header("x-request-id").to_owned()).or_default() += 1;
+        }
+        calls
+    };
+    let name = |id: u64| format!("{id:016x}");
+    until("each is called or told of", || {
+        let calls = heard();
+        promised.iter().all(|&(_, id)| calls.contains_key(&name(id)) || node.platform.has_notice(id))
+    });
+    let calls = heard();
+    let untried: Vec<_> = promised.iter().filter(|(_, id)| !calls.contains_key(&name(*id))).collect();
+    // Between an attempt's record and its first byte nothing waits, so that hardly a kill can fall there; what
+    // it finds there must not be repeated, and may have run for all that is known.
+    assert!(untried.iter().all(|(class, _)| *class == "payment"), "given up with no call: {untried:?}");
+    assert!(untried.len() as u64 <= KILLS / 8, "given up with no call: {untried:?}");
+    let twice = |id: u64| calls.get(&name(id)).is_some_and(|&times| times > 1);
+    assert!(promised.iter().all(|&(class, id)| class == "update" || !twice(id)), "repeated: {calls:?}");
+}
+
+#[test]
+fn a_kill_while_a_connection_comes_up_leaves_its_messages_untried() {
+    // Recorded before there is a connection, an attempt that never was would end what must not be repeated.
+    let full = Unreachable::new();
+    let endpoint = Endpoint::new(|_| answer("200 OK", "", ""));
+    let mut node = Node::new(&[member("s-1", full.address, "shop", 3, "up")], |text| text);
+    let ids = 1..=4;
+    for id in ids.clone() {
+        assert_eq!(node.hand_in("payment", id, 3, LONG, b"x").status(), 202);
+    }
+    until("a call waits for its connection", || full.is_dialed());
+    node.kill();
+    let config = node.config().replace(&full.address.to_string(), &endpoint.address.to_string());
+    std::fs::write(node.folder.path().join("config.json"), config).expect("a file");
+    node.start_again();
+    until("a call of each", || endpoint.calls() >= ids.clone().count());
+    let heard: BTreeMap<String, ()> =
+        (0..endpoint.calls()).map(|n| (endpoint.call(n).header("x-request-id").to_owned(), ())).collect();
+    assert_eq!(heard.len(), ids.count(), "each once: {heard:?}");
+}
--- a/crates/daemon/tests/sockets/watch.rs
+++ b/crates/daemon/tests/sockets/watch.rs
@@ -166,24 +166,14 @@
 
 #[test]
 fn a_connection_that_never_comes_up_is_tried_again_in_time() {
-    // Nobody accepts, and the queue is full: what is dialled then is never answered.
-    let listener =
-        socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
-    listener.bind(&"127.0.0.1:0".parse::<std::net::SocketAddr>().expect("one").into()).expect("a port");
-    listener.listen(0).expect("it listens");
-    let address = listener.local_addr().expect("one").as_socket().expect("one");
-    let mut held = vec![TcpStream::connect(address).expect("the queue takes one")];
-    while let Ok(one) = TcpStream::connect_timeout(&address, Duration::from_millis(100)) {
-        held.push(one);
-    }
-    let (node, endpoint, told) = waiting(&address.to_string());
+    let service = Unreachable::new();
+    let (node, endpoint, told) = waiting(&service.address.to_string());
     thread::sleep(Duration::from_secs(1));
     // From now on the service can be reached.
     let reached = Instant::now();
     let up = member("s-1", endpoint.address, "shop", 3, "up");
     thread::spawn(move || {
-        drop(held);
-        for stream in TcpListener::from(listener).incoming().flatten() {
+        for stream in service.listen().incoming().flatten() {
             let up = up.clone();
             thread::spawn(move || {
                 let mut line = String::new();
--- a/crates/daemon/tests/sockets/world.rs
+++ b/crates/daemon/tests/sockets/world.rs
@@ -83,6 +83,41 @@
 
 pub type Log = Arc<Mutex<Vec<Heard>>>;
 
+/// An address whose queue of connections is full: what is dialed there is not answered.
+pub struct Unreachable {
+    listener: socket2::Socket,
+    pub address: SocketAddr,
+    held: Vec<TcpStream>,
+}
+
+impl Unreachable {
+    pub fn new() -> Self {
+        let listener =
+            socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+        listener.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a port");
+        listener.listen(0).expect("it listens");
+        let address = listener.local_addr().expect("one").as_socket().expect("one");
+        let mut held = vec![TcpStream::connect(address).expect("the queue takes one")];
+        while let Ok(one) = TcpStream::connect_timeout(&address, Duration::from_millis(100)) {
+            held.push(one);
+        }
+        Self { listener, address, held }
+    }
+
+    /// Some connection to it waits to come up: the system's table has one in the state SYN-SENT.
+    pub fn is_dialed(&self) -> bool {
+        let (port, table) =
+            (format!(":{:04X} 02 ", self.address.port()), std::fs::read_to_string("/proc/net/tcp"));
+        table.expect("the system's table").contains(&port)
+    }
+
+    /// It can be reached from now on.
+    pub fn listen(self) -> TcpListener {
+        drop(self.held);
+        self.listener.into()
+    }
+}
+
 /// A partner's endpoint. It does what the test says, call by call.
 pub struct Endpoint {
     pub address: SocketAddr,
