Tests of SIGTERM while the store is waited for, in a take-over, and at the process that has handed over

Read: `Told` keeps a signal that nobody waits for yet, `Fixed::open` ends on it with nothing taken, and a process that has handed over serves again where the other one ends. No fault found. Tests over real processes: the old one is stopped, so that the new one waits for the store, and is told to end there; the new one is told SIGHUP and SIGTERM twice right behind the state; the old one is told to end twice with a call out and a request read in part.

--- a/crates/daemon/tests/sockets/upgrade.rs
+++ b/crates/daemon/tests/sockets/upgrade.rs
@@ -115,6 +115,54 @@
     assert!(!node.platform.has_notice(1), "delivered");
 }
 
+#[test]
+fn a_process_told_to_end_while_it_waits_for_the_store_or_takes_over_leaves_the_old_one_serving() {
+    let (endpoint, mut node, say) = with_a_payment_out();
+    // The old one is stopped: it hands nothing over, and holds the store.
+    node.signal("-STOP");
+    assert!(node.next_until("waiting: ", &["-TERM"]), "it ends as it should");
+    node.signal("-CONT");
+    // Wherever the signals meet its start, behind the state: the old one has a call out, so it is still there.
+    let signals = ["-HUP", "-TERM", "-TERM"];
+    assert!(node.next_until("attempts are out there", &signals), "it ends as it should");
+    until("the old one serves", || node.hand_in("update", 2, 3, LONG, b"x").status() == 202);
+    say.send(ok()).expect("it waits");
+    say.send(ok()).expect("it waits");
+    until("both calls", || endpoint.calls() == 2);
+    // The call went on meanwhile and was answered once: nothing is owed, here or after a restart.
+    node.terminate();
+    assert!(node.exit());
+    node.start_again();
+    assert_eq!(node.hand_in("payment", 3, 3, 1, b"x").status(), 202);
+    node.platform.notice(3);
+    assert!(!node.platform.has_notice(1) && !node.platform.has_notice(2));
+    assert_eq!(endpoint.calls(), 2);
+}
+
+#[test]
+fn an_old_process_told_to_end_in_its_hand_over_waits_for_its_call_and_for_who_is_inside() {
+    let (endpoint, mut node, say) = with_a_payment_out();
+    let mut inside = Client::new(node.address);
+    assert_eq!(inside.ask("GET /up", &[], b"").status(), 200);
+    let whole = {
+        let (id, ms) = (format!("{:016x}", 7), LONG.to_string());
+        let lines = headers(&id, "update", &ms, "dest=3").map(|(n, v)| format!("{n}: {v}\r\n")).concat();
+        format!("POST /update HTTP/1.1\r\nHost: api\r\nContent-Length: 4\r\n{lines}\r\nbody")
+    };
+    inside.raw(&whole.as_bytes()[..40]);
+    // Its head was read in part: another request is answered after it.
+    assert_eq!(node.ask("GET /up", &[], b"").status(), 200);
+    let mut old = node.upgrade();
+    old.signal("-TERM");
+    old.signal("-TERM");
+    inside.raw(&whole.as_bytes()[40..]);
+    assert!(inside.until_end().starts_with("HTTP/1.1 202"), "it is recorded by the new one");
+    [ok(), ok()].into_iter().for_each(|r| say.send(r).expect("it waits"));
+    assert!(old.left(), "it ends as it should");
+    until("the request's call", || endpoint.calls() == 2);
+    assert!(!node.platform.has_notice(1), "the payment was delivered, and its answer was heard");
+}
+
 #[test]
 fn upgrades_follow_one_another_and_what_operators_set_goes_along() {
     let (endpoint, mut node, say) = with_a_payment_out();
--- a/crates/daemon/tests/sockets/world.rs
+++ b/crates/daemon/tests/sockets/world.rs
@@ -369,6 +369,10 @@
     /// it should.
     pub fn starts_until(&mut self, step: &str, signals: &[&str]) -> bool {
         self.child = command(&self.folder, self.held.as_ref()).spawn().expect("the program");
+        self.says_until(step, signals)
+    }
+
+    fn says_until(&mut self, step: &str, signals: &[&str]) -> bool {
         let mut lines = BufReader::new(self.child.stdout.take().expect("its output")).lines();
         while !lines.next().expect("it started").expect("text").contains(step) {}
         signals.iter().for_each(|signal| self.signal(signal));
@@ -376,6 +380,16 @@
         self.exit()
     }
 
+    /// Starts the next process beside this one, and sends it these signals once it says that it has come to this
+    /// step. Whether it then ends as it should.
+    pub fn next_until(&mut self, step: &str, signals: &[&str]) -> bool {
+        let child = command(&self.folder, self.held.as_ref()).spawn().expect("the program");
+        let serves = std::mem::replace(&mut self.child, child);
+        let ended = self.says_until(step, signals);
+        self.child = serves;
+        ended
+    }
+
     /// Starts the next process beside this one, and gives the old one once the new one is ready.
     pub fn upgrade(&mut self) -> Old {
         let (child, address, admin) = start(&self.folder, self.held.as_ref());
