A connection that comes while the process ends has the time to bring its first request

Change: one that has had no answer yet is not ended for 0.5 s (`Seat::may_end`); the process ends by its bound all the same. Ruled out: no longer a time, since clients that connect and say nothing would keep each ending process to its last. Test: over real sockets, a connection made right behind the end of a resting one and used 50 ms later gets its 503; without the guard it is closed with nothing said (seen).

--- a/crates/daemon/src/clients/inbound.rs
+++ b/crates/daemon/src/clients/inbound.rs
@@ -201,7 +201,7 @@
             // A request that is being read or answered ends the connection itself; what has come in part is
             // never dropped. hyper would, between two requests.
             () = tokio::time::sleep(CLOSING_LOOK), if closing && !told => {
-                if seat.is_unused() {
+                if seat.may_end() {
                     told = true;
                     served.as_mut().graceful_shutdown();
                 }
--- a/crates/daemon/src/clients/seats.rs
+++ b/crates/daemon/src/clients/seats.rs
@@ -20,6 +20,9 @@
 const FIRST: Duration = Duration::from_millis(2_750);
 /// Clients keep connections, so that the next message needs no new one; forgotten ones end after this.
 const IDLE: Duration = Duration::from_secs(10);
+/// A new connection is not ended for this long: its first request is on its way, and one that is closed with no
+/// answer is a request lost.
+const FRESH: Duration = Duration::from_millis(500);
 /// Where all places are taken, the connection idle longest gives up its own, once its client has had so long
 /// to send what it had ready: those in the queue wait for 400 ms at most, and a request that crosses the end
 /// of an idle connection comes again on a new one.
@@ -118,6 +121,11 @@
         self.stage.get() == Stage::Idle && self.stream.is_quiet()
     }
 
+    /// It may be ended between two requests, since this process or its turn ends.
+    pub fn may_end(&self) -> bool {
+        self.is_unused() && (self.asked.get() || self.opened.elapsed() >= FRESH)
+    }
+
     /// Nothing that comes on it would be served.
     fn is_over(&self) -> bool {
         self.stage.get() == Stage::Lingering
--- a/crates/daemon/tests/sockets/closing.rs
+++ b/crates/daemon/tests/sockets/closing.rs
@@ -95,3 +95,20 @@
     assert!(node.exit());
     assert_eq!(endpoint.calls(), 1);
 }
+
+#[test]
+fn a_connection_that_comes_while_the_process_ends_is_answered() {
+    let (mut node, endpoint) = one("shop", |_| ok());
+    let mut resting = Client::new(node.address);
+    assert_eq!(resting.ask("GET /up", &[], b"").status(), 200);
+    node.terminate();
+    // Connections on which nothing is open are ended from here on; this one has had no request yet.
+    assert!(resting.ended());
+    let mut client = connect(&node);
+    std::thread::sleep(Duration::from_millis(50));
+    client.write_all(&[request(1, 1).as_bytes(), b"x"].concat()).expect("written");
+    let said = to_the_end(&mut client);
+    assert!(said.starts_with("HTTP/1.1 503") && said.contains("connection: close"), "{said:?}");
+    assert!(node.exit());
+    assert_eq!(endpoint.calls(), 0);
+}
