--- a/crates/daemon/src/clients/inbound/tests.rs
+++ b/crates/daemon/src/clients/inbound/tests.rs
@@ -168,8 +168,9 @@
             let mut client =
                 TcpStream::connect(listener.local_addr().expect("its address")).await.expect("a connection");
             let (stream, _) = listener.accept().await.expect("a connection");
-            let request = "POST /update HTTP/1.1\r\nX-Request-ID: 00000000000000a1\r\nX-Priority-Class: update\r\n\
-                           X-Tenant-Id: acme\r\nX-Timeout-Ms: 6000\r\nX-Envelope: dest=3\r\n\
+            let request = "POST /update HTTP/1.1\r\nX-Request-ID: 00000000000000a1\r\n\
+                           X-Priority-Class: update\r\nX-Tenant-Id: acme\r\n\
+                           X-Timeout-Ms: 6000\r\nX-Envelope: dest=3\r\n\
                            Content-Length: 1\r\n\r\nb";
             client.write_all(request.as_bytes()).await.expect("written");
             poll_fn(|cx| stream.poll_read_ready(cx)).await.expect("it has come, and nobody has read it");
--- a/crates/daemon/src/clients/seats.rs
+++ b/crates/daemon/src/clients/seats.rs
@@ -20,8 +20,8 @@
 const FIRST: Duration = Duration::from_millis(2_750);
 /// Clients keep connections, so that the next message needs no new one; forgotten ones end after this.
 const IDLE: Duration = Duration::from_secs(10);
-/// A new connection is not ended for this long: its first request is on its way, and one that is closed with no
-/// answer is a request lost.
+/// A new connection is not ended for this long: its first request is on its way, and one that is closed
+/// with no answer is a request lost.
 const FRESH: Duration = Duration::from_millis(500);
 /// Where all places are taken, the connection idle longest gives up its own, once its client has had so long
 /// to send what it had ready: those in the queue wait for 400 ms at most, and a request that crosses the end
--- a/crates/daemon/tests/sockets/closing.rs
+++ b/crates/daemon/tests/sockets/closing.rs
@@ -6,7 +6,8 @@
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
-/// More than the system holds on the way of a connection: its last byte can be written only as others are read.
+/// More than the system holds on the way of a connection: its last byte can be written only as others are
+/// read.
 const MORE: usize = 16 << 20;
 
 fn connect(node: &Node) -> TcpStream {
--- a/crates/daemon/tests/sockets/restart.rs
+++ b/crates/daemon/tests/sockets/restart.rs
@@ -137,8 +137,8 @@
     });
     let calls = heard();
     let untried: Vec<_> = promised.iter().filter(|(_, id)| !calls.contains_key(&name(*id))).collect();
-    // Between an attempt's record and its first byte nothing waits, so that hardly a kill can fall there; what
-    // it finds there must not be repeated, and may have run for all that is known.
+    // Between an attempt's record and its first byte nothing waits, so that hardly a kill can fall there;
+    // what it finds there must not be repeated, and may have run for all that is known.
     assert!(untried.iter().all(|(class, _)| *class == "payment"), "given up with no call: {untried:?}");
     assert!(untried.len() as u64 <= KILLS / 8, "given up with no call: {untried:?}");
     let twice = |id: u64| calls.get(&name(id)).is_some_and(|&times| times > 1);
--- a/crates/daemon/tests/sockets/upgrade.rs
+++ b/crates/daemon/tests/sockets/upgrade.rs
@@ -122,7 +122,8 @@
     node.signal("-STOP");
     assert!(node.next_until("waiting: ", &["-TERM"]), "it ends as it should");
     node.signal("-CONT");
-    // Wherever the signals meet its start, behind the state: the old one has a call out, so it is still there.
+    // Wherever the signals meet its start, behind the state: the old one has a call out, so it is still
+    // there.
     let signals = ["-HUP", "-TERM", "-TERM"];
     assert!(node.next_until("attempts are out there", &signals), "it ends as it should");
     until("the old one serves", || node.hand_in("update", 2, 3, LONG, b"x").status() == 202);
--- a/crates/daemon/tests/sockets/world.rs
+++ b/crates/daemon/tests/sockets/world.rs
@@ -380,8 +380,8 @@
         self.exit()
     }
 
-    /// Starts the next process beside this one, and sends it these signals once it says that it has come to this
-    /// step. Whether it then ends as it should.
+    /// Starts the next process beside this one, and sends it these signals once it says that it has come to
+    /// this step. Whether it then ends as it should.
     pub fn next_until(&mut self, step: &str, signals: &[&str]) -> bool {
         let child = command(&self.folder, self.held.as_ref()).spawn().expect("the program");
         let serves = std::mem::replace(&mut self.child, child);
--- a/crates/policy/src/credit.rs
+++ b/crates/policy/src/credit.rs
@@ -17,10 +17,10 @@
     /// The share of what comes in that a destination held back or returning may be sent.
     pub fn share(&self, set: &Settings, now: Micros) -> f64 {
         let warm = match self.health {
-            // Senders find it back one after another, each within the gap between two of its trials. Where each
-            // goes on as if it had been back for all of that, and then grows with time, what all of them send
-            // together grows as fast as what it can do. It is warm for certain, and this ends, only a whole
-            // cold time after a call was served.
+            // Senders find it back one after another, each within the gap between two of its trials. Where
+            // each goes on as if it had been back for all of that, and then grows with time, what all of
+            // them send together grows as fast as what it can do. It is warm for certain, and this ends,
+            // only a whole cold time after a call was served.
             Health::Ramp { since, gap } => (now - since + gap / 2).max(gap) as f64 / set.cold.max(1) as f64,
             // It may be back since just now, and the trials of all senders add up.
             Health::Open { .. } => 0.0,
@@ -53,8 +53,8 @@
         if !self.metered() {
             return;
         }
-        // While one that fails has told to wait, no credit comes up: all senders would have a trial ready for the
-        // very moment at which the wait ends.
+        // While one that fails has told to wait, no credit comes up: all senders would have a trial ready
+        // for the very moment at which the wait ends.
         let waits = if matches!(self.health, Health::Open { .. }) { self.rest_until } else { 0 };
         let dt = now.saturating_sub(self.credit_at.max(waits)) as f64 / 1e6;
         let more = if now < waits { 0.0 } else { more };
--- a/crates/policy/tests/fleet.rs
+++ b/crates/policy/tests/fleet.rs
@@ -8,8 +8,8 @@
     Settings { slots: 3, senders, fall_multiple: 2.0, cold: 10 * SEC, start_share: 0.2, ..settings() }
 }
 
-/// Many senders before destination 1, which refuses connections until `back` and serves from then on. Each has
-/// its part of what comes in, seven messages a second.
+/// Many senders before destination 1, which refuses connections until `back` and serves from then on. Each
+/// has its part of what comes in, seven messages a second.
 struct Fleet {
     senders: u64,
     seed: u64,
@@ -107,9 +107,10 @@
             assert!(came < 2.0 * can * 1.5, "second {second}: {came}, notes {lost:?}");
         }
         assert!(rate(&calls, 0, 10 * SEC) > 1.0, "it comes back all the same");
-        // What was held meanwhile is not left to run out: more goes than the seven a second that come in. Where
-        // senders tell each other, nearly all that the destination can do meanwhile; where each has to find out
-        // by a trial of its own, and these may not push it over, no more than has been found by then.
+        // What was held meanwhile is not left to run out: more goes than the seven a second that come in.
+        // Where senders tell each other, nearly all that the destination can do meanwhile; where each has
+        // to find out by a trial of its own, and these may not push it over, no more than has been found by
+        // then.
         let ramp = rate(&calls, 4 * SEC, 14 * SEC);
         assert!(
             ramp > least,
@@ -147,8 +148,9 @@
                     let ms = from / MS;
                     assert!(
                         came <= most,
-                        "{senders} senders, seed {seed}, one of {restarted} anew, waits {waits}, notes {lost:?}: {came} calls \
-                         from {ms} ms on, where {n:.1} are allowed and {most:.1} are chance"
+                        "{senders} senders, seed {seed}, one of {restarted} anew, waits {waits}, notes \
+                         {lost:?}: {came} calls from {ms} ms on, where {n:.1} are allowed and {most:.1} are \
+                         chance"
                     );
                 }
             }
