--- a/crates/policy/src/credit.rs
+++ b/crates/policy/src/credit.rs
@@ -10,7 +10,7 @@
 /// by what comes in for it; and all senders together make at least so many trials a second.
 const METER: f64 = 0.4;
 /// The same where it refused nothing in the last minute: what came in is then no more than it can do.
-const METER_ROOM: f64 = 0.6;
+const METER_ROOM: f64 = 0.65;
 const TRIALS_LEAST: f64 = 1.5;
 
 impl Route {
