Only a connection that ended with its last answer is read on; a resting one ends unread

Cause, as far as shown: since each ended connection was read on, also a resting one. A request that crosses its end was then read and thrown away, and its client saw no reset by which it could know that nobody had taken it. Change: `Seat::end` only where the last answer said that the connection ends with it (`Seat::last`), which is what its tests ask for.

--- a/crates/daemon/src/clients/inbound.rs
+++ b/crates/daemon/src/clients/inbound.rs
@@ -156,7 +156,10 @@
             let inside = &inbound.door.inside;
             inside.set(inside.get() + 1);
             connection(inbound.clone(), seat.clone()).await;
-            seat.end().await;
+            // What crosses the end of a resting connection stays unread: its client has to see that.
+            if seat.last.get() {
+                seat.end().await;
+            }
             inside.set(inside.get() - 1);
             seats.leave(number);
         });
@@ -183,7 +186,11 @@
                     close_after(&mut answer);
                 }
                 // From here to the answer's last byte nothing waits but the writing.
-                receipt.inspect(|r| r.seat.enter(Stage::Answering));
+                let last = answer.headers().contains_key(CONNECTION);
+                receipt.inspect(|r| {
+                    r.seat.last.set(last);
+                    r.seat.enter(Stage::Answering);
+                });
                 Ok::<_, Infallible>(answer)
             }
         })
--- a/crates/daemon/src/clients/seats.rs
+++ b/crates/daemon/src/clients/seats.rs
@@ -60,6 +60,8 @@
     waited: Duration,
     /// It has had an answer.
     pub asked: Cell<bool>,
+    /// Its answer said that the connection ends with it.
+    pub last: Cell<bool>,
     pub stage: Cell<Stage>,
     /// Since when nothing was open on it, or a request is.
     since: Cell<Instant>,
@@ -69,7 +71,7 @@
     pub fn new(stream: Rc<dyn Stream>, waited: Duration) -> Self {
         let opened = Instant::now();
         let (asked, stage, since) = (Cell::new(false), Cell::new(Stage::Idle), Cell::new(opened));
-        Self { stream, opened, waited, asked, stage, since }
+        Self { stream, opened, waited, asked, last: Cell::new(false), stage, since }
     }
 
     pub fn enter(&self, stage: Stage) {
