A fault shim for processes under test, and two failing tests of a stepped wall clock

Measured on this tree: both tests fail. After a step of +1 h a waiting payment is ended at once by a notice; over a restart an hour forward ends a message that had its time.

--- a/crates/daemon/tests/sockets/main.rs
+++ b/crates/daemon/tests/sockets/main.rs
@@ -1,5 +1,6 @@
 //! The program on loopback sockets, as clients, endpoints and the platform see it.
 
+mod clock;
 mod closing;
 mod flight;
 mod keys;
--- a/crates/daemon/tests/sockets/world.rs
+++ b/crates/daemon/tests/sockets/world.rs
@@ -1,6 +1,7 @@
 //! What stands round the program in the tests: endpoints, the platform, clients, all on loopback sockets.
 //! It waits on conditions; the one time limit is only there so that a failing test ends.
 
+use notchpoint_faults::Faults;
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -10,6 +11,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+/// The control file of the fault shim, where a test injects faults.
+const FAULTS: &str = "faults";
 const LIMIT: Duration = Duration::from_secs(60);
 
 pub fn until(what: &str, mut holds: impl FnMut() -> bool) {
@@ -320,6 +323,14 @@
         Self::build(members, |c| c, None, true)
     }
 
+    /// One whose system calls can be made to fail. Gives what controls that beside it; it goes on over
+    /// restarts.
+    pub fn with_faults(members: &[String], change: impl Fn(String) -> String) -> (Self, Faults) {
+        let folder = tempfile::tempdir().expect("a folder");
+        let faults = Faults::create(&folder.path().join(FAULTS)).expect("a control file");
+        (Self::build_in(folder, members, change, None, false), faults)
+    }
+
     /// With an operator's file; in it FOLDER stands for a folder beside the state.
     pub fn with_operator(
         members: &[String],
@@ -334,9 +345,18 @@
         change: impl Fn(String) -> String,
         operator: Option<&str>,
         holds: bool,
+    ) -> Self {
+        Self::build_in(tempfile::tempdir().expect("a folder"), members, change, operator, holds)
+    }
+
+    fn build_in(
+        folder: tempfile::TempDir,
+        members: &[String],
+        change: impl Fn(String) -> String,
+        operator: Option<&str>,
+        holds: bool,
     ) -> Self {
         let platform = Platform::new();
-        let folder = tempfile::tempdir().expect("a folder");
         let text = include_str!("config.json")
             .replace("DISCOVERY", &platform.address.to_string())
             .replace("MEMBERS", &members.join(","));
@@ -493,6 +513,10 @@
     if operator.exists() {
         command.arg("--operator").arg(operator);
     }
+    let faults = folder.path().join(FAULTS);
+    if faults.exists() {
+        notchpoint_faults::preload(&faults, &mut command).expect("the shim is built");
+    }
     if let Some(held) = held {
         // The platform names descriptor 4; a test can hand on the standard input without unsafe code.
         let socket: std::os::fd::OwnedFd = held.try_clone().expect("a descriptor").into();
--- /dev/null
+++ b/crates/faults/src/lib.rs
@@ -0,0 +1,145 @@
+//! Fault injection for processes under test.
+//!
+//! [`Faults`] is the controlling side: a file of 64-bit words that a test or the soak program writes and that
+//! the shim (`crates/faults-shim`, loaded with `LD_PRELOAD`) maps into the process under test. A change takes
+//! effect with the process's next system call. The shim counts what it injects, so that a test can tell that
+//! its fault has happened.
+#![warn(missing_docs)]
+
+use std::fs::{File, OpenOptions};
+use std::io;
+use std::os::unix::fs::FileExt;
+use std::path::{Path, PathBuf};
+use std::process::Command;
+
+/// Names the control file to the shim.
+pub const CONTROL_VARIABLE: &str = "NOTCHPOINT_FAULTS";
+/// File name of the shim, as cargo builds it.
+pub const SHIM_FILE: &str = "libnotchpoint_faults_shim.so";
+/// Words in the control file: one setting for each [`Word`], and behind them one counter for each.
+pub const WORDS: usize = 32;
+/// Where the counters begin.
+pub const COUNTERS: usize = 16;
+/// Probabilities are given in thousandths.
+pub const ALWAYS: u32 = 1_000;
+
+const WORD_BYTES: usize = 8;
+
+/// What can be made to fail, by its place in the control file.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[repr(usize)]
+pub enum Word {
+    /// Microseconds that are added to the wall clock, as a signed number.
+    WallStep = 0,
+    /// `connect` to an IPv4 address.
+    Connect = 1,
+    /// `write` to a regular file.
+    FileWrite = 2,
+    /// Thousandths of the failing writes that leave half of their bytes behind.
+    HalfWritten = 3,
+    /// `fsync` and `fdatasync`.
+    Sync = 4,
+    /// `rename`, `unlink`, `ftruncate` and opening for writing.
+    FileOperation = 5,
+    /// `accept4`.
+    Accept = 6,
+    /// `setsockopt` of `TCP_NODELAY`.
+    NoDelay = 7,
+    /// `recv` and `send` on a socket.
+    SocketIo = 8,
+    /// Thousandths of the `recv` and `send` calls that handle one byte only.
+    ShortIo = 9,
+    /// `pthread_create`.
+    Thread = 10,
+}
+
+impl Word {
+    /// Offset of its counter in the control file, in words.
+    pub const fn counter(self) -> usize {
+        COUNTERS + self as usize
+    }
+}
+
+/// Packs an error number and how often it is given.
+pub const fn packed(errno: i32, per_mille: u32) -> u64 {
+    ((errno as u64) << 32) | per_mille as u64
+}
+
+/// Takes a packed setting apart: the error number and thousandths.
+pub const fn unpacked(word: u64) -> (i32, u32) {
+    ((word >> 32) as i32, word as u32)
+}
+
+/// The control file of one process under test. All faults are off at first.
+#[derive(Debug)]
+pub struct Faults {
+    file: File,
+}
+
+impl Faults {
+    /// Makes a control file.
+    ///
+    /// # Errors
+    /// The file cannot be written.
+    pub fn create(path: &Path) -> io::Result<Self> {
+        let file = OpenOptions::new().read(true).write(true).create(true).truncate(true).open(path)?;
+        file.write_all_at(&[0; WORDS * WORD_BYTES], 0)?;
+        Ok(Self { file })
+    }
+
+    /// Makes a call fail with this error number, so many times in a thousand; 0 to let it succeed again.
+    ///
+    /// # Errors
+    /// The control file cannot be written.
+    pub fn fail(&self, what: Word, errno: i32, per_mille: u32) -> io::Result<()> {
+        self.write(what as usize, packed(errno, per_mille))
+    }
+
+    /// Sets how far the wall clock is off, in microseconds.
+    ///
+    /// # Errors
+    /// The control file cannot be written.
+    pub fn step_wall_clock(&self, micros: i64) -> io::Result<()> {
+        self.write(Word::WallStep as usize, micros as u64)
+    }
+
+    /// Lets everything succeed again; the wall clock stays where it is.
+    ///
+    /// # Errors
+    /// The control file cannot be written.
+    pub fn clear(&self) -> io::Result<()> {
+        (Word::Connect as usize..COUNTERS).try_for_each(|word| self.write(word, 0))
+    }
+
+    /// How often a fault was injected since the control file was made.
+    ///
+    /// # Errors
+    /// The control file cannot be read.
+    pub fn injected(&self, what: Word) -> io::Result<u64> {
+        let mut bytes = [0; WORD_BYTES];
+        self.file.read_exact_at(&mut bytes, (what.counter() * WORD_BYTES) as u64)?;
+        Ok(u64::from_ne_bytes(bytes))
+    }
+
+    fn write(&self, word: usize, value: u64) -> io::Result<()> {
+        self.file.write_all_at(&value.to_ne_bytes(), (word * WORD_BYTES) as u64)
+    }
+}
+
+/// Has a command run under the shim, with this control file.
+///
+/// # Errors
+/// The shim has not been built beside this program.
+pub fn preload(control: &Path, command: &mut Command) -> io::Result<()> {
+    command.env("LD_PRELOAD", shim()?).env(CONTROL_VARIABLE, control);
+    Ok(())
+}
+
+/// Finds the shim beside the running program, where cargo puts both.
+fn shim() -> io::Result<PathBuf> {
+    let program = std::env::current_exe()?;
+    let folders = program.ancestors().skip(1).take(2);
+    let places = folders.flat_map(|folder| [folder.join(SHIM_FILE), folder.join("deps").join(SHIM_FILE)]);
+    let missing = || io::Error::new(io::ErrorKind::NotFound, format!("{SHIM_FILE} has not been built"));
+    places.into_iter().find(|place| place.exists()).ok_or_else(missing)
+}
