Records are dated by a timeline that goes on over restarts of one boot

Cause: deadlines, attempts and hand-overs were dated by the wall clock, and compared while the process lives and after it. A step of +1 h ended what waited at once (Calls::lead found no time left); a step back kept messages open for an hour, and made an attempt look new, so that a keyed one was repeated beyond its window. Change: state/timeline.rs, wall clock once and the monotonic one from then on; boot id and both times stand in table 5 of the store. On another boot the wall clock decides, no message gets more than its class may have, and what may have run is older than any window. The module's clock starts at 2^50 us: with 100 s a window longer than that was looked back beyond zero and counted as newer than it was (found by reading). The salvage test counts 6 keys for 5, exactly, since the timeline's row is one.

--- a/crates/daemon/src/input.rs
+++ b/crates/daemon/src/input.rs
@@ -9,8 +9,9 @@
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
-/// The module's clock starts here, so that no span looks back beyond its zero.
-pub const CLOCK_START: Micros = 100_000_000;
+/// The module's clock starts here, so that no span looks back beyond its zero: longer ones are turned down in
+/// settings.
+pub const CLOCK_START: Micros = 1 << 50;
 
 /// One piece of news for the node.
 #[derive(Debug)]
--- a/crates/daemon/src/sender.rs
+++ b/crates/daemon/src/sender.rs
@@ -421,6 +421,8 @@
     if let Err(why) = journal.keep(&changes) {
         tracing::warn!("journal: {why}; classes are known for this process only");
     }
+    let deadline = |tag: &str| Some(terms.set.classes.get(terms.classes.place(tag)?)?.deadline);
+    journal.bound_deadlines(deadline);
     terms
 }
 
--- a/crates/daemon/src/state.rs
+++ b/crates/daemon/src/state.rs
@@ -6,3 +6,4 @@
 pub mod record;
 pub mod safety;
 pub mod storage;
+pub mod timeline;
--- a/crates/daemon/src/state/journal.rs
+++ b/crates/daemon/src/state/journal.rs
@@ -8,10 +8,11 @@
 use crate::state::duty::{self, Change, DUTY, Duty};
 use crate::state::legacy;
 use crate::state::record::{
-    self, Attempt, CLASSES, COPIES, JUDGED, MESSAGES, TRIED, UNSURE, judged, key, read, tried,
+    self, Attempt, CLASSES, COPIES, JUDGED, MESSAGES, TAKEN, TRIED, UNSURE, judged, key, read, taken, tried,
 };
 pub use crate::state::record::{Open, Verdict};
-use notchpoint_policy::{Class, EndpointId, MessageId};
+use crate::state::timeline::{Continuity, Reading, TIMELINE, Timeline};
+use notchpoint_policy::{Class, EndpointId, MessageId, Micros};
 use notchpoint_seam::{Clock, Disk};
 use notchpoint_store::{Batch, Error, Mark, Notes, Options, Store, Sync, Work};
 use std::collections::BTreeMap;
@@ -22,12 +23,18 @@
 
 /// What a verdict and an end take of the log: room is kept for those of all that is open.
 const ENDS: u64 = 96;
+/// A step of the wall clock that is told at a start.
+const NOTABLE_STEP: u64 = 1_000_000;
+/// When an attempt was made of which that is not known.
+const LONG_AGO: u64 = 0;
 
 pub struct Journal {
     /// None once another process owns it: then what is known here only helps calls to their end.
     store: Option<Store>,
     last: Mark,
     clock: Rc<dyn Clock>,
+    timeline: Timeline,
+    continuity: Continuity,
     open: BTreeMap<MessageId, Open>,
     /// Messages without an end or a verdict.
     held: usize,
@@ -35,7 +42,8 @@
     duty: Duty,
     /// Definitions of classes that messages may have, by tag, as they were when this was opened.
     classes: BTreeMap<String, Class>,
-    /// Verdicts and ends that could not be written yet, oldest first: at most a few for each open message.
+    /// Verdicts, ends and the timeline that could not be written yet, oldest first: at most a few for each
+    /// open message.
     /// They are tried again before anything else is written.
     owed: VecDeque<Batch>,
     /// Rows of copies, as an earlier process left them, until they are taken.
@@ -62,13 +70,17 @@
         legacy::carry_over(&*disk, &mut store)?;
         let mut open = BTreeMap::new();
         let (mut duty, mut classes, mut unread) = (Duty::default(), BTreeMap::new(), None);
-        let mut copies = Vec::new();
+        let (mut copies, mut saved) = (Vec::new(), None);
         store.visit(|table, key, value| {
             let (what, read) = match table {
                 MESSAGES => ("a message's record", read(key, value, &mut open)),
                 CLASSES => ("a class's definition", read_class(key, value, &mut classes)),
                 DUTY => ("an operator's mark", duty.read(key, value)),
                 COPIES => return copies.push((key.to_vec(), value.to_vec())),
+                TIMELINE => {
+                    saved = Timeline::read(key, value);
+                    ("the timeline's record", saved.map(drop))
+                }
                 _ => return,
             };
             if read.is_none() {
@@ -86,20 +98,72 @@
         let held = open.values().filter(|m| m.verdict.is_none()).count();
         let last = store.mark();
         let (store, owed, watch) = (Some(store), VecDeque::new(), None);
-        let mut journal = Self { store, last, clock, open, held, duty, classes, owed, copies, watch };
+        let now = Reading { boot: clock.boot(), monotonic: clock.monotonic_now(), wall: clock.unix_now() };
+        let (timeline, continuity) = Timeline::resume(saved, now);
+        let mut journal =
+            Self { store, last, clock, timeline, continuity, open, held, duty, classes, owed, copies, watch };
         journal.expect_ends();
+        journal.begin_timeline();
         Ok((journal, notes))
     }
 
+    /// Has records dated by this process's timeline from now on. After a boot the age of attempts is not
+    /// known: those that may have run are taken to be older than any window.
+    fn begin_timeline(&mut self) {
+        if self.continuity == Continuity::SameBoot {
+            let step = self.clock.unix_now().abs_diff(self.unix_now());
+            if step >= NOTABLE_STEP {
+                let seconds = step / NOTABLE_STEP;
+                tracing::info!(
+                    "journal: records are dated {seconds} s off the wall clock, which was stepped"
+                );
+            }
+            return;
+        }
+        let mut batch = Batch::default();
+        self.timeline.write(&mut batch);
+        if self.continuity == Continuity::OtherBoot {
+            tracing::warn!("journal: dated on another boot; deadlines are read by the wall clock");
+            for (id, open) in &mut self.open {
+                for attempt in open.attempts.iter_mut().filter(|a| !a.never_ran) {
+                    attempt.at = LONG_AGO;
+                    batch.put(MESSAGES, &key(*id, TRIED, Some(attempt.number)), &tried(attempt));
+                }
+            }
+        }
+        // Nothing that is dated by it is written before this is.
+        self.append_or_owe(batch);
+    }
+
+    /// After a boot the wall clock may have been set back: no message has more time left than it may have at
+    /// all. `longest` gives that for a class's tag.
+    pub fn bound_deadlines(&mut self, longest: impl Fn(&str) -> Option<Micros>) {
+        if self.continuity != Continuity::OtherBoot {
+            return;
+        }
+        let (now, mut batch) = (self.unix_now(), Batch::default());
+        for (id, open) in &mut self.open {
+            let Some(latest) = longest(&open.class).map(|span| now.saturating_add(span)) else { continue };
+            if open.deadline > latest {
+                open.deadline = latest;
+                batch.put(MESSAGES, &key(*id, TAKEN, None), &taken(open));
+            }
+        }
+        if !batch.is_empty() {
+            self.append_or_owe(batch);
+        }
+    }
+
     fn expect_ends(&mut self) {
         if let Some(store) = &mut self.store {
             store.expect_ends(self.open.len() as u64 * ENDS);
         }
     }
 
-    /// Unix time in microseconds, by the clock that its deadlines are written in.
+    /// Unix time in microseconds on the timeline by which records are dated: differences are spans of real
+    /// time, whatever becomes of the wall clock.
     pub fn unix_now(&self) -> u64 {
-        self.clock.unix_now()
+        self.timeline.at(self.clock.monotonic_now())
     }
 
     pub fn get(&self, id: MessageId) -> Option<&Open> {
--- a/crates/daemon/src/state/storage.rs
+++ b/crates/daemon/src/state/storage.rs
@@ -5,6 +5,7 @@
 use crate::settings::operator::{Durability, Storage};
 use crate::state::duty::DUTY;
 use crate::state::record::{self, CLASSES, COPIES, MESSAGES};
+use crate::state::timeline::TIMELINE;
 use clap::Subcommand;
 use notchpoint_seam::real::Folder;
 use notchpoint_store::format::Record;
@@ -93,6 +94,7 @@
         CLASSES => "classes".to_owned(),
         DUTY => "operators' marks".to_owned(),
         COPIES => "copies".to_owned(),
+        TIMELINE => "timeline".to_owned(),
         other => format!("table {}", other.0),
     }
 }
--- a/crates/daemon/src/upgrade/handover.rs
+++ b/crates/daemon/src/upgrade/handover.rs
@@ -30,7 +30,7 @@
 pub struct State {
     /// The configuration in force.
     pub text: String,
-    /// The module's clock, and the wall clock at that moment (microseconds).
+    /// The module's clock, and the journal's timeline at that moment (microseconds).
     pub at: Micros,
     pub unix: u64,
     pub sender: Sender,
--- a/crates/daemon/tests/sockets/store.rs
+++ b/crates/daemon/tests/sockets/store.rs
@@ -72,7 +72,7 @@
     let saved = command(&["store", "salvage", text(&state), "--to", text(&new)]);
     let words = said(&saved);
     assert!(
-        saved.status.code() == Some(1) && words.contains("5 keys saved") && words.contains("in doubt"),
+        saved.status.code() == Some(1) && words.contains("6 keys saved") && words.contains("in doubt"),
         "{words}"
     );
     assert_eq!(std::fs::read(node.journal()).expect("still there"), bytes, "the damaged one is only read");
--- a/crates/rehearsal/src/virt/mod.rs
+++ b/crates/rehearsal/src/virt/mod.rs
@@ -9,7 +9,7 @@
 use disk::Store;
 use net::{Host, Net};
 use notchpoint::settings::operator::{Copies, Operator, Other, Recorder, Store as Recording, Zones};
-use notchpoint_seam::{Clock, Network, Signal, World};
+use notchpoint_seam::{BootId, Clock, Network, Signal, World};
 use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
@@ -73,7 +73,15 @@
 
 impl Clock for VirtualClock {
     fn unix_now(&self) -> u64 {
-        EPOCH + self.0.elapsed().as_micros() as u64
+        EPOCH + self.monotonic_now()
+    }
+
+    fn monotonic_now(&self) -> u64 {
+        self.0.elapsed().as_micros() as u64
+    }
+
+    fn boot(&self) -> Option<BootId> {
+        Some(BootId([1; 16]))
     }
 }
 
--- a/crates/seam/src/lib.rs
+++ b/crates/seam/src/lib.rs
@@ -18,12 +18,21 @@
 use std::rc::Rc;
 use tokio::sync::mpsc::Receiver;
 
-/// The wall clock: deadlines outlast a process only by it.
+/// The system's clocks, beside tokio's timers.
 pub trait Clock {
-    /// Unix time in microseconds.
+    /// Unix time in microseconds, by the wall clock. It may be stepped at any moment.
     fn unix_now(&self) -> u64;
+    /// Microseconds since the system was booted. All processes of one boot read the same clock, and nothing
+    /// steps it.
+    fn monotonic_now(&self) -> u64;
+    /// Which boot that is; nothing where the system does not tell.
+    fn boot(&self) -> Option<BootId>;
 }
 
+/// Names one boot of one machine.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct BootId(pub [u8; 16]);
+
 /// What a process may be told from outside.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Signal {
--- a/crates/seam/src/real.rs
+++ b/crates/seam/src/real.rs
@@ -1,9 +1,12 @@
 //! The system's own sockets, clock, files and signals.
 
 use crate::net::Connecting;
-use crate::{Clock, ConfigSource, Datagrams, Disk, File, Listener, Network, Signal, Stream, Syncing, World};
+use crate::{
+    BootId, Clock, ConfigSource, Datagrams, Disk, File, Listener, Network, Signal, Stream, Syncing, World,
+};
 use rustix::fs::FlockOperation;
 use rustix::process::{PidfdFlags, PidfdGetfdFlags, getpid, pidfd_getfd, pidfd_open};
+use rustix::time::ClockId;
 use socket2::SockRef;
 use std::any::Any;
 use std::fs::{self, OpenOptions, Permissions};
@@ -63,13 +66,31 @@
     Ok(told)
 }
 
-/// The system's wall clock.
+/// The system's clocks.
 pub struct SystemClock;
 
+/// Where the system tells which boot this is: a UUID in text.
+const BOOT_ID: &str = "/proc/sys/kernel/random/boot_id";
+const MICROS_PER_SECOND: u64 = 1_000_000;
+const NANOS_PER_MICRO: u64 = 1_000;
+
 impl Clock for SystemClock {
     fn unix_now(&self) -> u64 {
         SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros() as u64)
     }
+
+    fn monotonic_now(&self) -> u64 {
+        // The clock of tokio's timers. It stands still while the machine sleeps, as they do.
+        let now = rustix::time::clock_gettime(ClockId::Monotonic);
+        let (seconds, nanos) = (now.tv_sec.unsigned_abs(), now.tv_nsec.unsigned_abs());
+        seconds * MICROS_PER_SECOND + nanos / NANOS_PER_MICRO
+    }
+
+    fn boot(&self) -> Option<BootId> {
+        let text = fs::read_to_string(BOOT_ID).ok()?;
+        let digits: String = text.trim().chars().filter(|c| *c != '-').collect();
+        u128::from_str_radix(&digits, 16).ok().map(|id| BootId(id.to_be_bytes()))
+    }
 }
 
 /// A folder of the file system.
