--- a/crates/daemon/src/state/timeline/tests.rs
+++ b/crates/daemon/src/state/timeline/tests.rs
@@ -95,5 +95,5 @@
 #[test]
 fn the_longest_span_that_settings_allow_does_not_look_back_beyond_the_modules_zero() {
     // Spans of over 2^50 us are turned down.
-    assert!(CLOCK_START >= 1 << 50);
+    const { assert!(CLOCK_START >= 1 << 50) };
 }
--- a/crates/daemon/tests/sockets/main.rs
+++ b/crates/daemon/tests/sockets/main.rs
@@ -2,6 +2,7 @@
 
 mod clock;
 mod closing;
+mod faults;
 mod flight;
 mod keys;
 mod operations;
