What this side could not send is no attempt, is blamed on nobody, and is paced

Cause: pool.rs dropped the error of connect, so EADDRNOTAVAIL, ENFILE and the like were the endpoint's refusal: they halved windows, opened breakers, told the fleet of a failing zone and spent the eight tries. An attempt without a record ended as moot, which counts as a try and was decided on again in the next turn of 5 ms. Change: a typed CallError; Outcome::NotSent, which the module counts neither as an attempt nor as a failure, and rests the route 75 to 125 ms for. TCP_NODELAY that cannot be set breaks no connection to an endpoint. No attempt is made without its record, also of what may be repeated: after a kill it could have more attempts than it may. What ECONNREFUSED, ECONNRESET, ECONNABORTED, ETIMEDOUT and EHOSTUNREACH say is still held against the endpoint.

--- a/crates/daemon/src/calls.rs
+++ b/crates/daemon/src/calls.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod call;
+mod error;
 mod exchange;
 mod passing;
 mod pool;
@@ -10,6 +11,7 @@
 use crate::copies::copying::Copying;
 use crate::input::Input;
 use crate::platform::zoning::Zoning;
+use crate::rare_warning::RareWarning;
 use crate::settings::config::Config;
 use crate::settings::descriptors::Descriptors;
 use crate::state::journal::Journal;
@@ -19,6 +21,7 @@
 pub use answer::End;
 use bytes::Bytes;
 use call::{Call, take};
+use error::CallError;
 use notchpoint_policy::*;
 use notchpoint_seam::Network;
 use pool::{Connection, Idle};
@@ -108,6 +111,8 @@
     /// Connections that may stand idle, so that descriptors are left for clients.
     most_idle: usize,
     second_copies: bool,
+    /// What fails on this side.
+    trouble: RareWarning,
 }
 
 impl Calls {
@@ -142,6 +147,7 @@
             idle: Duration::from_micros(set.conn_idle).mul_f64(IDLE_SHARE),
             most_idle: Descriptors::new(config).idle,
             second_copies: set.second_copies,
+            trouble: RareWarning::default(),
         });
         let swept = Rc::downgrade(&calls);
         tokio::task::spawn_local(async move {
@@ -322,6 +328,9 @@
                 ended.for_each(|(i, end)| self.report(endpoint, &i, end));
             }
         };
+        if let Some(Err(CallError::NotSent(why))) = &answer {
+            self.trouble.tell(&format_args!("a connection cannot be made here: {why}"));
+        }
         let open = call.connection.borrow_mut().take();
         if let Some(c) = open {
             c.close().await;
@@ -334,6 +343,7 @@
                 _ if self.is_settled(&call) => Outcome::Served.into(),
                 _ if call.is_written() && call.is_answered() => Outcome::Spoilt.into(),
                 _ if call.is_written() => Outcome::Reset.into(),
+                Some(Err(CallError::NotSent(_))) => Outcome::NotSent.into(),
                 _ => Outcome::ConnectFailed.into(),
             };
             self.report(endpoint, &item, end);
@@ -376,7 +386,10 @@
         let age = sent.map_or(0, |at| journal.unix_now().saturating_sub(at));
         if end.over || outcome == Outcome::Served {
             journal.end(id);
-        } else if matches!(outcome, Outcome::Full { .. } | Outcome::ConnectFailed | Outcome::Moot) {
+        } else if matches!(
+            outcome,
+            Outcome::Full { .. } | Outcome::ConnectFailed | Outcome::Moot | Outcome::NotSent
+        ) {
             journal.never_ran(id, attempt);
         }
         if let (Outcome::Full { wait: Some(wait) }, Some(t)) = (outcome, self.targets.borrow().get(&endpoint))
--- a/crates/daemon/src/calls/answer.rs
+++ b/crates/daemon/src/calls/answer.rs
@@ -1,5 +1,6 @@
 //! What an answer says of each message of its call.
 
+use super::error::CallError;
 use super::progress::Progress;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body as _, Incoming};
@@ -37,18 +38,19 @@
     response: impl Future<Output = hyper::Result<Response<Incoming>>>,
     batch: bool,
     passed: &Progress,
-) -> Result<(Answer, bool), ()> {
-    let response = response.await.map_err(drop)?;
+) -> Result<(Answer, bool), CallError> {
+    let response = response.await.map_err(|_| CallError::Broken)?;
     if passed.came.borrow().early {
         // Nothing waited for it: it is left over from an earlier call, and what is said is not meant for
         // this.
-        return Err(());
+        return Err(CallError::Broken);
     }
     let keep = !closes(&response);
     let each = batch && response.status() == StatusCode::OK;
     let (end, wait) = (read_status(&response), read_wait(response.headers()));
     let length = response.body().size_hint().exact();
-    let body = Limited::new(response.into_body(), ANSWER).collect().await.map_err(drop)?.to_bytes();
+    let body = Limited::new(response.into_body(), ANSWER).collect().await.map_err(|_| CallError::Broken)?;
+    let body = body.to_bytes();
     let keep = keep && !length.is_some_and(|n| passed.has_more(n));
     let answer = if each { Answer::Each(read_batch(&body, wait, end.allowance)) } else { Answer::Alike(end) };
     Ok((answer, keep))
--- a/crates/daemon/src/calls/exchange.rs
+++ b/crates/daemon/src/calls/exchange.rs
@@ -2,6 +2,7 @@
 
 use super::answer::{Answer, read_answer};
 use super::call::{Call, take};
+use super::error::CallError;
 use super::pool::Connection;
 use super::progress::Progress;
 use super::{Calls, Item};
@@ -32,7 +33,7 @@
         endpoint: EndpointId,
         mut used: Option<Connection>,
         call: &Call,
-    ) -> Result<Answer, ()> {
+    ) -> Result<Answer, CallError> {
         let Call { started, waiting, connection, progress, .. } = call;
         let moot = Ok(Answer::Alike(Outcome::Moot.into()));
         let Some(target) = self.target(endpoint) else {
@@ -58,18 +59,18 @@
                 conn.close().await;
                 return moot;
             }
-            let gone = take(waiting, |i| {
-                let mut journal = self.journal.borrow_mut();
-                let open = journal.get(i.id).is_some_and(|m| m.verdict.is_none());
-                !open || (recorded.is_none() && journal.attempt(i.id, i.attempt, endpoint).is_err())
-            });
+            let is_open = |i: &Item| self.journal.borrow().get(i.id).is_some_and(|m| m.verdict.is_none());
+            let gone = take(waiting, |i| !is_open(i));
             gone.iter().for_each(|i| self.report(endpoint, i, Outcome::Moot.into()));
+            if recorded.is_none() {
+                self.record_attempts(endpoint, waiting);
+            }
             // An attempt's record comes before its first byte, on whatever it is to outlast.
             let mark = *recorded.get_or_insert_with(|| self.safety.mark());
             if !self.safety.is_firm(&mark) {
                 if !self.safety.reached(&mark, SAFE_WITHIN).await {
                     self.release(endpoint, conn).await;
-                    return moot;
+                    return Ok(Answer::Alike(Outcome::NotSent.into()));
                 }
                 // That took time: all is looked at again.
                 used = Some(conn);
@@ -112,7 +113,7 @@
             let answer = tokio::select! {
                 biased;
                 answer = read_answer(response, sent.len() > 1, &passed) => answer,
-                () = self.overdue(call, &passed) => Err(()),
+                () = self.overdue(call, &passed) => Err(CallError::Broken),
             };
             match answer {
                 Ok(_) if !self.is_settled(call) && call.is_over() => {
@@ -126,17 +127,31 @@
                     return Ok(answer);
                 }
                 // Closed in the very moment of its use: it says nothing of how a new connection would fare.
-                Err(()) if reused && !passed.complete() => {
+                Err(_) if reused && !passed.complete() => {
                     let old = connection.borrow_mut().take();
                     if let Some(old) = old {
                         old.close().await;
                     }
                 }
-                Err(()) => return Err(()),
+                Err(why) => return Err(why),
             }
         }
     }
 
+    /// Records these attempts. One without a record is not made, also where its message may be repeated: after
+    /// a restart nobody would know of it, and its message could have more attempts than it may.
+    fn record_attempts(&self, endpoint: EndpointId, waiting: &RefCell<Vec<Item>>) {
+        let mut failed = None;
+        let unrecorded = take(waiting, |i| {
+            let recorded = self.journal.borrow_mut().attempt(i.id, i.attempt, endpoint);
+            recorded.map_err(|why| failed = Some(why)).is_err()
+        });
+        if let Some(why) = failed {
+            self.trouble.tell(&format_args!("journal: {why}; calls wait until attempts can be recorded"));
+        }
+        unrecorded.iter().for_each(|i| self.report(endpoint, i, Outcome::NotSent.into()));
+    }
+
     /// Asks the keepers of copies for their consent to these attempts; those without it are not made. Whether
     /// that took time.
     async fn ask_others(&self, endpoint: EndpointId, waiting: &RefCell<Vec<Item>>) -> bool {
--- a/crates/daemon/src/calls/pool.rs
+++ b/crates/daemon/src/calls/pool.rs
@@ -1,6 +1,7 @@
 //! Connections to endpoints: made, kept while they stand idle, and closed.
 
 use super::Calls;
+use super::error::CallError;
 use super::progress::Progress;
 use crate::input::Input;
 use crate::io::Observed;
@@ -120,14 +121,17 @@
         let _ = self.inputs.send(Input::Event(Event::Unused(id)));
     }
 
-    pub(super) async fn connect(&self, address: SocketAddr) -> Result<Connection, ()> {
-        let stream = timeout(self.connect_timeout, self.net.connect(address)).await;
-        let stream = stream.map_err(drop)?.map_err(drop)?;
-        stream.set_nodelay().map_err(drop)?;
+    pub(super) async fn connect(&self, address: SocketAddr) -> Result<Connection, CallError> {
+        let connecting = timeout(self.connect_timeout, self.net.connect(address)).await;
+        let stream = connecting.map_err(|_| CallError::Unreachable)?.map_err(CallError::of_connect)?;
+        // Without it small writes wait for a while: no reason to do without the connection.
+        if let Err(why) = stream.set_nodelay() {
+            self.trouble.tell(&format_args!("TCP_NODELAY: {why}"));
+        }
         let progress = Rc::new(Progress::default());
         let observed = Observed::new(stream.clone(), progress.clone());
         let made = http1::Builder::new().max_buf_size(BUFFER).handshake(observed).await;
-        let (sender, driver) = made.map_err(drop)?;
+        let (sender, driver) = made.map_err(|_| CallError::Broken)?;
         // Its end shows at the sender.
         let driver = Driver(tokio::task::spawn_local(async move { drop(driver.await) }));
         Ok(Connection { sender, driver, progress, stream, address })
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -13,6 +13,7 @@
 mod operators;
 mod out;
 mod platform;
+mod rare_warning;
 pub mod sender;
 pub mod settings;
 mod state;
--- a/crates/daemon/src/platform/zoning.rs
+++ b/crates/daemon/src/platform/zoning.rs
@@ -176,7 +176,7 @@
             // Whoever answers is there, whatever it says.
             Outcome::Served | Outcome::Failed | Outcome::Full { .. } | Outcome::Spoilt => Came::Answered,
             Outcome::TimedOut | Outcome::ConnectFailed | Outcome::Reset => Came::Failed,
-            Outcome::Cancelled | Outcome::Moot => return,
+            Outcome::Cancelled | Outcome::Moot | Outcome::NotSent => return,
         };
         if let Some(&(zone, dest, _)) = self.places.borrow().get(&endpoint) {
             let now = self.now();
--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -4,7 +4,7 @@
 //! Hard-Coding Your Agent Concurrency: Let It Tune Itself From What It Observes". All else guards it.
 
 use crate::interface::Outcome::{
-    Cancelled, ConnectFailed, Failed, Full, Moot, Reset, Served, Spoilt, TimedOut,
+    Cancelled, ConnectFailed, Failed, Full, Moot, NotSent, Reset, Served, Spoilt, TimedOut,
 };
 use crate::interface::*;
 use crate::note::{self, Word};
@@ -34,6 +34,9 @@
 /// It is longer where few messages come in: by this share of the time between two, up to a limit.
 const REST_FLOW: f64 = 0.5;
 const REST_MOST: Micros = 4 * SEC;
+/// A route rests so long after a call that this side could not send: what failed here is not mended by asking
+/// at once, and each try costs as much as a call.
+const LOCAL_REST: Micros = 100 * MS;
 /// Pace: what a served call makes of it, and what a note of a refusal does.
 const PACE_UP: f64 = 1.3;
 /// So many refusals in a row, none served between: a drowned limit, not just a full one.
@@ -319,7 +322,7 @@
     /// Nothing that may have run is sent or refused beyond what its effect allows.
     fn may(&self, h: &Held) -> (bool, bool) {
         let c = &self.set.classes[h.class];
-        let left = h.attempts.len() < self.set.max_attempts as usize;
+        let left = h.tries() < self.set.max_attempts as usize;
         match (c.effect, h.ran) {
             (_, None) => (left && h.out == 0, h.out == 0),
             (Effect::Safe, _) => (left && h.out == 0, true),
@@ -395,7 +398,7 @@
                     r.breaks.answered();
                     r.rate.answered(now, call.sent, matches!(outcome, Full { .. }));
                 }
-                TimedOut | Cancelled | Moot => {}
+                TimedOut | Cancelled | Moot | NotSent => {}
             }
         }
         // It had less time than usual answers take: that it ran out says nothing of load or health.
@@ -412,8 +415,9 @@
             h.ran = Some(h.ran.map_or(ran, |r| if r.0 <= ran.0 { r } else { ran }));
         }
         if matches!(outcome, Failed | ConnectFailed) {
-            h.not_before = now + (AGAIN << h.attempts.len().min(4));
+            h.not_before = now + (AGAIN << h.tries().min(4));
         }
+        h.unsent += u32::from(outcome == NotSent);
         if matches!(outcome, TimedOut | Reset | Cancelled)
             && let Some(k) = h.key.as_ref().and_then(|k| self.keys.get_mut(k))
         {
@@ -491,6 +495,7 @@
         let (now, route, sent) = (self.now, call.route, call.sent);
         let span = self.rest_span(route);
         let (rest, trial_wait) = (self.jitter(span), self.jitter(TRIAL_WAIT));
+        let local_rest = if outcome == NotSent { self.jitter(LOCAL_REST) } else { 0 };
         let ceiling = self.ceiling(route.0);
         let flow = self.dests.get(&route.0).map_or(0.0, |d| d.flow(now));
         let alone = self.dests.get(&route.0).is_none_or(|d| d.apart || d.endpoints.len() < 2);
@@ -555,6 +560,7 @@
                 let weak = r.fails >= FAILS_OPEN || !matches!(r.health, Health::Closed);
                 open = (bad && weak).then_some("calls fail");
             }
+            NotSent => r.rest_until = r.rest_until.max(now + local_rest),
             Spoilt | Cancelled | Moot => {}
         }
         match (&mut r.health, open) {
@@ -863,7 +869,7 @@
     fn timeout(&self, h: &Held, r: &Route) -> Micros {
         let c = &self.set.classes[h.class];
         let left = h.expires.saturating_sub(self.now).max(1);
-        if c.effect == Effect::Unsafe || h.attempts.len() + 1 >= self.set.max_attempts as usize {
+        if c.effect == Effect::Unsafe || h.tries() + 1 >= self.set.max_attempts as usize {
             return left;
         }
         ((TIMEOUT_TIMES * r.latency.usual(c.wanted)) as Micros).max(c.wanted).min(left)
--- a/crates/policy/src/choice/slots.rs
+++ b/crates/policy/src/choice/slots.rs
@@ -93,7 +93,7 @@
             }
             Effect::Unsafe => false,
         };
-        let again = repeat && h.attempts.len() < self.set.max_attempts as usize;
+        let again = repeat && h.tries() < self.set.max_attempts as usize;
         let wait = self.dests.get(&h.dest).map_or(0, |d| self.expected_wait(h.dest, d));
         let next = if again { h.worth(&self.set, self.now + wait) } else { 0.0 };
         (kept - next).max(0.0)
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -219,6 +219,9 @@
     Cancelled,
     /// Never sent: no slot was free, its time was up, or it had no attempt left.
     Moot,
+    /// Not sent, since this side could not: there was no socket, port or route for a connection, or the
+    /// attempt could not be recorded. It never ran, says nothing of the destination, and is no attempt.
+    NotSent,
 }
 
 /// What a destination told of its limit.
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -28,6 +28,8 @@
     pub aim: Micros,
     pub expires: Micros,
     pub attempts: Vec<u64>,
+    /// Attempts among them that this side could not send: they do not count.
+    pub unsent: u32,
     pub out: u32,
     /// The earliest attempt that may have run, and where.
     pub ran: Option<(Micros, EndpointId)>,
@@ -374,13 +376,18 @@
             (n, Outcome::Served | Outcome::Failed | Outcome::Full { .. } | Outcome::Spoilt) => {
                 self.answered(c.lost, n - 1)
             }
-            (n, Outcome::Cancelled | Outcome::Moot) => self.enter(c.lost, n - 1, -1.0),
+            (n, Outcome::Cancelled | Outcome::Moot | Outcome::NotSent) => self.enter(c.lost, n - 1, -1.0),
             _ => {}
         }
     }
 }
 
 impl Held {
+    /// Attempts made, as far as they count.
+    pub fn tries(&self) -> usize {
+        self.attempts.len().saturating_sub(self.unsent as usize)
+    }
+
     /// What the settings say that the message earns if served at `t`.
     pub fn worth(&self, set: &Settings, t: Micros) -> f64 {
         let c = &set.classes[self.class];
--- a/crates/policy/tests/failures.rs
+++ b/crates/policy/tests/failures.rs
@@ -351,3 +351,23 @@
     rig.many(20);
     assert!(rig.out.len() >= 3, "the window was not cut");
 }
+
+#[test]
+fn what_this_side_could_not_send_is_no_attempt_and_no_failure_and_is_paced() {
+    let mut rig = warm(0, 1);
+    let id = rig.take(UNSAFE);
+    let before = rig.attempts[&id];
+    for _ in 0..40 {
+        rig.end(id, Outcome::NotSent);
+        let sent = rig.attempts[&id];
+        rig.pass(50 * MS);
+        assert_eq!(rig.attempts[&id], sent, "sent again at once");
+        rig.pass(100 * MS);
+        assert_eq!(rig.attempts[&id], sent + 1, "a try in 150 ms");
+    }
+    assert_eq!(rig.attempts[&id], before + 40);
+    assert!(rig.answers(id) == 0 && !rig.log_has("held back"));
+    rig.end(id, Outcome::Served);
+    let next = rig.take(UNSAFE);
+    assert!(rig.is_out(next), "nothing holds the next one back");
+}
--- a/crates/recorder/src/explain.rs
+++ b/crates/recorder/src/explain.rs
@@ -402,6 +402,7 @@
         Outcome::Spoilt => "an answer that cannot be read".into(),
         Outcome::Cancelled => "called off, it may have run".into(),
         Outcome::Moot => "not sent".into(),
+        Outcome::NotSent => "not sent: no connection or record could be made here".into(),
     }
 }
 
