Two failing tests: a start in a folder that fails for a while, records owed without traffic

Measured: the start ends with 'Input/output error', and a refused payment is given up after a kill although it never ran.

--- a/crates/daemon/tests/sockets/faults.rs
+++ b/crates/daemon/tests/sockets/faults.rs
@@ -66,3 +66,57 @@
     until("all are delivered", || endpoint.calls() >= 3);
     assert!(healed.elapsed() < Duration::from_secs(2), "only after {:?}", healed.elapsed());
 }
+
+#[test]
+fn a_start_meets_a_folder_that_fails_for_a_while_and_waits_for_it() {
+    let endpoint = Endpoint::new(|_| answer("200 OK", "", ""));
+    let known = [member("s-1", endpoint.address, "shop", 3, "draining")];
+    for (what, errno) in [(Word::FileWrite, libc::ENOSPC), (Word::FileOperation, libc::EIO)] {
+        let (mut node, faults) = Node::with_faults(&known, |text| text);
+        assert_eq!(node.hand_in("payment", 1, 3, LONG, b"x").status(), 202);
+        node.kill();
+        // A write that the kill cut in the middle: its start has to cut the log.
+        let mut log = std::fs::OpenOptions::new().append(true).open(node.journal()).expect("the log");
+        std::io::Write::write_all(&mut log, &[7; 20]).expect("written");
+        faults.fail(what, errno, ALWAYS).expect("set");
+        let healer = thread::spawn(move || {
+            thread::sleep(Duration::from_secs(3));
+            let injected = faults.injected(what).expect("a count");
+            faults.clear().expect("set");
+            (injected, faults)
+        });
+        let begun = Instant::now();
+        node.start_again();
+        assert_eq!(node.ask("GET /up", &[], b"").status(), 200);
+        let took = begun.elapsed();
+        let (injected, _faults) = healer.join().expect("it healed");
+        assert!(injected > 0, "{what:?} was never tried");
+        assert!(took < Duration::from_secs(5), "ready only after {took:?}");
+        assert!(!node.platform.has_notice(1), "what was taken on is still owed");
+        assert_eq!(node.hand_in("payment", 2, 3, LONG, b"x").status(), 202);
+    }
+}
+
+#[test]
+fn what_could_not_be_recorded_of_an_attempt_is_recorded_later_with_no_other_traffic() {
+    // Refused as full while nothing can be written: it never ran, and the kill must not make that unknown.
+    let (mut node, endpoint, faults) = one({
+        let mut first = true;
+        move |_| {
+            thread::sleep(Duration::from_millis(300));
+            match std::mem::take(&mut first) {
+                true => answer("429 Full", "Retry-After: 4\r\n", ""),
+                false => answer("200 OK", "", ""),
+            }
+        }
+    });
+    assert_eq!(node.hand_in("payment", 1, 3, LONG, b"x").status(), 202);
+    until("a call", || endpoint.calls() > 0);
+    faults.fail(Word::FileWrite, libc::EIO, ALWAYS).expect("set");
+    until("its end cannot be recorded", || faults.injected(Word::FileWrite).expect("a count") > 0);
+    faults.clear().expect("set");
+    thread::sleep(Duration::from_millis(500));
+    node.restart();
+    until("a second call, or an end", || endpoint.calls() > 1 || node.platform.has_notice(1));
+    assert!(!node.platform.has_notice(1), "given up, although it never ran");
+}
