A start waits for a folder that fails for a while, and owed records need no other traffic

Cause: Store::open ended the process on any error; never_ran was only warned about, so that after a kill a payment that never ran was given up; owed ends and verdicts were written with the next record, if one came; a 'bounced' notice went out beside a verdict that was not written, so that a kill sent the message beside its client's repeat; a 503 after a record that could not be taken back promised the same. Change: startup.rs waits up to 25 s for what may pass (folder, clients' address, address for notes; damage, missing rights and a held lock still end it at once); debts.rs writes what is owed every 200 ms; 'bounced' waits for its record and becomes 'dead' at the deadline; a record that cannot be withdrawn is answered 500; SIGTERM waits for owed records up to its end.

--- a/crates/daemon/src/calls.rs
+++ b/crates/daemon/src/calls.rs
@@ -356,7 +356,7 @@
         let says_ok = || call.progress.borrow().as_ref().is_some_and(|p| p.says_ok());
         if !call.settled.get() && !call.batch.get() && says_ok() && !call.is_over() {
             call.settled.set(true);
-            call.waiting.borrow().iter().for_each(|i| self.journal.borrow_mut().end(i.id));
+            call.waiting.borrow().iter().for_each(|i| _ = self.journal.borrow_mut().end(i.id));
         }
         call.settled.get()
     }
--- a/crates/daemon/src/clients/inbound.rs
+++ b/crates/daemon/src/clients/inbound.rs
@@ -298,7 +298,11 @@
     let (mark, since, mut record) =
         (inbound.safety.mark(), Instant::now(), Record { inbound, id: Some(handed.id) });
     if !is_safe(inbound, handed.id, &mark).await {
-        return Ok(come_back(inbound));
+        return if record.withdraw() {
+            Ok(come_back(inbound))
+        } else {
+            Err(StatusCode::INTERNAL_SERVER_ERROR)
+        };
     }
     record.id = None;
     // From here to the return nothing waits: the next flush on this connection is this answer's.
@@ -360,7 +364,7 @@
     };
     let (mark, mut record) = (inbound.safety.mark(), Record { inbound, id: Some(handed.id) });
     if !is_safe(inbound, handed.id, &mark).await {
-        return Taken::ComeBack;
+        return if record.withdraw() { Taken::ComeBack } else { Taken::Conflict };
     }
     record.id = None;
     Taken::Yes { class: class as u32, left }
@@ -412,11 +416,17 @@
     id: Option<MessageId>,
 }
 
+impl Record<'_> {
+    /// Takes the record back. Where that is not written, the next process would find the message and send it:
+    /// its client must not be told that handing it in again is harmless.
+    fn withdraw(&mut self) -> bool {
+        self.id.take().is_none_or(|id| self.inbound.journal.borrow_mut().end(id))
+    }
+}
+
 impl Drop for Record<'_> {
     fn drop(&mut self) {
-        if let Some(id) = self.id {
-            self.inbound.journal.borrow_mut().end(id);
-        }
+        self.withdraw();
     }
 }
 
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -16,5 +16,6 @@
 mod rare_warning;
 pub mod sender;
 pub mod settings;
+mod startup;
 mod state;
 mod upgrade;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -13,6 +13,7 @@
 use crate::platform::zoning::Zoning;
 use crate::settings::config::Config;
 use crate::settings::terms::Terms;
+use crate::state::debts::written_verdict;
 use crate::state::duty::{Change, MOST_OUT};
 use crate::state::journal::{Journal, Open, Verdict};
 use crate::upgrade::handover::State as Given;
@@ -32,6 +33,20 @@
 /// It is given to the module again so long before its time is up, to be ended by it.
 const LAST_WORD: Duration = Duration::from_millis(60);
 
+/// Records a verdict, and has the platform told of it once that is safe.
+fn tell_verdict(journal: &Rc<RefCell<Journal>>, reports: &Rc<Reports>, id: MessageId, verdict: Verdict) {
+    let written = journal.borrow_mut().verdict(id, verdict);
+    if written || verdict == Verdict::Dead {
+        return reports.push(id, verdict);
+    }
+    let (journal, reports) = (journal.clone(), reports.clone());
+    tokio::task::spawn_local(async move {
+        if let Some(verdict) = written_verdict(&journal, id, verdict).await {
+            reports.push(id, verdict);
+        }
+    });
+}
+
 pub struct Node {
     sender: Sender,
     terms: Rc<RefCell<Terms>>,
@@ -616,15 +631,11 @@
                 tokio::task::spawn_local(async move {
                     let verdict = if copies.close(id).await { verdict } else { Verdict::Dead };
                     if journal.borrow().get(id).is_some_and(|o| o.verdict.is_none()) {
-                        journal.borrow_mut().verdict(id, verdict);
-                        reports.push(id, verdict);
+                        tell_verdict(&journal, &reports, id, verdict);
                     }
                 });
             }
-            _ => {
-                self.journal.borrow_mut().verdict(id, verdict);
-                self.reports.push(id, verdict);
-            }
+            _ => tell_verdict(&self.journal, &self.reports, id, verdict),
         }
         if self.attempts.get(&id).is_some_and(|a| a.out == 0) {
             self.attempts.remove(&id);
--- a/crates/daemon/src/platform/reports.rs
+++ b/crates/daemon/src/platform/reports.rs
@@ -108,7 +108,7 @@
                             kept = Some(connection);
                             let told = self.notices.borrow_mut().answered(post, now);
                             let mut journal = self.journal.borrow_mut();
-                            told.into_iter().for_each(|id| journal.end(id));
+                            told.into_iter().for_each(|id| _ = journal.end(id));
                             if age > LONG {
                                 tracing::warn!("reports: a notice was told after {} ms", age.as_millis());
                             }
--- a/crates/daemon/src/sender.rs
+++ b/crates/daemon/src/sender.rs
@@ -12,10 +12,13 @@
 use crate::platform::peers::Peers;
 use crate::platform::reports::Reports;
 use crate::platform::zoning::Zoning;
+use crate::rare_warning::RareWarning;
 use crate::settings::config::Config;
 use crate::settings::descriptors::Descriptors;
 use crate::settings::operator::{self, Operator};
 use crate::settings::terms::{self, Terms};
+use crate::startup;
+use crate::state::debts;
 use crate::state::journal::{Journal, Open};
 use crate::state::safety::Safety;
 use crate::state::storage;
@@ -102,7 +105,8 @@
     let told = Rc::new(Told { operator: operator.clone(), ..Told::default() });
     let source = Rc::new(source);
     tokio::task::spawn_local(told.clone().heed(signals, source.clone()));
-    let fixed = Fixed { net, clock, disk, accept, operator, operators, told };
+    let trouble = RareWarning::default();
+    let fixed = Fixed { net, clock, disk, accept, operator, operators, told, trouble };
     let mut before = Before::Nobody;
     if fixed.accept.is_some() {
         before = fixed.ask().await;
@@ -160,6 +164,8 @@
     operator: Operator,
     operators: Rc<Admin>,
     told: Rc<Told>,
+    /// What fails while it starts.
+    trouble: RareWarning,
 }
 
 impl Fixed {
@@ -185,7 +191,7 @@
         options: notchpoint_store::Options,
         before: &mut Before,
     ) -> Result<Option<(Journal, notchpoint_store::Notes)>, Failure> {
-        let mut said = false;
+        let (mut said, begun) = (false, Instant::now());
         loop {
             match Journal::open(self.disk.clone(), self.clock.clone(), options.clone()) {
                 Ok(opened) => return Ok(Some(opened)),
@@ -196,6 +202,9 @@
                         tracing::info!("waiting: {e}");
                     }
                 }
+                Err(notchpoint_store::Error::Io(e)) if startup::may_pass(&e, begun) => {
+                    self.trouble.tell(&format_args!("the folder cannot be opened yet: {e}"));
+                }
                 Err(e) => return Err(storage::explained(e)),
             }
             tokio::select! {
@@ -256,6 +265,7 @@
         let journal = Rc::new(RefCell::new(journal));
         let terms = Rc::new(RefCell::new(terms(&config, &before, &mut journal.borrow_mut())));
         let safety = Safety::new(journal.clone());
+        tokio::task::spawn_local(debts::settle(Rc::downgrade(&journal)));
         let (inputs, received) = unbounded_channel();
         let copies = self.copies(&config, &journal, &safety, &terms, &inputs, &before).await?;
         let calls = Calls::new(
@@ -280,8 +290,8 @@
         self.told.begin(&text, &inputs, &flight, zoning.clone());
         let peers = match config.peer_listen.filter(|_| config.settings.may_note) {
             Some(address) => {
-                let (net, inputs) = (&*self.net, inputs.clone());
-                Some(Peers::bind(address, &config, net, inputs, zoning.clone())?)
+                let bind = || Peers::bind(address, &config, &*self.net, inputs.clone(), zoning.clone());
+                Some(startup::patiently(&self.trouble, "address for notes", bind).await?)
             }
             None => None,
         };
@@ -334,7 +344,10 @@
         // What was left open is taken up: only now is the sender ready.
         let listener = match &self.accept {
             Some(listener) => listener.clone(),
-            None => self.net.listen(config.listen)?,
+            None => {
+                startup::patiently(&self.trouble, "clients' address", || self.net.listen(config.listen))
+                    .await?
+            }
         };
         tracing::info!("listening on {}", listener.local_addr()?);
         let accepting = tokio::task::spawn_local(crate::clients::inbound::serve(inbound.clone(), listener));
@@ -396,7 +409,8 @@
         // process.
         // Who has come in is answered first: a connection that ends on a request loses it. Those that wait in
         // the system's queue come in as others leave.
-        let open = || calls.out() > 0 || !reports.is_empty() || door.inside.get() > 0;
+        let owing = || journal.borrow().is_owing();
+        let open = || calls.out() > 0 || !reports.is_empty() || door.inside.get() > 0 || owing();
         let mut quiet = Instant::now();
         while told.elapsed() < LAST && quiet.elapsed() < QUEUE {
             if open() {
--- a/crates/daemon/src/state.rs
+++ b/crates/daemon/src/state.rs
@@ -1,5 +1,6 @@
 //! What outlasts the process: messages, marks, and when they are safe.
 
+pub mod debts;
 pub mod duty;
 pub mod journal;
 pub mod legacy;
--- a/crates/daemon/src/state/journal.rs
+++ b/crates/daemon/src/state/journal.rs
@@ -4,6 +4,7 @@
 //! What is written outlasts the process without a sync; where the operator asks for more (`[store]`),
 //! `safety.rs` waits for the sync before anything is promised or sent.
 
+use crate::rare_warning::RareWarning;
 use crate::settings::classes;
 use crate::state::duty::{self, Change, DUTY, Duty};
 use crate::state::legacy;
@@ -19,6 +20,7 @@
 use std::collections::VecDeque;
 use std::io;
 use std::rc::Rc;
+use tokio::sync::Notify;
 use tokio::sync::mpsc::UnboundedSender;
 
 /// What a verdict and an end take of the log: room is kept for those of all that is open.
@@ -44,8 +46,11 @@
     classes: BTreeMap<String, Class>,
     /// Verdicts, ends and the timeline that could not be written yet, oldest first: at most a few for each
     /// open message.
-    /// They are tried again before anything else is written.
+    /// They are written before anything else is, see `debts.rs`.
     owed: VecDeque<Batch>,
+    /// Told once there are any.
+    owing: Rc<Notify>,
+    trouble: RareWarning,
     /// Rows of copies, as an earlier process left them, until they are taken.
     copies: Vec<(Vec<u8>, Vec<u8>)>,
     /// Who is told what becomes of messages, where copies are kept.
@@ -100,8 +105,22 @@
         let (store, owed, watch) = (Some(store), VecDeque::new(), None);
         let now = Reading { boot: clock.boot(), monotonic: clock.monotonic_now(), wall: clock.unix_now() };
         let (timeline, continuity) = Timeline::resume(saved, now);
-        let mut journal =
-            Self { store, last, clock, timeline, continuity, open, held, duty, classes, owed, copies, watch };
+        let mut journal = Self {
+            store,
+            last,
+            clock,
+            timeline,
+            continuity,
+            open,
+            held,
+            duty,
+            classes,
+            owed,
+            owing: Rc::default(),
+            trouble: RareWarning::default(),
+            copies,
+            watch,
+        };
         journal.expect_ends();
         journal.begin_timeline();
         Ok((journal, notes))
@@ -292,7 +311,8 @@
         Ok(())
     }
 
-    /// An outcome proved that an attempt never ran. Losing this record costs a message, never a repeat.
+    /// An outcome proved that an attempt never ran. Without this record a restart would have to give up what
+    /// may not be repeated, so it is owed like an end.
     pub fn never_ran(&mut self, id: MessageId, number: u32) {
         let attempts = self.open.get_mut(&id).into_iter().flat_map(|m| &mut m.attempts);
         let Some(attempt) = attempts.into_iter().find(|a| a.number == number) else { return };
@@ -302,60 +322,82 @@
         }
         let mut batch = Batch::default();
         batch.put(MESSAGES, &key(id, TRIED, Some(number)), &tried(attempt));
-        if let Err(e) = self.append(&batch, Work::Going) {
-            tracing::warn!("journal: {e}");
-        }
+        self.append_or_owe(batch);
     }
 
-    /// A verdict is written before its notice: from then on the client may hand the message in again.
-    pub fn verdict(&mut self, id: MessageId, verdict: Verdict) {
-        let Some(m) = self.open.get_mut(&id) else { return };
+    /// A verdict is written before its notice: from then on the client may hand the message in again. Gives
+    /// whether it is written; else it is owed, and a kill would forget it.
+    pub fn verdict(&mut self, id: MessageId, verdict: Verdict) -> bool {
+        let Some(m) = self.open.get_mut(&id) else { return true };
         if m.verdict.replace(verdict).is_none() {
             self.held -= 1;
         }
         let mut batch = Batch::default();
         batch.put(MESSAGES, &key(id, JUDGED, None), &judged(verdict));
-        self.append_or_owe(batch);
+        let written = self.append_or_owe(batch);
         self.tell(Watched::Judged(id, verdict));
+        written
     }
 
-    pub fn end(&mut self, id: MessageId) {
-        let Some(m) = self.open.remove(&id) else { return };
+    /// Nothing is owed for a message any more. Gives whether that is written.
+    pub fn end(&mut self, id: MessageId) -> bool {
+        let Some(m) = self.open.remove(&id) else { return true };
         self.held -= usize::from(m.verdict.is_none());
         let mut batch = Batch::default();
         batch.delete_prefix(MESSAGES, &id.0.to_be_bytes());
-        self.append_or_owe(batch);
+        let written = self.append_or_owe(batch);
         self.tell(Watched::Over(id));
         self.expect_ends();
+        written
     }
 
-    fn append_or_owe(&mut self, batch: Batch) {
-        if let Err(e) = self.append(&batch, Work::End) {
-            tracing::warn!("journal: {e}; tried again with the next record");
+    fn append_or_owe(&mut self, batch: Batch) -> bool {
+        let written = self.append(&batch, Work::End);
+        if let Err(why) = &written {
+            self.trouble.tell(&format_args!("journal: {why}; what could not be written is tried again"));
             self.owed.push_back(batch);
+            self.owing.notify_one();
         }
+        written.is_ok()
+    }
+
+    /// Whether records wait to be written.
+    pub fn is_owing(&self) -> bool {
+        !self.owed.is_empty()
+    }
+
+    /// Is notified once records wait to be written.
+    pub fn owing(&self) -> Rc<Notify> {
+        self.owing.clone()
+    }
+
+    /// Writes what waits to be written.
+    ///
+    /// # Errors
+    /// The folder takes nothing yet.
+    pub fn write_owed(&mut self) -> Result<(), Error> {
+        let Some(store) = &mut self.store else { return Ok(()) };
+        while let Some(first) = self.owed.front() {
+            store.apply(first, Work::End)?;
+            self.owed.pop_front();
+        }
+        Ok(())
     }
 
     fn append(&mut self, batch: &Batch, work: Work) -> Result<(), Error> {
+        self.write_owed()?;
         let Some(store) = &mut self.store else {
             // The owner records ends; nothing new is begun here.
             let gone = || io::Error::other("another process owns the store");
             return if work == Work::End { Ok(()) } else { Err(gone().into()) };
         };
-        while let Some(first) = self.owed.front() {
-            store.apply(first, Work::End)?;
-            self.owed.pop_front();
-        }
         store.apply(batch, work).map(drop)
     }
 
     /// Writes all that was kept back and gives the store up, lock included. After an error it is kept.
     pub fn release(&mut self) -> Result<(), Error> {
+        self.write_owed()?;
         let Some(store) = &mut self.store else { return Ok(()) };
-        while let Some(first) = self.owed.front() {
-            store.apply(first, Work::End)?;
-            self.owed.pop_front();
-        }
         store.flush()?;
         store.sync_now()?;
         self.last = store.mark();
--- a/crates/daemon/tests/sockets/faults.rs
+++ b/crates/daemon/tests/sockets/faults.rs
@@ -120,3 +120,18 @@
     until("a second call, or an end", || endpoint.calls() > 1 || node.platform.has_notice(1));
     assert!(!node.platform.has_notice(1), "given up, although it never ran");
 }
+
+#[test]
+fn while_a_verdict_cannot_be_recorded_no_client_is_told_that_handing_in_again_is_harmless() {
+    // A kill would forget the verdict, and the next process would send the message beside its repeat.
+    let endpoint = Endpoint::new(|_| answer("200 OK", "", ""));
+    let known = [member("s-1", endpoint.address, "shop", 3, "draining")];
+    let (node, faults) = Node::with_faults(&known, |text| text);
+    let begun = Instant::now();
+    assert_eq!(node.hand_in("payment", 1, 3, 1_500, b"x").status(), 202);
+    faults.fail(Word::FileWrite, libc::EIO, ALWAYS).expect("set");
+    let notice = node.platform.notice(1);
+    let took = begun.elapsed();
+    assert!(notice.contains("\"dead\""), "{notice}");
+    assert!(took < Duration::from_millis(1_500 + 300), "overdue: {took:?}");
+}
