Two failing tests: requests read together at the end of a connection

Measured: of 40 requests read together while the process ends one is answered, 39 are read and thrown away; a client that stops within a request behind another is kept for 10 s, for 3 s at most.

--- a/crates/daemon/tests/sockets/closing.rs
+++ b/crates/daemon/tests/sockets/closing.rs
@@ -113,3 +113,42 @@
     assert!(node.exit());
     assert_eq!(endpoint.calls(), 0);
 }
+
+/// How often an answer with this status was given.
+fn answers(said: &str, status: u16) -> usize {
+    said.matches(&format!("HTTP/1.1 {status}")).count()
+}
+
+#[test]
+fn requests_that_were_read_together_are_all_answered_before_a_connection_ends() {
+    // The first is read in part when the process is told to end; its rest comes with many more behind it.
+    const MORE_REQUESTS: u64 = 40;
+    let (mut node, endpoint) = one("shop", |_| ok());
+    let mut client = connect(&node);
+    let first = request(1, 1);
+    client.write_all(first.as_bytes()).expect("written");
+    std::thread::sleep(Duration::from_millis(100));
+    node.terminate();
+    until("it ends", || node.ask("GET /up", &[], b"").status() == 503);
+    let rest: String = (2..=MORE_REQUESTS).map(|id| request(id, 1) + "x").collect();
+    client.write_all(format!("x{rest}").as_bytes()).expect("written");
+    let said = to_the_end(&mut client);
+    assert_eq!(answers(&said, 503), MORE_REQUESTS as usize, "{said}");
+    assert_eq!(said.matches("connection: close").count(), 1, "only the last one says so: {said}");
+    assert!(node.exit());
+    assert_eq!(endpoint.calls(), 0);
+}
+
+#[test]
+fn a_client_that_stops_within_a_request_behind_another_is_answered_or_ended_in_time() {
+    let (node, _endpoint) = one("shop", |_| ok());
+    for stop in [5, 40, request(2, 1).len()] {
+        let mut client = connect(&node);
+        let all = request(1, 1) + "x" + &request(2, 1)[..stop];
+        let begun = Instant::now();
+        client.write_all(all.as_bytes()).expect("written");
+        let said = to_the_end(&mut client);
+        assert!(said.starts_with("HTTP/1.1 202"), "{said}");
+        assert!(begun.elapsed() < Duration::from_secs(3), "stopped at {stop}: {:?}", begun.elapsed());
+    }
+}
