What was read on a client's connection is answered before the connection ends

Cause: the library buffers what was read behind a request. The first answer of a process that ends said 'close', and what was read behind it was dropped; a request read in part behind another looked like a resting connection, which stays 10 s and may be ended at once; a connection whose place was wanted was shut in both directions, and what came behind that could still be read. Change: clients/requests.rs counts requests beside the library; a connection rests only where nothing read is unserved; 'close' stands in the answer behind which nothing was read or waits; a place that is wanted ends unread. A client's connection stays where TCP_NODELAY cannot be set (an error of a moment dropped its request). The whole suite has not run again yet.

--- a/crates/daemon/src/clients.rs
+++ b/crates/daemon/src/clients.rs
@@ -3,4 +3,5 @@
 pub mod door;
 pub mod inbound;
 pub mod queue;
+pub mod requests;
 pub mod seats;
--- a/crates/daemon/src/clients/inbound.rs
+++ b/crates/daemon/src/clients/inbound.rs
@@ -98,9 +98,7 @@
 
 impl Observer for Rc<Receipt> {
     fn read(&self, bytes: &[u8]) {
-        if !bytes.is_empty() && self.seat.stage.get() == Stage::Idle {
-            self.seat.enter(Stage::Reading);
-        }
+        self.seat.read(bytes);
     }
 
     fn wrote(&self, _: &[u8]) {
@@ -109,8 +107,7 @@
 
     fn flushed(&self) {
         if self.seat.stage.get() == Stage::Answering {
-            self.seat.asked.set(true);
-            self.seat.enter(Stage::Idle);
+            self.seat.answered();
         }
         for due in self.due.borrow_mut().extract_if(.., |d| d.begun) {
             let _ = self.inbound.inputs.send(Input::Taken(due.message, due.since));
@@ -167,8 +164,9 @@
 }
 
 async fn connection(inbound: Rc<Inbound>, seat: Rc<Seat>) {
-    if seat.stream.set_nodelay().is_err() {
-        return;
+    if let Err(why) = seat.stream.set_nodelay() {
+        // Answers may wait a little; without the connection there would be none.
+        tracing::debug!("a client's connection: TCP_NODELAY: {why}");
     }
     let receipt = Rc::new(Receipt { due: RefCell::default(), seat: seat.clone(), inbound: inbound.clone() });
     let service = {
@@ -182,7 +180,8 @@
                     Ok(answer) => answer,
                     Err(status) => plain(status),
                 };
-                if inbound.door.is_closing() {
+                // What has been read behind it has its answer too, and the last one says so.
+                if inbound.door.is_closing() && receipt.as_ref().is_none_or(|r| r.seat.has_read_all()) {
                     close_after(&mut answer);
                 }
                 // From here to the answer's last byte nothing waits but the writing.
@@ -203,6 +202,8 @@
     loop {
         tokio::select! {
             biased;
+            // Before anything more is read.
+            () = seat.is_given_up() => return,
             _ = &mut served => return,
             () = inbound.door.close.wait(), if !closing => closing = true,
             // A request that is being read or answered ends the connection itself; what has come in part is
@@ -242,7 +243,7 @@
     receipt: Option<&Receipt>,
 ) -> Result<Response<Full<Bytes>>, StatusCode> {
     let Some(receipt) = receipt else { return Err(StatusCode::SERVICE_UNAVAILABLE) };
-    receipt.seat.enter(Stage::Serving);
+    receipt.seat.serve();
     // The client's time runs from when it sent the request, also while that waited to be read.
     let now = Instant::now();
     let since = now.checked_sub(receipt.seat.sent_ago()).unwrap_or(now);
--- a/crates/daemon/src/clients/inbound/tests.rs
+++ b/crates/daemon/src/clients/inbound/tests.rs
@@ -120,23 +120,27 @@
 }
 
 /// A connection that always looks as if nothing had come on it: what came did so right after the look.
-struct Crossed(TcpStream);
+struct Crossed {
+    stream: TcpStream,
+    was_read: Rc<Cell<bool>>,
+}
 
 impl Stream for Crossed {
     fn poll_read_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.0.poll_read_ready(cx)
+        self.stream.poll_read_ready(cx)
     }
 
     fn try_read(&self, buf: &mut [u8]) -> io::Result<usize> {
-        self.0.try_read(buf)
+        self.was_read.set(true);
+        self.stream.try_read(buf)
     }
 
     fn poll_write_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.0.poll_write_ready(cx)
+        self.stream.poll_write_ready(cx)
     }
 
     fn try_write(&self, buf: &[u8]) -> io::Result<usize> {
-        self.0.try_write(buf)
+        self.stream.try_write(buf)
     }
 
     fn is_quiet(&self) -> bool {
@@ -144,11 +148,11 @@
     }
 
     fn shutdown(&self, how: Shutdown) -> io::Result<()> {
-        Stream::shutdown(&self.0, how)
+        Stream::shutdown(&self.stream, how)
     }
 
     fn set_nodelay(&self) -> io::Result<()> {
-        Stream::set_nodelay(&self.0)
+        Stream::set_nodelay(&self.stream)
     }
 }
 
@@ -174,7 +178,9 @@
                            Content-Length: 1\r\n\r\nb";
             client.write_all(request.as_bytes()).await.expect("written");
             poll_fn(|cx| stream.poll_read_ready(cx)).await.expect("it has come, and nobody has read it");
-            let seat = Rc::new(Seat::new(Rc::new(Crossed(stream)), Duration::ZERO));
+            let was_read = Rc::new(Cell::new(false));
+            let stream = Rc::new(Crossed { stream, was_read: was_read.clone() });
+            let seat = Rc::new(Seat::new(stream, Duration::ZERO));
             let seats = Seats::default();
             seats.take(&seat);
             if wanted {
@@ -183,7 +189,8 @@
             } else {
                 inbound.door.close.say();
             }
-            let (behind, ended) = (inbound.clone(), seat.clone());
+            // Nobody else holds it: it is closed with its task.
+            let (behind, ended) = (inbound.clone(), seat);
             let served = tokio::task::spawn_local(async move {
                 connection(behind, ended.clone()).await;
                 ended.end().await;
@@ -198,6 +205,8 @@
             assert_eq!(taken, said.starts_with("HTTP/1.1 202"), "{said}");
             assert_eq!(inbound.journal.borrow().get(MessageId(0xa1)).is_some(), taken);
             assert!(!(wanted && taken), "its place was gone before it was read");
+            assert!(!(wanted && was_read.get()), "what was read and gets no answer is lost");
+            assert!(wanted || !was_read.get() || !said.is_empty(), "read, and not answered");
         }
     });
 }
--- /dev/null
+++ b/crates/daemon/src/clients/requests/tests.rs
@@ -0,0 +1,33 @@
+use super::*;
+
+const POST: &[u8] =
+    b"POST /update HTTP/1.1\r\nX-A: content-length: 9\r\nContent-Length: 12\r\n\r\nGET / HTTP/1";
+const GET: &[u8] = b"GET /up HTTP/1.1\r\nHost: a\r\n\r\n";
+
+#[test]
+fn requests_are_counted_from_their_first_byte_however_they_are_cut() {
+    let all = [POST, b"\r\n", GET, GET, POST].concat();
+    for piece in 1..all.len() {
+        let mut requests = Requests::default();
+        all.chunks(piece).for_each(|bytes| requests.read(bytes));
+        for served in 0..4 {
+            assert!(requests.has_unserved(), "pieces of {piece}, {served} served");
+            requests.serve();
+        }
+        assert!(!requests.has_unserved(), "pieces of {piece}: a body is no request");
+        requests.read(b"G");
+        assert!(requests.has_unserved(), "the begin of one");
+    }
+}
+
+#[test]
+fn a_body_that_is_still_coming_begins_no_request() {
+    let mut requests = Requests::default();
+    requests.read(&POST[..POST.len() - 1]);
+    requests.serve();
+    assert!(!requests.has_unserved());
+    requests.read(&POST[POST.len() - 1..]);
+    assert!(!requests.has_unserved());
+    requests.read(b"\r\n");
+    assert!(!requests.has_unserved());
+}
--- a/crates/daemon/src/clients/seats.rs
+++ b/crates/daemon/src/clients/seats.rs
@@ -1,6 +1,8 @@
 //! The places that clients' connections take: how long each may be held, and who gives way where all are
 //! taken.
 
+use crate::clients::door::Closing;
+use crate::clients::requests::Requests;
 use crate::io::read_some;
 use notchpoint_seam::Stream;
 use std::cell::{Cell, RefCell};
@@ -65,13 +67,55 @@
     pub stage: Cell<Stage>,
     /// Since when nothing was open on it, or a request is.
     since: Cell<Instant>,
+    requests: RefCell<Requests>,
+    /// Its place is another's.
+    given_up: Closing,
 }
 
 impl Seat {
     pub fn new(stream: Rc<dyn Stream>, waited: Duration) -> Self {
         let opened = Instant::now();
         let (asked, stage, since) = (Cell::new(false), Cell::new(Stage::Idle), Cell::new(opened));
-        Self { stream, opened, waited, asked, last: Cell::new(false), stage, since }
+        let (last, requests, given_up) = Default::default();
+        Self { stream, opened, waited, asked, last, stage, since, requests, given_up }
+    }
+
+    /// These bytes were read on it.
+    pub fn read(&self, bytes: &[u8]) {
+        self.requests.borrow_mut().read(bytes);
+        if self.stage.get() == Stage::Idle && self.requests.borrow().has_unserved() {
+            self.enter(Stage::Reading);
+        }
+    }
+
+    /// A request's head has come whole.
+    pub fn serve(&self) {
+        self.requests.borrow_mut().serve();
+        self.enter(Stage::Serving);
+    }
+
+    /// An answer has been written. More may have been read behind its request.
+    pub fn answered(&self) {
+        self.asked.set(true);
+        self.enter(Stage::Idle);
+        if self.requests.borrow().has_unserved() {
+            self.enter(Stage::Reading);
+        }
+    }
+
+    /// Nothing has come behind the request that is being answered: its answer may be the last.
+    pub fn has_read_all(&self) -> bool {
+        !self.requests.borrow().has_unserved() && self.stream.is_quiet()
+    }
+
+    /// Ends it with nothing more read: what crosses that is not this process's, and comes again.
+    fn give_up(&self) {
+        self.given_up.say();
+    }
+
+    /// Waits until its place is wanted by another.
+    pub async fn is_given_up(&self) {
+        self.given_up.wait().await;
     }
 
     pub fn enter(&self, stage: Stage) {
@@ -108,6 +152,9 @@
     /// Ends the connection in an orderly way: its writing side first, and all of it once the client has ended
     /// its own, or has had the time for that.
     pub async fn end(&self) {
+        if self.given_up.is_said() {
+            return;
+        }
         self.enter(Stage::Lingering);
         self.since.set(Instant::now());
         if self.stream.shutdown(Shutdown::Write).is_err() {
@@ -115,7 +162,12 @@
         }
         let mut block = vec![0; BLOCK];
         let read = async { while read_some(&*self.stream, &mut block).await.is_ok_and(|n| n > 0) {} };
-        let _ = timeout_at(self.ends_at(), read).await;
+        let gone = async { drop(timeout_at(self.ends_at(), read).await) };
+        tokio::select! {
+            biased;
+            () = self.is_given_up() => {}
+            () = gone => {}
+        }
     }
 
     /// No request is open on it, nor waits unread.
@@ -148,9 +200,7 @@
     pub async fn free(&self, most: usize) {
         while self.taken.borrow().len() >= most {
             if let Some((number, seat)) = self.unused() {
-                // A request that comes between the look and the end may still be read: its answer cannot be
-                // written, and so it is never sent on.
-                let _ = seat.stream.shutdown(Shutdown::Both);
+                seat.give_up();
                 self.taken.borrow_mut().remove(&number);
                 return;
             }
