--- a/crates/daemon/tests/sockets/faults.rs
+++ b/crates/daemon/tests/sockets/faults.rs
@@ -135,3 +135,35 @@
     assert!(notice.contains("\"dead\""), "{notice}");
     assert!(took < Duration::from_millis(1_500 + 300), "overdue: {took:?}");
 }
+
+/// Hands so many messages in, each on a connection of its own, and says how many were answered 202.
+fn taken_on(node: &Node, ids: std::ops::Range<u64>) -> usize {
+    let threads: Vec<_> = ids
+        .map(|id| {
+            let address = node.address;
+            thread::spawn(move || Client::new(address).try_hand_in("update", id, 3, LONG, b"x"))
+        })
+        .collect();
+    threads.into_iter().map(|t| t.join().expect("asked")).filter(|status| *status == Some(202)).count()
+}
+
+#[test]
+fn calls_on_sockets_that_are_interrupted_short_or_fail_for_a_moment_lose_no_request() {
+    const EACH: usize = 40;
+    let (node, endpoint, faults) = one(|_| answer("200 OK", "", ""));
+    let kinds = [
+        (Word::SocketIo, libc::EINTR, 300),
+        (Word::ShortIo, 0, 700),
+        (Word::Accept, libc::ECONNABORTED, 500),
+        (Word::NoDelay, libc::ENOBUFS, 500),
+    ];
+    for (round, (what, errno, per_mille)) in (1..).zip(kinds) {
+        faults.fail(what, errno, per_mille).expect("set");
+        let first = round as u64 * 1_000;
+        assert_eq!(taken_on(&node, first..first + EACH as u64), EACH, "{what:?}");
+        until("a call of each", || endpoint.calls() >= round * EACH);
+        assert!(faults.injected(what).expect("a count") > 0, "{what:?} was never injected");
+        faults.clear().expect("set");
+    }
+    assert_eq!(endpoint.calls(), kinds.len() * EACH, "each once");
+}
--- a/crates/daemon/tests/sockets/world.rs
+++ b/crates/daemon/tests/sockets/world.rs
@@ -13,6 +13,8 @@
 
 /// The control file of the fault shim, where a test injects faults.
 const FAULTS: &str = "faults";
+/// A client waits so long for an answer.
+const PATIENCE: Duration = Duration::from_millis(400);
 const LIMIT: Duration = Duration::from_secs(60);
 
 pub fn until(what: &str, mut holds: impl FnMut() -> bool) {
@@ -577,6 +579,14 @@
         self.ask(&format!("POST /{class}"), &headers, body)
     }
 
+    /// The status, or nothing where the connection ends without an answer, or 400 ms pass.
+    pub fn try_hand_in(&mut self, class: &str, id: u64, dest: u64, ms: u64, body: &[u8]) -> Option<u16> {
+        self.0.get_ref().set_read_timeout(Some(PATIENCE)).expect("an option");
+        let (id, ms, dest) = (format!("{id:016x}"), ms.to_string(), format!("dest={dest}"));
+        self.send(&format!("POST /{class}"), &headers(&id, class, &ms, &dest), body);
+        hear(&mut self.0, 0).map(|heard| heard.status())
+    }
+
     pub fn raw(&mut self, bytes: &[u8]) {
         self.0.get_mut().write_all(bytes).expect("written");
     }
