Socket calls that are interrupted or fail for a moment end no connection

Cause: EINTR on a read or write was taken for the connection's end; accept paused 10 ms for each aborted connection, while others waited behind it; a failed TCP_NODELAY dropped watches and notices; a sync without a thread panicked in the runtime's pool (by reading; the shim's EAGAIN test passes with the thread of its own). Change: interrupted calls are tried again; errors of one connection do not pause accept, lacks of this machine do; nobody gives a connection up for TCP_NODELAY but links of copies and operators' calls, which come again.

--- a/crates/daemon/src/clients/inbound.rs
+++ b/crates/daemon/src/clients/inbound.rs
@@ -7,6 +7,7 @@
 use crate::copies::copying::Copying;
 use crate::input::Input;
 use crate::io::{Observed, Observer};
+use crate::rare_warning::RareWarning;
 use crate::settings::config::Config;
 use crate::settings::descriptors::Descriptors;
 use crate::settings::terms::Terms;
@@ -27,6 +28,7 @@
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::future::poll_fn;
+use std::io::{self, ErrorKind};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::mpsc::UnboundedSender;
@@ -46,6 +48,8 @@
 const BODIES_SHARE: u64 = 8;
 /// A record that is not safe by then is taken back, and the client told to come again: it waits 400 ms.
 const SAFE_WITHIN: Duration = Duration::from_millis(300);
+/// How long `accept` rests where this machine lacks what a connection takes.
+const ACCEPT_AGAIN: Duration = Duration::from_millis(10);
 /// Advice to clients that find no room.
 const COME_BACK: Micros = 1_000_000;
 
@@ -128,6 +132,7 @@
 pub async fn serve(inbound: Rc<Inbound>, listener: Rc<dyn Listener>) {
     let seats = Rc::new(Seats::default());
     let (mut queue, begun) = (Queue::default(), Instant::now());
+    let trouble = RareWarning::default();
     loop {
         seats.free(inbound.places).await;
         let next = poll_fn(|cx| {
@@ -139,10 +144,15 @@
         });
         let stream = match next.await {
             Ok(stream) => stream,
-            Err(e) => {
-                // Out of descriptors, or a client that left: neither is mended by asking again at once.
-                tracing::warn!("accept: {e}");
-                tokio::time::sleep(Duration::from_millis(10)).await;
+            // One client's connection: the next may wait behind it.
+            Err(why) if is_of_one_connection(&why) => {
+                tracing::debug!("accept: {why}");
+                continue;
+            }
+            Err(why) => {
+                // Out of descriptors or memory: that is not mended by asking again at once.
+                trouble.tell(&format_args!("accept: {why}"));
+                tokio::time::sleep(ACCEPT_AGAIN).await;
                 continue;
             }
         };
@@ -163,6 +173,21 @@
     }
 }
 
+/// Whether an error of `accept` is of the connection that would have been next, which is gone with it, and not
+/// of this machine.
+fn is_of_one_connection(why: &io::Error) -> bool {
+    matches!(
+        why.kind(),
+        ErrorKind::ConnectionAborted
+            | ErrorKind::ConnectionReset
+            | ErrorKind::Interrupted
+            | ErrorKind::TimedOut
+            | ErrorKind::HostUnreachable
+            | ErrorKind::NetworkUnreachable
+            | ErrorKind::NetworkDown
+    )
+}
+
 async fn connection(inbound: Rc<Inbound>, seat: Rc<Seat>) {
     if let Err(why) = seat.stream.set_nodelay() {
         // Answers may wait a little; without the connection there would be none.
--- a/crates/daemon/src/clients/inbound/tests.rs
+++ b/crates/daemon/src/clients/inbound/tests.rs
@@ -3,7 +3,6 @@
 use notchpoint_seam::Stream;
 use notchpoint_seam::real::Sockets;
 use std::collections::{BTreeMap, BTreeSet};
-use std::io;
 use std::net::Shutdown;
 use std::task::{Context, Poll};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
--- a/crates/daemon/src/io.rs
+++ b/crates/daemon/src/io.rs
@@ -16,12 +16,17 @@
 /// Read at a time where a length was told, so that one that is a lie takes no memory.
 const PIECE: usize = 64 << 10;
 
+/// Whether an operation on a socket is to be tried again: it is not ready, or a signal came in between.
+fn is_passing(why: &io::Error) -> bool {
+    matches!(why.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted)
+}
+
 /// Reads what is there, once something is; 0 at the end.
 pub async fn read_some(stream: &dyn Stream, block: &mut [u8]) -> io::Result<usize> {
     loop {
         poll_fn(|cx| stream.poll_read_ready(cx)).await?;
         match stream.try_read(block) {
-            Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+            Err(why) if is_passing(&why) => {}
             done => return done,
         }
     }
@@ -49,8 +54,8 @@
         poll_fn(|cx| stream.poll_write_ready(cx)).await?;
         match stream.try_write(bytes) {
             Ok(n) => bytes = &bytes[n..],
-            Err(e) if e.kind() == ErrorKind::WouldBlock => {}
-            Err(e) => return Err(e),
+            Err(why) if is_passing(&why) => {}
+            Err(why) => return Err(why),
         }
     }
     Ok(())
@@ -91,7 +96,7 @@
     loop {
         ready!(ready(cx))?;
         match run() {
-            Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+            Err(why) if is_passing(&why) => {}
             done => return Poll::Ready(done),
         }
     }
--- a/crates/daemon/src/platform/discovery.rs
+++ b/crates/daemon/src/platform/discovery.rs
@@ -116,7 +116,7 @@
 ) -> Result<Silent, Failure> {
     let begun = Instant::now();
     let stream = timeout(CONNECTING, net.connect(address)).await??;
-    stream.set_nodelay()?;
+    let _ = stream.set_nodelay(); // Without it small writes wait, and still arrive.
     let (mut sender, driver) = http1::handshake(Observed::new(stream, ())).await?;
     let driver = tokio::task::spawn_local(driver);
     let _closed_with_the_watch = AbortOnDrop(driver.abort_handle());
--- a/crates/daemon/src/platform/reports.rs
+++ b/crates/daemon/src/platform/reports.rs
@@ -148,7 +148,7 @@
             Some(c) if !c.is_closed() => c,
             _ => {
                 let stream = self.net.connect(self.address.get()).await?;
-                stream.set_nodelay()?;
+                let _ = stream.set_nodelay(); // Without it small writes wait, and still arrive.
                 let (sender, driver) = http1::handshake(Observed::new(stream, ())).await?;
                 tokio::task::spawn_local(driver);
                 sender
--- a/crates/daemon/tests/sockets/faults.rs
+++ b/crates/daemon/tests/sockets/faults.rs
@@ -167,3 +167,20 @@
     }
     assert_eq!(endpoint.calls(), kinds.len() * EACH, "each once");
 }
+
+#[test]
+fn where_no_thread_can_be_had_syncs_are_made_all_the_same() {
+    let endpoint = Endpoint::new(|_| answer("200 OK", "", ""));
+    let known = [member("s-1", endpoint.address, "shop", 3, "up")];
+    let (mut node, faults) = Node::with_faults(&known, |text| text);
+    node.kill();
+    let operator = "[store]\ndurability = \"power\"\n";
+    std::fs::write(node.folder.path().join("operator.toml"), operator).expect("a file");
+    node.start_again();
+    faults.fail(Word::Thread, libc::EAGAIN, ALWAYS).expect("set");
+    for id in 1..=5 {
+        assert_eq!(node.hand_in("payment", id, 3, LONG, b"x").status(), 202);
+    }
+    until("a call of each", || endpoint.calls() >= 5);
+    assert!(faults.injected(Word::Thread).expect("a count") > 0, "no thread was wanted");
+}
--- a/crates/faults-shim/src/lib.rs
+++ b/crates/faults-shim/src/lib.rs
@@ -214,6 +214,34 @@
     unsafe { libc::syscall(libc::SYS_setsockopt, fd, level, name, value, len) as c_int }
 }
 
+/// Begins a thread.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn pthread_create(
+    thread: *mut libc::pthread_t,
+    attributes: *const libc::pthread_attr_t,
+    run: extern "C" fn(*mut c_void) -> *mut c_void,
+    with: *mut c_void,
+) -> c_int {
+    type Create = unsafe extern "C" fn(
+        *mut libc::pthread_t,
+        *const libc::pthread_attr_t,
+        extern "C" fn(*mut c_void) -> *mut c_void,
+        *mut c_void,
+    ) -> c_int;
+    // Its error number is its result.
+    if let Some(errno) = fault(Word::Thread) {
+        return errno;
+    }
+    // SAFETY: the C library's own function of this name and signature, called as the caller does.
+    unsafe {
+        let found = libc::dlsym(libc::RTLD_NEXT, c"pthread_create".as_ptr());
+        if found.is_null() {
+            return libc::EAGAIN;
+        }
+        std::mem::transmute::<*mut c_void, Create>(found)(thread, attributes, run, with)
+    }
+}
+
 /// Reads from a socket. A look ahead (`MSG_PEEK`) is left alone.
 #[unsafe(no_mangle)]
 pub unsafe extern "C" fn recv(fd: c_int, bytes: *mut c_void, len: size_t, flags: c_int) -> ssize_t {
--- a/crates/seam/src/real.rs
+++ b/crates/seam/src/real.rs
@@ -170,11 +170,17 @@
     }
 
     fn syncing(&self) -> Syncing {
-        let file = self.try_clone();
-        Box::pin(async move {
-            let file = file?;
-            tokio::task::spawn_blocking(move || file.sync_data()).await.map_err(io::Error::other)?
-        })
+        let file = match self.try_clone() {
+            Ok(file) => file,
+            Err(why) => return Box::pin(std::future::ready(Err(why))),
+        };
+        // A thread of its own: the runtime's pool would panic where the system has none left.
+        let (done, synced) = tokio::sync::oneshot::channel();
+        let beside = std::thread::Builder::new().spawn(move || done.send(file.sync_data()));
+        match beside {
+            Ok(_) => Box::pin(async move { synced.await.map_err(io::Error::other)? }),
+            Err(_) => Box::pin(std::future::ready(self.sync())),
+        }
     }
 }
 
@@ -275,8 +281,12 @@
             }
 
             fn is_quiet(&self) -> bool {
-                let peeked = SockRef::from(self).peek(&mut [MaybeUninit::uninit()]);
-                peeked.is_err_and(|e| e.kind() == ErrorKind::WouldBlock)
+                loop {
+                    match SockRef::from(self).peek(&mut [MaybeUninit::uninit()]) {
+                        Err(why) if why.kind() == ErrorKind::Interrupted => {}
+                        peeked => return peeked.is_err_and(|why| why.kind() == ErrorKind::WouldBlock),
+                    }
+                }
             }
 
             fn shutdown(&self, how: Shutdown) -> io::Result<()> {
