A soak of real processes under overlapping faults, judged from outside

Judged by what the partners saw: lost, late, twice, unanswered, drain, start, crash; a plan that breaks a rule is shrunk.

--- /dev/null
+++ b/crates/soak/src/book.rs
@@ -0,0 +1,246 @@
+//! What clients, endpoints and the list service saw, and what that says of the rules.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+/// A message that has neither been delivered nor ended so long after its time is lost.
+const OVERDUE: Duration = Duration::from_millis(350);
+/// After a start no notice is overdue for this long.
+const AFTER_START: Duration = Duration::from_millis(1_500);
+/// A draining endpoint may be called so long after the change was told, the slack of sockets included.
+const DRAIN_GRACE: Duration = Duration::from_millis(1_050);
+/// This machine runs hundreds of threads: what is written here is late by so much.
+const MACHINE: Duration = Duration::from_millis(250);
+
+/// Whether a message may run more than once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// It may be repeated.
+    Repeatable,
+    /// It must run at most once.
+    Once,
+}
+
+/// A broken rule.
+#[derive(Clone, Debug)]
+pub struct Violation {
+    /// The rule, in a word.
+    pub rule: &'static str,
+    /// The message, where one is concerned.
+    pub message: Option<u64>,
+    /// What was seen.
+    pub what: String,
+}
+
+impl fmt::Display for Violation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.message {
+            Some(id) => write!(f, "{}: message {id:016x}: {}", self.rule, self.what),
+            None => write!(f, "{}: {}", self.rule, self.what),
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Entry {
+    sender: usize,
+    effect: Effect,
+    deadline: Instant,
+    promised: bool,
+    /// Calls whose last byte came: when, and whether the endpoint carried them out.
+    runs: u32,
+    delivered: bool,
+    /// When the first notice came.
+    ended: Option<Instant>,
+    events: Vec<(Instant, String)>,
+}
+
+#[derive(Debug, Default)]
+struct Pages {
+    messages: BTreeMap<u64, Entry>,
+    /// By sender: when it was down, from its signal to its readiness.
+    downs: BTreeMap<usize, Vec<(Instant, Option<Instant>)>>,
+    /// By sender and endpoint: since when it knows that the endpoint drains.
+    drained: BTreeMap<(usize, usize), Instant>,
+    violations: Vec<Violation>,
+}
+
+/// Everything that was seen in one play.
+#[derive(Debug)]
+pub struct Book {
+    begun: Instant,
+    pages: Mutex<Pages>,
+}
+
+impl Default for Book {
+    fn default() -> Self {
+        Self { begun: Instant::now(), pages: Mutex::default() }
+    }
+}
+
+impl Book {
+    fn pages(&self) -> MutexGuard<'_, Pages> {
+        self.pages.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn note(&self, id: u64, what: String, change: impl FnOnce(&mut Entry)) {
+        if let Some(entry) = self.pages().messages.get_mut(&id) {
+            entry.events.push((Instant::now(), what));
+            change(entry);
+        }
+    }
+
+    /// A client hands a message in.
+    pub fn handed_in(&self, id: u64, sender: usize, effect: Effect, time: Duration) {
+        let events = vec![(Instant::now(), format!("handed in to sender {sender}"))];
+        let (deadline, ended) = (Instant::now() + time, None);
+        let entry =
+            Entry { sender, effect, deadline, promised: false, runs: 0, delivered: false, ended, events };
+        self.pages().messages.insert(id, entry);
+    }
+
+    /// Its client heard that it was taken on.
+    pub fn promised(&self, id: u64) {
+        self.note(id, "its client heard 202".into(), |entry| entry.promised = true);
+    }
+
+    /// Its client heard something else.
+    pub fn answered(&self, id: u64, status: u16) {
+        self.note(id, format!("its client heard {status}"), |_| {});
+    }
+
+    /// The connection of a request that was written whole ended without an answer.
+    pub fn unanswered(&self, id: u64) {
+        let mut pages = self.pages();
+        let Some(entry) = pages.messages.get_mut(&id) else { return };
+        entry.events.push((Instant::now(), "its connection ended with no answer".into()));
+        let (sender, now) = (entry.sender, Instant::now());
+        if !pages.was_down(sender, now) {
+            let what = format!("sender {sender} ended its connection with no answer");
+            pages.violations.push(Violation { rule: "unanswered", message: Some(id), what });
+        }
+    }
+
+    /// A call came whole at an endpoint.
+    pub fn called(&self, id: u64, endpoint: usize, began: Instant) {
+        self.note(id, format!("called at endpoint {endpoint}"), |_| {});
+        let mut pages = self.pages();
+        let Some(sender) = pages.messages.get(&id).map(|entry| entry.sender) else { return };
+        let told = pages.drained.get(&(sender, endpoint)).copied();
+        if let Some(late) = told.map(|told| began.saturating_duration_since(told + DRAIN_GRACE + MACHINE))
+            && !late.is_zero()
+        {
+            let what = format!("sent to draining endpoint {endpoint}, {late:?} after the grace");
+            pages.violations.push(Violation { rule: "drain", message: Some(id), what });
+        }
+    }
+
+    /// An endpoint carried a message out.
+    pub fn ran(&self, id: u64, endpoint: usize) {
+        self.note(id, format!("carried out at endpoint {endpoint}"), |entry| entry.runs += 1);
+        let mut pages = self.pages();
+        let twice = pages.messages.get(&id).is_some_and(|e| e.effect == Effect::Once && e.runs > 1);
+        if twice {
+            let what = format!("carried out again at endpoint {endpoint}");
+            pages.violations.push(Violation { rule: "twice", message: Some(id), what });
+        }
+    }
+
+    /// An endpoint wrote that it is delivered.
+    pub fn delivered(&self, id: u64) {
+        self.note(id, "answered 200".into(), |entry| entry.delivered = true);
+    }
+
+    /// A notice came.
+    pub fn notice(&self, id: u64, result: &str) {
+        let now = Instant::now();
+        self.note(id, format!("notice: {result}"), |entry| entry.ended = entry.ended.or(Some(now)));
+    }
+
+    /// A sender was told that an endpoint drains, or that it serves.
+    pub fn told(&self, sender: usize, endpoint: usize, drains: bool) {
+        let mut pages = self.pages();
+        if drains {
+            pages.drained.entry((sender, endpoint)).or_insert_with(Instant::now);
+        } else {
+            pages.drained.remove(&(sender, endpoint));
+        }
+    }
+
+    /// A sender got a signal that ends it.
+    pub fn down(&self, sender: usize) {
+        self.pages().downs.entry(sender).or_default().push((Instant::now(), None));
+    }
+
+    /// It is ready again.
+    pub fn up(&self, sender: usize) {
+        if let Some(last) = self.pages().downs.entry(sender).or_default().last_mut() {
+            last.1 = Some(Instant::now());
+        }
+    }
+
+    /// Something else broke a rule.
+    pub fn broken(&self, rule: &'static str, what: String) {
+        self.pages().violations.push(Violation { rule, message: None, what });
+    }
+
+    /// Messages that were promised, delivered, and ended by a notice.
+    pub fn counts(&self) -> (usize, usize, usize) {
+        let pages = self.pages();
+        let all = || pages.messages.values().filter(|entry| entry.promised);
+        let ended = all().filter(|entry| entry.ended.is_some() && !entry.delivered).count();
+        (all().count(), all().filter(|entry| entry.delivered).count(), ended)
+    }
+
+    /// All broken rules, once nothing can come any more.
+    pub fn violations(&self) -> Vec<Violation> {
+        let pages = self.pages();
+        let mut found = pages.violations.clone();
+        for (&id, entry) in pages.messages.iter().filter(|(_, e)| e.promised && !e.delivered) {
+            let due = pages.due(entry.sender, entry.deadline + OVERDUE) + MACHINE;
+            match entry.ended {
+                Some(at) if at <= due => {}
+                Some(at) => {
+                    let what = format!("its notice came {:?} too late", at - due);
+                    found.push(Violation { rule: "late", message: Some(id), what });
+                }
+                None => {
+                    let what = "neither delivered nor ended".to_owned();
+                    found.push(Violation { rule: "lost", message: Some(id), what });
+                }
+            }
+        }
+        found
+    }
+
+    /// What was seen of a message, in order.
+    pub fn timeline(&self, id: u64) -> String {
+        let pages = self.pages();
+        let events = pages.messages.get(&id).map(|entry| &entry.events[..]).unwrap_or_default();
+        let line = |(at, what): &(Instant, String)| {
+            format!("  {:8.3} s  {what}\n", (*at - self.begun).as_secs_f64())
+        };
+        events.iter().map(line).collect()
+    }
+}
+
+impl Pages {
+    /// Whether a sender was down, or had just been told to end.
+    fn was_down(&self, sender: usize, at: Instant) -> bool {
+        let downs = self.downs.get(&sender).map(Vec::as_slice).unwrap_or_default();
+        downs.iter().any(|(from, to)| *from <= at && to.is_none_or(|to| at <= to + MACHINE))
+    }
+
+    /// When something that is due then is overdue: not while its sender is down, nor just after.
+    fn due(&self, sender: usize, mut due: Instant) -> Instant {
+        for (from, to) in self.downs.get(&sender).map(Vec::as_slice).unwrap_or_default() {
+            let Some(back) = to.map(|to| to + AFTER_START) else { continue };
+            if *from <= due && due < back {
+                due = back;
+            }
+        }
+        due
+    }
+}
--- /dev/null
+++ b/crates/soak/src/http.rs
@@ -0,0 +1,54 @@
+//! As much of HTTP/1.1 as clients, endpoints and the list service need.
+
+use std::collections::BTreeMap;
+use std::io::BufRead;
+
+/// A request, or an answer.
+#[derive(Debug)]
+pub struct Message {
+    /// The first line.
+    pub line: String,
+    /// Header values by name in small letters.
+    pub headers: BTreeMap<String, String>,
+    /// The body, as long as its length said.
+    pub body: Vec<u8>,
+}
+
+impl Message {
+    /// Reads one; nothing where the connection ends or fails before its last byte.
+    pub fn read(from: &mut impl BufRead) -> Option<Self> {
+        let mut line = String::new();
+        from.read_line(&mut line).ok().filter(|read| *read > 0)?;
+        let mut headers = BTreeMap::new();
+        loop {
+            let mut text = String::new();
+            from.read_line(&mut text).ok().filter(|read| *read > 0)?;
+            let Some((name, value)) = text.trim_end().split_once(": ") else { break };
+            headers.insert(name.to_lowercase(), value.to_owned());
+        }
+        let length = headers.get("content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
+        let mut body = vec![0; length];
+        from.read_exact(&mut body).ok()?;
+        Some(Self { line: line.trim_end().to_owned(), headers, body })
+    }
+
+    /// The status of an answer.
+    pub fn status(&self) -> Option<u16> {
+        self.line.split_whitespace().nth(1)?.parse().ok()
+    }
+
+    /// The id that a request names.
+    pub fn id(&self) -> Option<u64> {
+        u64::from_str_radix(self.headers.get("x-request-id")?, 16).ok()
+    }
+
+    /// Whether an answer ends its connection.
+    pub fn closes(&self) -> bool {
+        self.headers.get("connection").is_some_and(|value| value.eq_ignore_ascii_case("close"))
+    }
+}
+
+/// An answer without a body.
+pub fn answer(status: &str, headers: &str) -> String {
+    format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\n{headers}\r\n")
+}
--- /dev/null
+++ b/crates/soak/src/lib.rs
@@ -0,0 +1,13 @@
+//! Runs many real processes of the sender on loopback, with overlapping faults drawn from a seed, and judges
+//! them from outside: by what clients, endpoints and the list service saw.
+#![warn(missing_docs)]
+
+pub mod book;
+mod client;
+mod http;
+mod partners;
+pub mod plan;
+mod play;
+mod sender;
+
+pub use play::{Outcome, play};
--- /dev/null
+++ b/crates/soak/src/main.rs
@@ -0,0 +1,97 @@
+//! `notchpoint-soak`: plays seeds one after another, and shrinks the plan of the first that breaks a rule.
+
+use clap::Parser;
+use notchpoint_soak::plan::{Size, Trouble, draw};
+use notchpoint_soak::{Outcome, play};
+use std::io::{self, Write};
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::time::Duration;
+
+/// Real senders under overlapping faults, judged from outside.
+#[derive(Parser)]
+struct Arguments {
+    /// The first seed.
+    #[arg(long, default_value_t = 1)]
+    from: u64,
+    /// How many seeds.
+    #[arg(long, default_value_t = 1)]
+    seeds: u64,
+    /// Sender processes.
+    #[arg(long, default_value_t = 24)]
+    senders: usize,
+    /// Destinations of two endpoints each.
+    #[arg(long, default_value_t = 6)]
+    dests: usize,
+    /// Seconds for which messages are handed in.
+    #[arg(long, default_value_t = 12)]
+    seconds: u64,
+    /// Troubles in that time.
+    #[arg(long, default_value_t = 18)]
+    troubles: usize,
+    /// Do not look for a smaller plan that breaks a rule.
+    #[arg(long)]
+    no_shrink: bool,
+    /// The program; else the one beside this.
+    #[arg(long)]
+    program: Option<PathBuf>,
+}
+
+fn main() -> io::Result<ExitCode> {
+    let arguments = Arguments::parse();
+    let beside = || Ok::<_, io::Error>(std::env::current_exe()?.with_file_name("notchpoint"));
+    let program = arguments.program.clone().map_or_else(beside, Ok)?;
+    let span = Duration::from_secs(arguments.seconds);
+    let size =
+        Size { senders: arguments.senders, dests: arguments.dests, span, troubles: arguments.troubles };
+    let mut out = io::stdout();
+    for seed in arguments.from..arguments.from + arguments.seeds {
+        let plan = draw(seed, &size);
+        let outcome = play(&program, seed, &size, &plan)?;
+        let (promised, delivered, ended) = outcome.counts;
+        writeln!(out, "seed {seed}: {promised} promised, {delivered} delivered, {ended} ended by notices")?;
+        if outcome.violations.is_empty() {
+            continue;
+        }
+        tell(&mut out, &plan, &outcome)?;
+        if !arguments.no_shrink {
+            let (smaller, outcome) = shrink(&program, seed, &size, plan, outcome)?;
+            writeln!(out, "the smallest plan found:")?;
+            tell(&mut out, &smaller, &outcome)?;
+        }
+        return Ok(ExitCode::FAILURE);
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+fn tell(out: &mut impl Write, plan: &[Trouble], outcome: &Outcome) -> io::Result<()> {
+    plan.iter().try_for_each(|trouble| writeln!(out, "  {trouble}"))?;
+    outcome.violations.iter().try_for_each(|violation| writeln!(out, "  broken: {violation}"))?;
+    write!(out, "{}", outcome.timeline)
+}
+
+/// Takes troubles away for as long as a rule is broken without them.
+fn shrink(
+    program: &Path,
+    seed: u64,
+    size: &Size,
+    mut plan: Vec<Trouble>,
+    mut outcome: Outcome,
+) -> io::Result<(Vec<Trouble>, Outcome)> {
+    let mut part = plan.len().div_ceil(2);
+    while part > 0 {
+        let mut at = 0;
+        while at < plan.len() && plan.len() > 1 {
+            let mut fewer = plan.clone();
+            fewer.drain(at..(at + part).min(plan.len()));
+            let played = play(program, seed, size, &fewer)?;
+            if played.violations.is_empty() {
+                at += part;
+            } else {
+                (plan, outcome) = (fewer, played);
+            }
+        }
+        part /= 2;
+    }
+    Ok((plan, outcome))
+}
