A failing test: a change in a value of the list that cannot be read

Measured: the endpoint of the spoilt value is never known, since the next watch asks from the sound one behind it.

--- a/crates/daemon/tests/sockets/watch.rs
+++ b/crates/daemon/tests/sockets/watch.rs
@@ -250,3 +250,21 @@
         assert!(acted - begun < Duration::from_secs(4), "{:?}", acted - begun);
     }
 }
+
+#[test]
+fn a_change_in_a_value_that_cannot_be_read_is_known_within_six_seconds() {
+    let endpoint = Endpoint::new(|_| answer("200 OK", "", ""));
+    let node = Node::new(&[member("s-1", endpoint.address, "shop", 3, "up")], |text| text);
+    node.platform.tell_spoilt(42, &[member("s-2", endpoint.address, "shop", 5, "up")]);
+    // Sound values behind it must not hide that it was missed.
+    node.platform.tell(43, &[member("s-3", endpoint.address, "shop", 6, "up")]);
+    let told = std::time::Instant::now();
+    until("the sound one is known", || node.hand_in("update", 1, 6, 5_000, b"x").status() != 503);
+    let mut id = 10;
+    until("the change, or six seconds", || {
+        id += 1;
+        std::thread::sleep(std::time::Duration::from_millis(100));
+        node.hand_in("update", id, 5, 5_000, b"x").status() == 202 || told.elapsed().as_secs() >= 6
+    });
+    assert!(told.elapsed().as_secs() < 6, "it was never told of what it could not read");
+}
--- a/crates/daemon/tests/sockets/world.rs
+++ b/crates/daemon/tests/sockets/world.rs
@@ -271,6 +271,18 @@
         watches.retain(|w| w.send(line.clone()).is_ok());
     }
 
+    /// Tells all watches of a change in a value that cannot be read. A watch that begins behind it is told
+    /// whole.
+    pub fn tell_spoilt(&self, revision: u64, members: &[String]) {
+        until("a watch", || !self.watches.lock().expect("sound").is_empty());
+        let line =
+            format!("{{\"revision\":{revision},\"complete\":false,\"members\":[{}]}}", members.join(","));
+        let spoilt = line.replace("\"cell\":", "\"cell\":x");
+        let mut watches = self.watches.lock().expect("sound");
+        self.told.lock().expect("sound").push((revision, line));
+        watches.retain(|w| w.send(spoilt.clone()).is_ok());
+    }
+
     /// The notice for a message, once it has come.
     pub fn notice(&self, id: u64) -> String {
         let found = || {
