A value of the list that cannot be read is asked for again; the soak has addresses of its own

Cause: the next watch asked from the sound value behind a spoilt one, so what the spoilt one told was never known. Change: the revision stays before a spoilt value, and 2 s later the watch begins anew from there; a whole list heals it. Ruled out: a complete list with an older revision is the present state of a service that was begun anew; one watch is in force at a time, so it cannot be a late answer of another.

--- a/crates/daemon/src/platform/discovery.rs
+++ b/crates/daemon/src/platform/discovery.rs
@@ -26,6 +26,10 @@
 /// A heartbeat comes every 2 s; this is a little for the way. Only whole values and heartbeats count: bytes
 /// that complete nothing keep no watch alive.
 const SILENCE: Duration = Duration::from_millis(2_600);
+/// After a value that could not be read the watch is begun anew, from before that value: what stood in it
+/// counts as told after 6 s. Until then sound values behind it are read, and a service whose values are never
+/// sound is not asked more often.
+const REREAD: Duration = Duration::from_secs(2);
 /// An attempt has brought an answer's head by then, or it failed. Connecting has its part of that: nothing is
 /// heard of a connection over a cut, also once that is over.
 const ANSWER: Duration = Duration::from_millis(2_500);
@@ -83,7 +87,9 @@
                 let ended = follow(&*net, address, &revision, &inputs).await;
                 match ended {
                     // What it missed is due: the next one begins at once.
-                    Ok(Silent) => tracing::warn!("discovery: the watch fell silent; watching anew"),
+                    Ok(Silent) => tracing::warn!(
+                        "discovery: the watch fell silent, or a value was spoilt; watching anew"
+                    ),
                     Err(why) => {
                         tracing::warn!("discovery: {why}");
                         break;
@@ -105,7 +111,7 @@
 
 type Failure = Box<dyn std::error::Error>;
 
-/// A watch that had begun brought nothing for too long.
+/// A watch that had begun brought nothing for too long, or something that could not be read.
 struct Silent;
 
 async fn follow(
@@ -130,27 +136,40 @@
     let mut body = response.into_body();
     let (mut values, mut pieces) = (Values::default(), Vec::new());
     let mut alive = Instant::now();
+    // What is known by this watch, and since when a value of it is missing: the next watch has to begin before.
+    let (mut known, mut missing) = (revision.get(), None::<Instant>);
     loop {
-        let Ok(frame) = timeout_at(alive + SILENCE, body.frame()).await else { return Ok(Silent) };
+        let until = missing.map_or(alive + SILENCE, |since| (alive + SILENCE).min(since + REREAD));
+        let Ok(frame) = timeout_at(until, body.frame()).await else { return Ok(Silent) };
         let Ok(data) = frame.ok_or("the watch ended")??.into_data() else { continue };
+        if missing.is_some_and(|since| since.elapsed() >= REREAD) {
+            return Ok(Silent);
+        }
         let cut = values.push(&data, &mut pieces);
         for piece in pieces.drain(..) {
             let news = match piece {
-                Piece::List(news) if !news.complete && news.revision < revision.get() => {
+                Piece::List(news) if !news.complete && news.revision < known => {
                     tracing::warn!("discovery: changes of {}, which is known", news.revision);
                     continue;
                 }
                 Piece::List(news) => news,
                 // Also an empty line answers the watch.
-                Piece::Heartbeat => Listing { revision: revision.get(), ..Listing::default() },
+                Piece::Heartbeat => Listing { revision: known, ..Listing::default() },
                 // The values after it may well be sound.
                 Piece::Spoilt(why) => {
-                    tracing::warn!("discovery: a value: {why}");
+                    tracing::warn!("discovery: a value: {why}; what it told is asked for again");
+                    missing.get_or_insert_with(Instant::now);
                     continue;
                 }
             };
             alive = Instant::now();
-            revision.set(news.revision);
+            known = news.revision;
+            if news.complete {
+                missing = None;
+            }
+            if missing.is_none() {
+                revision.set(known);
+            }
             let _ = inputs.send(Input::Listed(news));
         }
         cut?;
--- a/crates/soak/src/play.rs
+++ b/crates/soak/src/play.rs
@@ -10,6 +10,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -21,6 +22,11 @@
 const HALF: u32 = 500;
 const MOST: u32 = 950;
 const RELOADS: usize = 4;
+/// Below those that the system gives out.
+const PORT: u16 = 20_000;
+
+/// Plays of this process so far.
+static PLAYS: AtomicU32 = AtomicU32::new(0);
 
 /// What a play came to.
 #[derive(Debug)]
@@ -54,6 +60,14 @@
     )
 }
 
+/// Where clients reach a sender. Its address is nobody else's on the loopback network, so that while the sender
+/// is down no other socket can get its port: another play's messages would come in there.
+fn address(play_number: u32, sender: usize) -> SocketAddr {
+    let play = std::process::id().wrapping_mul(7).wrapping_add(play_number);
+    let [_, _, high, low] = play.to_be_bytes();
+    SocketAddr::from(([127, 64 + high % 64, low, sender as u8 + 1], PORT))
+}
+
 struct World {
     senders: Vec<Arc<Sender>>,
     endpoints: Vec<Arc<Endpoint>>,
@@ -66,6 +80,7 @@
 /// The machine does not give what a play takes.
 pub fn play(program: &Path, seed: u64, size: &Size, plan: &[Trouble]) -> io::Result<Outcome> {
     let folder = tempfile::tempdir()?;
+    let play_number = PLAYS.fetch_add(1, Ordering::Relaxed);
     let (book, list) = (Arc::new(Book::default()), Arc::new(List::default()));
     let endpoints: Vec<_> =
         (0..2 * size.dests).map(|number| Endpoint::new(number, &book)).collect::<io::Result<_>>()?;
@@ -77,8 +92,9 @@
     let senders: Vec<_> = (0..size.senders)
         .map(|number| {
             let place = list_service(number, &list, &book)?;
-            let told = |listen| config(number, seed ^ number as u64, listen, place, &members);
-            Sender::new(number, program, folder.path(), told, &book)
+            let address = address(play_number, number);
+            let text = config(number, seed ^ number as u64, address, place, &members);
+            Sender::new(number, program, folder.path(), address, &text, &book)
         })
         .collect::<io::Result<_>>()?;
     thread::scope(|scope| {
--- a/crates/soak/src/sender.rs
+++ b/crates/soak/src/sender.rs
@@ -4,7 +4,7 @@
 use notchpoint_faults::Faults;
 use std::fs;
 use std::io::{self, BufRead, BufReader};
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -45,7 +45,7 @@
 }
 
 impl Sender {
-    /// Prepares a sender; `config` gives its configuration for an address of its own.
+    /// Prepares a sender that clients reach at this address, with this configuration.
     ///
     /// # Errors
     /// Its folder cannot be made.
@@ -53,13 +53,13 @@
         number: usize,
         program: &Path,
         within: &Path,
-        config: impl FnOnce(SocketAddr) -> String,
+        address: SocketAddr,
+        config: &str,
         book: &Arc<Book>,
     ) -> io::Result<Arc<Self>> {
         let folder = within.join(format!("n{number}"));
         fs::create_dir_all(folder.join("state"))?;
-        let address = TcpListener::bind("127.0.0.1:0")?.local_addr()?;
-        fs::write(folder.join("config.json"), config(address))?;
+        fs::write(folder.join("config.json"), config)?;
         Ok(Arc::new(Self {
             number,
             address,
