--- a/crates/daemon/src/calls.rs
+++ b/crates/daemon/src/calls.rs
@@ -12,6 +12,7 @@
 use crate::input::Input;
 use crate::platform::zoning::Zoning;
 use crate::rare_warning::RareWarning;
+use crate::reasons::Reasons;
 use crate::settings::config::Config;
 use crate::settings::descriptors::Descriptors;
 use crate::state::journal::Journal;
@@ -113,6 +114,8 @@
     second_copies: bool,
     /// What fails on this side.
     trouble: RareWarning,
+    /// Why what happened.
+    pub reasons: Rc<Reasons>,
 }
 
 impl Calls {
@@ -148,6 +151,7 @@
             most_idle: Descriptors::new(config).idle,
             second_copies: set.second_copies,
             trouble: RareWarning::default(),
+            reasons: Rc::default(),
         });
         let swept = Rc::downgrade(&calls);
         tokio::task::spawn_local(async move {
@@ -380,6 +384,8 @@
     /// Records how an attempt ended, and tells the node.
     fn ended(&self, endpoint: EndpointId, (id, attempt): AttemptId, end: End) {
         let outcome = end.outcome;
+        self.reasons.attempted(outcome);
+        tracing::debug!("message {:016x}, attempt {attempt} at {endpoint:?}: {outcome:?}", id.0);
         let mut journal = self.journal.borrow_mut();
         let sent =
             journal.get(id).and_then(|m| m.attempts.iter().find(|a| a.number == attempt)).map(|a| a.at);
--- a/crates/daemon/src/cli.rs
+++ b/crates/daemon/src/cli.rs
@@ -2,7 +2,7 @@
 
 use crate::out::say;
 use crate::sender::{self, Failure};
-use crate::settings::operator::{self, Format};
+use crate::settings::operator::{self, Format, Log};
 use crate::state::storage;
 use clap::{Parser, Subcommand};
 use notchpoint_policy::{DestinationId, FINGERPRINT, MessageId, Micros};
@@ -160,7 +160,7 @@
 fn serve(file: Option<PathBuf>) -> Result<ExitCode, Failure> {
     let file = file.or_else(|| std::env::var_os("NOTCHPOINT_OPERATOR").map(PathBuf::from));
     let operator = file.map_or(Ok(operator::Operator::default()), |f| operator::read(&f))?;
-    log(operator.log.format);
+    log(operator.log);
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let local = tokio::task::LocalSet::new();
     runtime.block_on(local.run_until(async { sender::run(sender::surroundings()?, operator).await }))?;
@@ -168,9 +168,10 @@
 }
 
 /// From now on what happens is logged to standard output, a line each.
-fn log(format: Format) {
-    let lines = tracing_subscriber::fmt().with_ansi(false).with_target(false);
-    match format {
+fn log(set: Log) {
+    let level = if set.detail { tracing::Level::DEBUG } else { tracing::Level::INFO };
+    let lines = tracing_subscriber::fmt().with_ansi(false).with_target(false).with_max_level(level);
+    match set.format {
         Format::Text => lines.init(),
         Format::Json => lines.json().flatten_event(true).init(),
     }
--- a/crates/daemon/src/clients/inbound.rs
+++ b/crates/daemon/src/clients/inbound.rs
@@ -8,6 +8,7 @@
 use crate::input::Input;
 use crate::io::{Observed, Observer};
 use crate::rare_warning::RareWarning;
+use crate::reasons::{Close, Refusal};
 use crate::settings::config::Config;
 use crate::settings::descriptors::Descriptors;
 use crate::settings::terms::Terms;
@@ -162,7 +163,9 @@
         tokio::task::spawn_local(async move {
             let inside = &inbound.door.inside;
             inside.set(inside.get() + 1);
-            connection(inbound.clone(), seat.clone()).await;
+            let why = connection(inbound.clone(), seat.clone()).await;
+            tracing::debug!("client's connection {number} ended: {why:?}");
+            inbound.calls.reasons.closed(why);
             // What crosses the end of a resting connection stays unread: its client has to see that.
             if seat.last.get() {
                 seat.end().await;
@@ -188,7 +191,7 @@
     )
 }
 
-async fn connection(inbound: Rc<Inbound>, seat: Rc<Seat>) {
+async fn connection(inbound: Rc<Inbound>, seat: Rc<Seat>) -> Close {
     if let Err(why) = seat.stream.set_nodelay() {
         // Answers may wait a little; without the connection there would be none.
         tracing::debug!("a client's connection: TCP_NODELAY: {why}");
@@ -203,7 +206,10 @@
                 let receipt = receipt.upgrade();
                 let mut answer = match answer(&inbound, request, receipt.as_deref()).await {
                     Ok(answer) => answer,
-                    Err(status) => plain(status),
+                    Err(status) => {
+                        inbound.calls.reasons.refused(Refusal::Invalid);
+                        plain(status)
+                    }
                 };
                 // What has been read behind it has its answer too, and the last one says so.
                 if inbound.door.is_closing() && receipt.as_ref().is_none_or(|r| r.seat.has_read_all()) {
@@ -228,8 +234,8 @@
         tokio::select! {
             biased;
             // Before anything more is read.
-            () = seat.is_given_up() => return,
-            _ = &mut served => return,
+            () = seat.is_given_up() => return Close::PlaceWanted,
+            _ = &mut served => return if told { Close::Drained } else { Close::Finished },
             () = inbound.door.close.wait(), if !closing => closing = true,
             // A request that is being read or answered ends the connection itself; what has come in part is
             // never dropped. hyper would, between two requests.
@@ -245,7 +251,7 @@
                 // What has come is read first, also of a request that is late: a last byte unread is a
                 // request lost. Who never falls silent ends all the same.
                 if due && (seat.stream.is_quiet() || seat.ends_at() + GRACE <= Instant::now()) {
-                    return;
+                    return Close::TimedOut;
                 }
                 if due {
                     // Something came in this very moment: the connection's own turn reads it.
@@ -304,7 +310,7 @@
     let body = match timeout_at(receipt.seat.whole_by(), read_body(inbound, request.into_body())).await {
         Err(_) => return Ok(last(StatusCode::REQUEST_TIMEOUT)),
         Ok(Err(NotRead::NoRoom)) => {
-            let mut answer = come_back(inbound);
+            let mut answer = come_back(inbound, Refusal::BodiesFull);
             close_after(&mut answer);
             return Ok(answer);
         }
@@ -313,20 +319,26 @@
     };
     let handed = handed?;
     // A destination that no list has named lately is refused, not failed: the list may be late.
-    if inbound.door.ending.get() || !inbound.calls.knows(handed.dest) {
-        return Ok(come_back(inbound));
+    if inbound.door.ending.get() {
+        return Ok(come_back(inbound, Refusal::ShuttingDown));
+    }
+    if !inbound.calls.knows(handed.dest) {
+        return Ok(come_back(inbound, Refusal::UnknownDestination));
     }
     let successor = inbound.successor.borrow().clone();
     if let Some(successor) = successor {
         return pass_on(inbound, &successor, handed, tag, body, since, receipt).await;
     }
-    let Some(left) = record(inbound, &handed, &tag, body, since)? else { return Ok(come_back(inbound)) };
+    let Some(left) = record(inbound, &handed, &tag, body, since)? else {
+        return Ok(come_back(inbound, Refusal::NoRoom));
+    };
     let (mark, since, mut record) =
         (inbound.safety.mark(), Instant::now(), Record { inbound, id: Some(handed.id) });
     if !is_safe(inbound, handed.id, &mark).await {
         return if record.withdraw() {
-            Ok(come_back(inbound))
+            Ok(come_back(inbound, Refusal::NotDurable))
         } else {
+            inbound.calls.reasons.refused(Refusal::NotWithdrawn);
             Err(StatusCode::INTERNAL_SERVER_ERROR)
         };
     }
@@ -361,7 +373,7 @@
     let passed = Passed { id, tag, tenant, dest, left, idempotency_key, body };
     let (class, left) = match successor.take(passed).await {
         Taken::Yes { class, left } => (class, left),
-        Taken::ComeBack => return Ok(come_back(inbound)),
+        Taken::ComeBack => return Ok(come_back(inbound, Refusal::Successor)),
         Taken::Conflict => return Err(StatusCode::CONFLICT),
     };
     let (tenant, again) = (handed.tenant, handed.again);
@@ -519,7 +531,8 @@
 }
 
 /// Refused, with advice on when to come back as far as clients heed it.
-fn come_back(inbound: &Inbound) -> Response<Full<Bytes>> {
+fn come_back(inbound: &Inbound, why: Refusal) -> Response<Full<Bytes>> {
+    inbound.calls.reasons.refused(why);
     let mut answer = plain(StatusCode::SERVICE_UNAVAILABLE);
     let advice = COME_BACK.min(inbound.terms.borrow().set.max_advice);
     if advice > 0
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -14,6 +14,7 @@
 mod out;
 mod platform;
 mod rare_warning;
+mod reasons;
 pub mod sender;
 pub mod settings;
 mod startup;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -623,6 +623,8 @@
         if self.journal.borrow().get(id).is_none() {
             return;
         }
+        self.calls.reasons.given_up(verdict);
+        tracing::debug!("message {:016x} is given up: {verdict:?}", id.0);
         match (&self.copies, verdict) {
             (Some(copies), Verdict::Bounced(_)) if self.is_careful(id) => {
                 // Another sender may have taken it over, or may yet: it is harmless to hand in again only if
--- a/crates/daemon/src/operators/admin.rs
+++ b/crates/daemon/src/operators/admin.rs
@@ -7,6 +7,7 @@
 use crate::io::Observed;
 use crate::operations::{self, Asked, No, Word};
 use crate::platform::zoning::Zoning;
+use crate::reasons::Reasons;
 use crate::settings::descriptors::OPERATORS;
 use crate::state::safety::Safety;
 use bytes::Bytes;
@@ -51,11 +52,12 @@
     }
 }
 
-/// What operators see of parts that are off by default.
+/// What operators see of other parts.
 #[derive(Default)]
 pub struct Shown {
     pub copies: Option<Rc<Copying>>,
     pub zoning: Option<Rc<Zoning>>,
+    pub reasons: Rc<Reasons>,
 }
 
 struct Desk {
@@ -189,6 +191,7 @@
         _ => "active",
     };
     let mut said = serde_json::json!({ "ok": true, "name": desk.name, "state": state });
+    said["reasons"] = desk.shown.reasons.shown();
     if let Some(copies) = &desk.shown.copies {
         said["copies"] = copies.status();
     }
--- a/crates/daemon/src/sender.rs
+++ b/crates/daemon/src/sender.rs
@@ -354,7 +354,8 @@
         let watched = door.clone();
         let watching = tokio::task::spawn_local(async move { watched.watch().await });
         door.open();
-        let told_of = Shown { copies: copies.clone(), zoning: zoning.clone() };
+        let told_of =
+            Shown { copies: copies.clone(), zoning: zoning.clone(), reasons: calls.reasons.clone() };
         self.operators.open(&config.name, &door, &safety, told_of, &inputs);
         self.told.look_again(source);
         let asked = self.accept.as_ref().and_then(|_| {
--- a/crates/daemon/src/settings/operator.rs
+++ b/crates/daemon/src/settings/operator.rs
@@ -357,6 +357,8 @@
 #[serde(deny_unknown_fields, default)]
 pub struct Log {
     pub format: Format,
+    /// Each attempt, connection and message that ends has a line too.
+    pub detail: bool,
 }
 
 /// How a line of the log looks.
--- a/crates/daemon/tests/sockets/operations.rs
+++ b/crates/daemon/tests/sockets/operations.rs
@@ -188,3 +188,17 @@
     assert!(client.until_end().starts_with("HTTP/1.1 503"), "it is told to come again");
     assert!(node.exit());
 }
+
+#[test]
+fn status_tells_why_requests_were_refused_and_how_attempts_and_connections_ended() {
+    let (endpoint, known) = served();
+    let node = Node::new(&known, |text| text);
+    assert_eq!(node.hand_in("payment", 1, 3, 50_000, b"x").status(), 202);
+    until("its call", || endpoint.calls() == 1);
+    assert_eq!(node.hand_in("payment", 2, 77, 50_000, b"x").status(), 503);
+    assert_eq!(node.ask("GET /nowhere", &[], b"").status(), 404);
+    let shown = || String::from_utf8(node.say("GET /status").body).expect("text");
+    until("all ends are counted", || shown().contains("\"Served\":1") && shown().contains("\"Finished\":"));
+    let text = shown();
+    assert!(text.contains("\"UnknownDestination\":1") && text.contains("\"Invalid\":1"), "{text}");
+}
--- a/crates/policy/tests/fleet.rs
+++ b/crates/policy/tests/fleet.rs
@@ -158,6 +158,47 @@
     }
 }
 
+/// Calls that a cold destination bears in a window in which the settings allow so many.
+fn borne(allowed: f64) -> f64 {
+    let times = if allowed < 30.0 { 3.0 } else { 2.0 };
+    allowed + times * allowed.sqrt() + times
+}
+
+#[test]
+fn a_cold_destination_gets_what_it_can_bear_from_one_sender_and_from_a_few() {
+    let set = thin(1);
+    let window = set.fall_after;
+    let mut worst = (0.0, String::new());
+    for senders in [1, 2, 3, 5, 8] {
+        for (restarted, waits, lost) in
+            [(0, false, None), (0, true, None), (2, false, Some(0)), (0, true, Some(50))]
+        {
+            // What the destination can do for the seven that come in: plenty, and hardly more.
+            for (seed, warm_rate) in (1..=6).flat_map(|seed| [10.0, 8.4, 7.0].map(|rate| (seed, rate))) {
+                let calls = Fleet { restarted, waits, lost, ..Fleet::of(senders, seed) }.play();
+                for from in (0..8 * SEC).step_by(100_000) {
+                    let came = rate(&calls, from, from + window) * window as f64 / SEC as f64;
+                    let warm = (from as f64 / set.cold as f64).min(1.0);
+                    let can = warm_rate * (set.start_share + (1.0 - set.start_share) * warm);
+                    let most = borne(set.fall_multiple * can * window as f64 / SEC as f64);
+                    if came / most > worst.0 {
+                        let ms = from / MS;
+                        worst = (
+                            came / most,
+                            format!(
+                                "{senders} senders, seed {seed}, {warm_rate} a second when warm, one of \
+                                 {restarted} anew, waits {waits}, notes {lost:?}: {came} calls from {ms} ms \
+                                 on, where {most:.1} are borne"
+                            ),
+                        );
+                    }
+                }
+            }
+        }
+    }
+    assert!(worst.0 <= 1.0, "{}", worst.1);
+}
+
 #[test]
 fn a_destination_that_refused_before_its_outage_is_begun_with_more_slowly() {
     // Two messages a second, more than are let through: calls in the six seconds after it is back.
--- a/crates/soak/src/book.rs
+++ b/crates/soak/src/book.rs
@@ -169,6 +169,11 @@
         }
     }
 
+    /// Whether a sender was told that an endpoint drains.
+    pub fn knows_drain(&self, sender: usize, endpoint: usize) -> bool {
+        self.pages().drained.contains_key(&(sender, endpoint))
+    }
+
     /// A sender got a signal that ends it.
     pub fn down(&self, sender: usize) {
         self.pages().downs.entry(sender).or_default().push((Instant::now(), None));
--- a/crates/soak/src/sender.rs
+++ b/crates/soak/src/sender.rs
@@ -24,6 +24,9 @@
 const HELD_UP: Duration = Duration::from_millis(150);
 const LOOK: Duration = Duration::from_millis(5);
 
+/// Gives a sender's configuration as it is at a start: with the list as this sender last had it.
+pub type Configure = Box<dyn Fn() -> String + Send + Sync>;
+
 /// One sender.
 pub struct Sender {
     /// Its number in the book.
@@ -34,6 +37,7 @@
     pub faults: Faults,
     folder: PathBuf,
     program: PathBuf,
+    config: Configure,
     child: Mutex<Option<Child>>,
     accepts: AtomicBool,
     book: Arc<Book>,
@@ -45,7 +49,7 @@
 }
 
 impl Sender {
-    /// Prepares a sender that clients reach at this address, with this configuration.
+    /// Prepares a sender that clients reach at this address, with a configuration made anew for each start.
     ///
     /// # Errors
     /// Its folder cannot be made.
@@ -54,18 +58,18 @@
         program: &Path,
         within: &Path,
         address: SocketAddr,
-        config: &str,
+        config: Configure,
         book: &Arc<Book>,
     ) -> io::Result<Arc<Self>> {
         let folder = within.join(format!("n{number}"));
         fs::create_dir_all(folder.join("state"))?;
-        fs::write(folder.join("config.json"), config)?;
         Ok(Arc::new(Self {
             number,
             address,
             faults: Faults::create(&folder.join("faults"))?,
             folder,
             program: program.to_owned(),
+            config,
             child: Mutex::default(),
             accepts: AtomicBool::new(false),
             book: book.clone(),
@@ -87,6 +91,7 @@
     /// It cannot be started.
     pub fn start(&self) -> io::Result<()> {
         let begun = Instant::now();
+        fs::write(self.folder.join("config.json"), (self.config)())?;
         let mut command = Command::new(&self.program);
         notchpoint_faults::preload(&self.folder.join("faults"), &mut command)?;
         command
