--- a/crates/daemon/tests/sockets/clock.rs
+++ b/crates/daemon/tests/sockets/clock.rs
@@ -82,3 +82,26 @@
     until("an end, or a repeat", || hangs.calls() > 1 || node.platform.has_notice(3));
     assert_eq!(hangs.calls(), 1, "a keyed message was repeated beyond its window");
 }
+
+#[test]
+fn an_answer_so_late_that_it_may_not_count_is_followed_by_a_notice() {
+    // A sender that was held up when it read a request takes its message's time to end later than it does. An
+    // answer that comes in between is none for who wrote it, and a notice does no harm where it is one.
+    const TIME: Duration = Duration::from_millis(1_000);
+    let endpoint = Endpoint::new(|call| {
+        let late = call.header("x-request-id").ends_with('1');
+        thread::sleep(if late { TIME - Duration::from_millis(80) } else { Duration::from_millis(20) });
+        answer("200 OK", "", "")
+    });
+    let node = Node::new(&[member("s-1", endpoint.address, "shop", 3, "up")], |text| text);
+    assert_eq!(node.hand_in("payment", 2, 3, 1_000, b"x").status(), 202);
+    until("its call", || endpoint.calls() == 1);
+    let begun = Instant::now();
+    assert_eq!(node.hand_in("payment", 1, 3, 1_000, b"x").status(), 202);
+    let limit = TIME + Duration::from_millis(300);
+    until("a notice, or too late", || node.platform.has_notice(1) || begun.elapsed() > limit);
+    assert!(node.platform.has_notice(1), "no notice in {limit:?}");
+    assert!(node.platform.notice(1).contains("\"dead\""));
+    assert!(begun.elapsed() <= limit, "only after {:?}", begun.elapsed());
+    assert!(!node.platform.has_notice(2), "one that was answered in time needs none");
+}
--- a/crates/policy/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -270,6 +270,8 @@
     let all = within(&rig);
     assert_eq!(all.len(), 2, "it is tried again");
     let (at, most) = all[1];
-    assert!(at + most < first.0 + SEC, "{} after the first", at + most - first.0);
+    // The sender may be held up for 150 ms between its look at the clock and the first byte.
+    let begins = at + most + 150 * MS;
+    assert!(begins < first.0 + SEC, "{} after the first", begins - first.0);
     assert!(most > 0);
 }
