A sender that is held up for 0.15 s loses no message and repeats none beyond its window

Cause: a repeat's margin was 100 ms; a call's and a message's end were worked out from two looks at a clock, the later of which was added to; a request that waited unread while the process was held up has its end later here than it is, and an answer in between was taken for a delivery.

--- a/crates/daemon/src/calls.rs
+++ b/crates/daemon/src/calls.rs
@@ -44,6 +44,9 @@
 /// An answer that comes so shortly before the end of a message's time may have been written after it: a
 /// client's time began a little before its message was read here.
 const TURN: Duration = Duration::from_millis(10);
+/// The same where the process was held up before it read the message: an answer that comes in this time before
+/// the end is taken for one, and its message is ended by a notice all the same, which does no harm.
+const DOUBT: Duration = Duration::from_millis(170);
 /// No message lives longer.
 const FOREVER: Duration = Duration::from_secs(365 * 24 * 60 * 60);
 
@@ -350,7 +353,11 @@
                 Some(Err(CallError::NotSent(_))) => Outcome::NotSent.into(),
                 _ => Outcome::ConnectFailed.into(),
             };
+            let doubtful = end.outcome == Outcome::Served && call.is_nearly_over(DOUBT);
             self.report(endpoint, &item, end);
+            if doubtful {
+                let _ = self.inputs.send(Input::Doubtful(item.id));
+            }
         }
     }
 
@@ -372,8 +379,10 @@
         let deadline = |i: &Item| journal.get(i.id).map_or(0, |m| m.deadline);
         let (first, at) = items.iter().map(deadline).enumerate().max_by_key(|&(n, at)| (at, Reverse(n)))?;
         items[..=first].rotate_right(1);
+        // The earlier look at a clock is the one that is added to: held up between the two, it ends too soon.
+        let now = Instant::now();
         let left = Duration::from_micros(at.saturating_sub(journal.unix_now())).min(FOREVER);
-        Some(Instant::now() + left.saturating_sub(TURN))
+        Some(now + left.saturating_sub(TURN))
     }
 
     fn report(&self, endpoint: EndpointId, item: &Item, end: End) {
--- a/crates/daemon/src/calls/call.rs
+++ b/crates/daemon/src/calls/call.rs
@@ -5,6 +5,7 @@
 use super::progress::Progress;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
@@ -51,6 +52,11 @@
         self.over_at.get().is_some_and(|at| Instant::now() >= at)
     }
 
+    /// It is over within this time.
+    pub(super) fn is_nearly_over(&self, within: Duration) -> bool {
+        self.over_at.get().is_some_and(|at| Instant::now() + within >= at)
+    }
+
     /// Its request's last byte has been written.
     pub(super) fn is_written(&self) -> bool {
         self.progress.borrow().as_ref().is_some_and(|p| p.complete())
--- a/crates/daemon/src/clients/inbound.rs
+++ b/crates/daemon/src/clients/inbound.rs
@@ -435,12 +435,14 @@
     if journal.get(handed.id).is_some() || inbound.calls.has_out(handed.id) {
         return Err(StatusCode::CONFLICT);
     }
+    // Held up between the two looks at a clock, its time ends too soon and not too late.
+    let now = journal.unix_now();
     let left = handed.time.saturating_sub(since.elapsed());
     if left.is_zero() || journal.held() >= inbound.terms.borrow().set.max_held as usize {
         return Ok(None);
     }
     let left = left.as_micros() as Micros;
-    let mut open = Open::new(tag, &handed.tenant_name, handed.dest.0, journal.unix_now() + left, body);
+    let mut open = Open::new(tag, &handed.tenant_name, handed.dest.0, now + left, body);
     open.idempotency_key.clone_from(&handed.idempotency_key);
     // Until others have it, a process that ends here has promised nothing.
     open.sure = inbound.copies.is_none() || !inbound.terms.borrow().is_careful(tag);
--- a/crates/daemon/src/input.rs
+++ b/crates/daemon/src/input.rs
@@ -36,6 +36,8 @@
     Lost(MessageId),
     /// An attempt of this message was not made, since others did not consent: it rests.
     Parked(MessageId),
+    /// A message was answered so late that its answer may not count.
+    Doubtful(MessageId),
     /// A message has rested.
     Rested(MessageId),
     /// Clients are sent elsewhere, or again here: the zone in which this sender stands was left.
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -412,6 +412,7 @@
                 Some(event) => event,
                 None => return,
             },
+            Input::Doubtful(id) => return self.reports.push(id, Verdict::Dead),
             Input::Rested(id) => return self.resume(Some(&BTreeSet::from([id]))),
             Input::Operator(word, reply) => return self.word(word, reply),
             Input::GivesWay(wanted) => return self.door.shut(Shut::Zone, wanted),
--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -82,8 +82,9 @@
 const IDLE_SHARE: f64 = 0.75;
 /// A message that failed by itself waits so long before its next attempt, doubling.
 const AGAIN: Micros = 150 * MS;
-/// A repeat has arrived so long after its first byte was written.
-const ARRIVES: Micros = 100 * MS;
+/// A repeat has arrived so long after it was decided that it may begin: the process may be held up for 150 ms
+/// before its first byte.
+const ARRIVES: Micros = 250 * MS;
 /// A watch that failed is asked for again after this, and one without an answer is given up after the second.
 /// Together with what an attempt takes it stays under the 6 s after which changes count as told; shorter, a
 /// hundred senders drown a service that has room for few calls, and none is answered.
@@ -339,7 +340,10 @@
     /// For how long an attempt that is decided now may still begin: a repeat has to arrive while it is known.
     fn start_within(&self, h: &Held) -> Micros {
         let c = &self.set.classes[h.class];
-        let known = h.ran.filter(|_| c.effect == Effect::Keyed).map(|(since, _)| since + c.memory - ARRIVES);
+        let known = h
+            .ran
+            .filter(|_| c.effect == Effect::Keyed)
+            .map(|(since, _)| (since + c.memory).saturating_sub(ARRIVES));
         known.map_or(h.expires, |at| at.min(h.expires)).saturating_sub(self.now)
     }
 
