--- a/crates/daemon/src/calls.rs
+++ b/crates/daemon/src/calls.rs
@@ -44,8 +44,8 @@
 /// An answer that comes so shortly before the end of a message's time may have been written after it: a
 /// client's time began a little before its message was read here.
 const TURN: Duration = Duration::from_millis(10);
-/// The same where the process was held up before it read the message: an answer that comes in this time before
-/// the end is taken for one, and its message is ended by a notice all the same, which does no harm.
+/// The same where the process was held up before it read the message: an answer that comes in this time
+/// before the end is taken for one, and its message is ended by a notice all the same, which does no harm.
 const DOUBT: Duration = Duration::from_millis(170);
 /// No message lives longer.
 const FOREVER: Duration = Duration::from_secs(365 * 24 * 60 * 60);
--- a/crates/daemon/src/calls/exchange.rs
+++ b/crates/daemon/src/calls/exchange.rs
@@ -138,8 +138,8 @@
         }
     }
 
-    /// Records these attempts. One without a record is not made, also where its message may be repeated: after
-    /// a restart nobody would know of it, and its message could have more attempts than it may.
+    /// Records these attempts. One without a record is not made, also where its message may be repeated:
+    /// after a restart nobody would know of it, and its message could have more attempts than it may.
     fn record_attempts(&self, endpoint: EndpointId, waiting: &RefCell<Vec<Item>>) {
         let mut failed = None;
         let unrecorded = take(waiting, |i| {
--- a/crates/daemon/src/clients/inbound.rs
+++ b/crates/daemon/src/clients/inbound.rs
@@ -176,8 +176,8 @@
     }
 }
 
-/// Whether an error of `accept` is of the connection that would have been next, which is gone with it, and not
-/// of this machine.
+/// Whether an error of `accept` is of the connection that would have been next, which is gone with it, and
+/// not of this machine.
 fn is_of_one_connection(why: &io::Error) -> bool {
     matches!(
         why.kind(),
--- a/crates/daemon/src/platform/discovery.rs
+++ b/crates/daemon/src/platform/discovery.rs
@@ -136,7 +136,8 @@
     let mut body = response.into_body();
     let (mut values, mut pieces) = (Values::default(), Vec::new());
     let mut alive = Instant::now();
-    // What is known by this watch, and since when a value of it is missing: the next watch has to begin before.
+    // What is known by this watch, and since when a value of it is missing: the next watch has to begin
+    // before.
     let (mut known, mut missing) = (revision.get(), None::<Instant>);
     loop {
         let until = missing.map_or(alive + SILENCE, |since| (alive + SILENCE).min(since + REREAD));
--- a/crates/daemon/src/state/debts.rs
+++ b/crates/daemon/src/state/debts.rs
@@ -27,9 +27,9 @@
     }
 }
 
-/// Waits until a verdict that says that handing in again is harmless is written, and gives the one to be told:
-/// a kill would forget one that is not, and the next process would send the message once more. Where its time
-/// runs out before, its client is promised nothing.
+/// Waits until a verdict that says that handing in again is harmless is written, and gives the one to be
+/// told: a kill would forget one that is not, and the next process would send the message once more. Where
+/// its time runs out before, its client is promised nothing.
 pub async fn written_verdict(
     journal: &Rc<RefCell<Journal>>,
     id: MessageId,
--- a/crates/daemon/src/state/timeline.rs
+++ b/crates/daemon/src/state/timeline.rs
@@ -48,7 +48,8 @@
 }
 
 impl Timeline {
-    /// Goes on with the timeline of an earlier process where it can, else begins one at the wall clock's time.
+    /// Goes on with the timeline of an earlier process where it can, else begins one at the wall clock's
+    /// time.
     pub fn resume(saved: Option<Self>, now: Reading) -> (Self, Continuity) {
         let fresh = Self { boot: now.boot, monotonic: now.monotonic, unix: now.wall };
         match saved {
--- a/crates/daemon/tests/sockets/clock.rs
+++ b/crates/daemon/tests/sockets/clock.rs
@@ -1,5 +1,5 @@
-//! The wall clock is stepped while the monotonic clock runs on: deadlines, windows and waits are spans of real
-//! time, in one process and over a restart.
+//! The wall clock is stepped while the monotonic clock runs on: deadlines, windows and waits are spans of
+//! real time, in one process and over a restart.
 
 use crate::world::*;
 use std::thread;
--- a/crates/faults-shim/src/lib.rs
+++ b/crates/faults-shim/src/lib.rs
@@ -1,9 +1,9 @@
 //! Makes system calls of a process under test fail on demand.
 //!
-//! It is loaded with `LD_PRELOAD` and takes the place of some functions of the C library; each asks the kernel
-//! itself unless the control file (`notchpoint-faults`) says that this call is to fail. It is for tests only:
-//! nothing that is deployed depends on it. It needs `unsafe` by its nature, and holds all of it that the
-//! workspace has.
+//! It is loaded with `LD_PRELOAD` and takes the place of some functions of the C library; each asks the
+//! kernel itself unless the control file (`notchpoint-faults`) says that this call is to fail. It is for
+//! tests only: nothing that is deployed depends on it. It needs `unsafe` by its nature, and holds all of it
+//! that the workspace has.
 #![warn(missing_docs)]
 #![allow(clippy::missing_safety_doc)]
 
--- a/crates/rehearsal/tests/world/hard.rs
+++ b/crates/rehearsal/tests/world/hard.rs
@@ -25,7 +25,8 @@
         (score.counts.delivered, score.counts.notices, o.ledgers[0].effects.len())
     };
     assert_eq!(of(1_800), (2, 0, 2));
-    // Within 170 ms of the end an answer may not count, where the sender had been held up: a notice goes with it.
+    // Within 170 ms of the end an answer may not count, where the sender had been held up: a notice goes
+    // with it.
     assert_eq!(of(1_980), (2, 2, 2));
     // One that cannot come in time runs all the same: its effect counts, and nobody sends it again.
     assert_eq!(of(2_001), (0, 2, 2));
--- a/crates/soak/src/play.rs
+++ b/crates/soak/src/play.rs
@@ -60,8 +60,8 @@
     )
 }
 
-/// Where clients reach a sender. Its address is nobody else's on the loopback network, so that while the sender
-/// is down no other socket can get its port: another play's messages would come in there.
+/// Where clients reach a sender. Its address is nobody else's on the loopback network, so that while the
+/// sender is down no other socket can get its port: another play's messages would come in there.
 fn address(play_number: u32, sender: usize) -> SocketAddr {
     let play = std::process::id().wrapping_mul(7).wrapping_add(play_number);
     let [_, _, high, low] = play.to_be_bytes();
