Two failing tests: a SIGHUP that meets a file or a folder which fails for a moment

Found by reading: Told::reload answers an error of reading the file with a warning, and Node::configure one of the store; neither is tried again. The sender then goes on asking a list service that has moved, and never learns of a change: after SIGHUP it counts as told 4 s later.

Change: tests only, and three more calls that the shim can make fail (reading files, socket, epoll_ctl). Measured: both tests wait in vain for a watch at the new place (60 s).

--- a/crates/daemon/tests/sockets/faults.rs
+++ b/crates/daemon/tests/sockets/faults.rs
@@ -184,3 +184,51 @@
     until("a call of each", || endpoint.calls() >= 5);
     assert!(faults.injected(Word::Thread).expect("a count") > 0, "no thread was wanted");
 }
+
+/// An endpoint of destination 3 under a name of its own.
+fn serving(name: &str) -> (Endpoint, String) {
+    let endpoint = Endpoint::new(|_| answer("200 OK", "", ""));
+    let entry = member(name, endpoint.address, "shop", 3, "up");
+    (endpoint, entry)
+}
+
+/// The list service moves by SIGHUP while something fails for `span`; a change that only the new place tells
+/// has to be known 4 s after the signal.
+fn moves_in_time(span: Duration, fail: impl Fn(&Faults), config: impl Fn(String) -> String) {
+    let (old, entry) = serving("s-1");
+    let (node, faults) = Node::with_faults(&[entry], |text| text);
+    let elsewhere = Platform::new();
+    let (new, entry) = serving("s-2");
+    fail(&faults);
+    node.reload(&config(at(&elsewhere.address.to_string())(node.config())));
+    let told = Instant::now();
+    thread::sleep(span);
+    faults.clear().expect("set");
+    elsewhere.tell(99, &[entry, member("s-1", old.address, "shop", 3, "draining")]);
+    thread::sleep(Duration::from_secs(4).saturating_sub(told.elapsed()));
+    let calls = old.calls();
+    for id in 1..=5 {
+        assert_eq!(node.hand_in("update", id, 3, LONG, b"x").status(), 202);
+    }
+    until("all calls", || old.calls() + new.calls() >= calls + 5);
+    assert_eq!(old.calls(), calls, "sent by a list that was out of date");
+}
+
+#[test]
+fn a_configuration_that_cannot_be_read_at_the_signal_is_in_force_once_it_can() {
+    for errno in [libc::ENFILE, libc::EIO] {
+        let fail = |faults: &Faults| faults.fail(Word::FileRead, errno, ALWAYS).expect("set");
+        moves_in_time(Duration::from_millis(1_500), fail, |text| text);
+    }
+}
+
+#[test]
+fn a_configuration_that_the_folder_does_not_take_is_in_force_once_it_does() {
+    // Its classes are kept beside the messages that name them.
+    let fail = |faults: &Faults| faults.fail(Word::FileWrite, libc::ENOSPC, ALWAYS).expect("set");
+    moves_in_time(Duration::from_millis(1_500), fail, |text| {
+        let changed = text.replace("\"deadlineS\": 60.0", "\"deadlineS\": 59.0");
+        assert_ne!(changed, text, "a class changes");
+        changed
+    });
+}
--- a/crates/faults-shim/src/lib.rs
+++ b/crates/faults-shim/src/lib.rs
@@ -173,17 +173,54 @@
     fault(Word::FileOperation).map_or_else(removed, fail)
 }
 
-/// Opens a file. Only opening for writing can be made to fail.
+/// Reads from a file.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn read(fd: c_int, bytes: *mut c_void, len: size_t) -> ssize_t {
+    if control().is_some()
+        && is_file(fd)
+        && let Some(errno) = fault(Word::FileRead)
+    {
+        return fail(errno) as ssize_t;
+    }
+    // SAFETY: as the caller's own call.
+    unsafe { libc::syscall(libc::SYS_read, fd, bytes, len) as ssize_t }
+}
+
+/// Opens a file.
 #[unsafe(no_mangle)]
 pub unsafe extern "C" fn open64(path: *const c_char, flags: c_int, mode: mode_t) -> c_int {
     let writes = flags & (libc::O_WRONLY | libc::O_RDWR) != 0;
-    if let Some(errno) = writes.then(|| fault(Word::FileOperation)).flatten() {
+    if let Some(errno) = fault(if writes { Word::FileOperation } else { Word::FileRead }) {
         return fail(errno);
     }
     // SAFETY: as the caller's own call; where no file is made, the mode means nothing.
     unsafe { libc::syscall(libc::SYS_openat, libc::AT_FDCWD, path, flags, mode) as c_int }
 }
 
+/// Makes a socket.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn socket(domain: c_int, kind: c_int, protocol: c_int) -> c_int {
+    // SAFETY: as the caller's own call.
+    let made = || unsafe { libc::syscall(libc::SYS_socket, domain, kind, protocol) as c_int };
+    fault(Word::Socket).map_or_else(made, fail)
+}
+
+/// Has the system watch a descriptor. Only adding one can be made to fail.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn epoll_ctl(
+    epoll: c_int,
+    operation: c_int,
+    fd: c_int,
+    event: *mut libc::epoll_event,
+) -> c_int {
+    let adds = operation == libc::EPOLL_CTL_ADD;
+    if let Some(errno) = adds.then(|| fault(Word::EpollAdd)).flatten() {
+        return fail(errno);
+    }
+    // SAFETY: as the caller's own call.
+    unsafe { libc::syscall(libc::SYS_epoll_ctl, epoll, operation, fd, event) as c_int }
+}
+
 /// Takes a connection.
 #[unsafe(no_mangle)]
 pub unsafe extern "C" fn accept4(
--- a/crates/faults/src/lib.rs
+++ b/crates/faults/src/lib.rs
@@ -51,6 +51,12 @@
     ShortIo = 9,
     /// `pthread_create`.
     Thread = 10,
+    /// Opening a file for reading, and `read` from a regular file.
+    FileRead = 11,
+    /// `socket`.
+    Socket = 12,
+    /// `epoll_ctl` that adds a descriptor.
+    EpollAdd = 13,
 }
 
 impl Word {
