--- a/crates/daemon/tests/sockets/faults.rs
+++ b/crates/daemon/tests/sockets/faults.rs
@@ -237,3 +237,38 @@
     assert_eq!(node.hand_in("update", 1, 3, 39_000, b"x").status(), 202);
     assert_eq!(node.hand_in("update", 2, 3, LONG, b"x").status(), 400, "more than its class has now");
 }
+
+#[test]
+fn a_start_that_cannot_read_its_configuration_for_a_while_waits_for_it() {
+    let endpoint = Endpoint::new(|_| answer("200 OK", "", ""));
+    let known = [member("s-1", endpoint.address, "shop", 3, "draining")];
+    for errno in [libc::ENFILE, libc::EIO] {
+        let (mut node, faults) = Node::with_faults(&known, |text| text);
+        assert_eq!(node.hand_in("payment", 1, 3, LONG, b"x").status(), 202);
+        node.kill();
+        faults.fail(Word::FileRead, errno, ALWAYS).expect("set");
+        let healer = thread::spawn(move || {
+            thread::sleep(Duration::from_secs(2));
+            faults.clear().expect("set");
+            faults
+        });
+        let begun = Instant::now();
+        node.start_again();
+        assert_eq!(node.ask("GET /up", &[], b"").status(), 200);
+        assert!(begun.elapsed() < Duration::from_secs(4), "ready only after {:?}", begun.elapsed());
+        assert!(!node.platform.has_notice(1), "what was taken on is still owed");
+        let faults = healer.join().expect("it healed");
+        assert!(faults.injected(Word::FileRead).expect("a count") > 0, "nothing was read");
+    }
+}
+
+#[test]
+fn a_start_that_waits_for_its_address_ends_when_it_is_told_to() {
+    let (mut node, faults) = Node::with_faults(&[], |text| text);
+    node.kill();
+    faults.fail(Word::Socket, libc::ENFILE, ALWAYS).expect("set");
+    let begun = Instant::now();
+    assert!(node.starts_until("address", &["-TERM"]), "an end with an error");
+    assert!(begun.elapsed() < Duration::from_secs(3), "only after {:?}", begun.elapsed());
+    assert!(faults.injected(Word::Socket).expect("a count") > 0);
+}
