A start waits for its configuration and each of its addresses, and heeds SIGTERM meanwhile

By reading, of the same class: the boot's identity was taken for untold where its file could not be read, so that records of the same boot counted as another's (older than any window); now that is an error which the store's opening waits for.

Change: one loop of a start (startup::patiently) that ends with SIGTERM, used for the configuration, the operators', the notes' and the clients' address; the store's own loop rests by the same function. A missing file, a missing right or a mistake still ends the process at once.

--- a/crates/daemon/src/sender.rs
+++ b/crates/daemon/src/sender.rs
@@ -30,7 +30,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
 use std::future::pending;
-use std::io::ErrorKind;
+use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -50,8 +50,6 @@
 /// How often it is looked whether all has ended.
 const LOOK: Duration = Duration::from_millis(10);
 
-/// How often a process that starts looks whether the store is free, and asks its owner to hand over.
-const WAITING: Duration = Duration::from_millis(50);
 /// Senders that keep copies know this one within this, or it begins without them: until they do, it promises
 /// nothing.
 const KNOWN: Duration = Duration::from_secs(1);
@@ -95,20 +93,25 @@
 /// Why it could not start.
 pub async fn run(world: World, operator: Operator) -> Result<(), Failure> {
     let World { net, clock, disk, signals, config: source, admin, accept } = world;
-    let own =
-        source().map_err(Failure::from).and_then(|text| Ok((crate::settings::config::read(&text)?, text)));
     let operators = Rc::new(Admin::default());
-    // First of all: operators are told that it starts while it does.
-    let mut admin = admin.or(own.as_ref().ok().and_then(|(config, _)| config.admin));
-    let known = admin.is_some();
-    if let Some(address) = admin {
-        listen_for_operators(&*net, address, &operators)?;
-    }
     let told = Rc::new(Told { operator: operator.clone(), ..Told::default() });
     let source = Rc::new(source);
     tokio::task::spawn_local(told.clone().heed(signals, source.clone()));
     let trouble = RareWarning::default();
     let fixed = Fixed { net, clock, disk, accept, operator, operators, told, trouble };
+    let own = match fixed.patiently("the configuration", || source()).await {
+        Ok(None) => return Ok(()),
+        Ok(Some(text)) => crate::settings::config::read(&text).map(|c| (c, text)).map_err(Failure::from),
+        Err(why) => Err(why.into()),
+    };
+    // Before anything else: operators are told that it starts while it does.
+    let mut admin = admin.or(own.as_ref().ok().and_then(|(config, _)| config.admin));
+    let known = admin.is_some();
+    if let Some(address) = admin
+        && !fixed.listen_for_operators(address).await?
+    {
+        return Ok(());
+    }
     let mut before = Before::Nobody;
     if fixed.accept.is_some() {
         before = fixed.ask().await;
@@ -127,7 +130,9 @@
         // Where the file cannot be read just now, the address stands in what the other process had in force.
         if let Some(address) = config.admin.filter(|_| !known && admin.is_none()) {
             admin = Some(address);
-            listen_for_operators(&*fixed.net, address, &fixed.operators)?;
+            if !fixed.listen_for_operators(address).await? {
+                return Ok(());
+            }
         }
         match fixed.live(config, text, before, &source).await? {
             Some(next) => before = next,
@@ -136,18 +141,6 @@
     }
 }
 
-fn listen_for_operators(
-    net: &dyn Network,
-    address: SocketAddr,
-    operators: &Rc<Admin>,
-) -> Result<(), Failure> {
-    let listener =
-        net.listen(address).map_err(|e| format!("operators' address (admin_addr) {address}: {e}"))?;
-    tracing::info!("operators at {}", listener.local_addr()?);
-    tokio::task::spawn_local(admin::serve(operators.clone(), listener));
-    Ok(())
-}
-
 /// Who served before.
 enum Before {
     Nobody,
@@ -171,6 +164,21 @@
 }
 
 impl Fixed {
+    /// Does one step of the start; gives nothing where the process is told to end meanwhile.
+    async fn patiently<T>(&self, what: &str, step: impl FnMut() -> io::Result<T>) -> io::Result<Option<T>> {
+        startup::patiently(&self.trouble, &self.told.terminate, what, step).await
+    }
+
+    /// Opens the operators' address. Whether to go on: not where the process is told to end meanwhile.
+    async fn listen_for_operators(&self, address: SocketAddr) -> Result<bool, Failure> {
+        let what = format!("operators' address (admin_addr) {address}");
+        let opened = self.patiently(&what, || self.net.listen(address)).await;
+        let Some(listener) = opened.map_err(|e| format!("{what}: {e}"))? else { return Ok(false) };
+        tracing::info!("operators at {}", listener.local_addr()?);
+        tokio::task::spawn_local(admin::serve(self.operators.clone(), listener));
+        Ok(true)
+    }
+
     /// Asks who serves to hand over.
     async fn ask(&self) -> Before {
         match passage::ask(&*self.net).await {
@@ -209,10 +217,8 @@
                 }
                 Err(e) => return Err(storage::explained(e)),
             }
-            tokio::select! {
-                biased;
-                () = self.told.terminate.notified() => return Ok(None),
-                () = sleep(WAITING) => {}
+            if !startup::rest(&self.told.terminate).await {
+                return Ok(None);
             }
             // One that had given its store away and finds yet another owner asks for nothing: it would take
             // the store from a process that is newer.
@@ -293,7 +299,10 @@
         let peers = match config.peer_listen.filter(|_| config.settings.may_note) {
             Some(address) => {
                 let bind = || Peers::bind(address, &config, &*self.net, inputs.clone(), zoning.clone());
-                Some(startup::patiently(&self.trouble, "address for notes", bind).await?)
+                match self.patiently("address for notes", bind).await? {
+                    Some(peers) => Some(peers),
+                    None => return Ok(None),
+                }
             }
             None => None,
         };
@@ -347,8 +356,11 @@
         let listener = match &self.accept {
             Some(listener) => listener.clone(),
             None => {
-                startup::patiently(&self.trouble, "clients' address", || self.net.listen(config.listen))
-                    .await?
+                let listen = || self.net.listen(config.listen);
+                match self.patiently("clients' address", listen).await? {
+                    Some(listener) => listener,
+                    None => return Ok(None),
+                }
             }
         };
         tracing::info!("listening on {}", listener.local_addr()?);
--- a/crates/daemon/src/startup.rs
+++ b/crates/daemon/src/startup.rs
@@ -4,6 +4,7 @@
 use crate::rare_warning::RareWarning;
 use std::io::{self, ErrorKind};
 use std::time::Duration;
+use tokio::sync::Notify;
 use tokio::time::{Instant, sleep};
 
 /// A start is to be ready within 30 s. What has not passed by then is told as the reason why it is not.
@@ -26,21 +27,34 @@
     !stays && begun.elapsed() < WITHIN
 }
 
-/// Does one step of a start, again and again while it fails for a reason that may pass.
+/// Rests before a step is tried again. Whether to go on: not where the process is told to end meanwhile.
+pub async fn rest(terminate: &Notify) -> bool {
+    tokio::select! {
+        biased;
+        () = terminate.notified() => false,
+        () = sleep(AGAIN) => true,
+    }
+}
+
+/// Does one step of a start, again and again while it fails for a reason that may pass. Gives nothing where the
+/// process is told to end meanwhile.
 ///
 /// # Errors
 /// The last one.
 pub async fn patiently<T>(
     trouble: &RareWarning,
+    terminate: &Notify,
     what: &str,
     mut step: impl FnMut() -> io::Result<T>,
-) -> io::Result<T> {
+) -> io::Result<Option<T>> {
     let begun = Instant::now();
     loop {
         match step() {
             Err(why) if may_pass(&why, begun) => trouble.tell(&format_args!("{what}: {why}; tried again")),
-            done => return done,
+            done => return done.map(Some),
+        }
+        if !rest(terminate).await {
+            return Ok(None);
         }
-        sleep(AGAIN).await;
     }
 }
--- a/crates/daemon/src/state/journal.rs
+++ b/crates/daemon/src/state/journal.rs
@@ -103,7 +103,7 @@
         let held = open.values().filter(|m| m.verdict.is_none()).count();
         let last = store.mark();
         let (store, owed, watch) = (Some(store), VecDeque::new(), None);
-        let now = Reading { boot: clock.boot(), monotonic: clock.monotonic_now(), wall: clock.unix_now() };
+        let now = Reading { boot: clock.boot()?, monotonic: clock.monotonic_now(), wall: clock.unix_now() };
         let (timeline, continuity) = Timeline::resume(saved, now);
         let mut journal = Self {
             store,
--- a/crates/daemon/src/state/timeline/tests.rs
+++ b/crates/daemon/src/state/timeline/tests.rs
@@ -24,8 +24,8 @@
         self.0.get().monotonic
     }
 
-    fn boot(&self) -> Option<BootId> {
-        self.0.get().boot
+    fn boot(&self) -> std::io::Result<Option<BootId>> {
+        Ok(self.0.get().boot)
     }
 }
 
--- a/crates/rehearsal/src/virt/mod.rs
+++ b/crates/rehearsal/src/virt/mod.rs
@@ -12,6 +12,7 @@
 use notchpoint_seam::{BootId, Clock, Network, Signal, World};
 use std::cell::{Cell, RefCell};
 use std::future::Future;
+use std::io;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::pin::Pin;
@@ -80,8 +81,8 @@
         self.0.elapsed().as_micros() as u64
     }
 
-    fn boot(&self) -> Option<BootId> {
-        Some(BootId([1; 16]))
+    fn boot(&self) -> io::Result<Option<BootId>> {
+        Ok(Some(BootId([1; 16])))
     }
 }
 
--- a/crates/seam/src/lib.rs
+++ b/crates/seam/src/lib.rs
@@ -26,7 +26,10 @@
     /// steps it.
     fn monotonic_now(&self) -> u64;
     /// Which boot that is; nothing where the system does not tell.
-    fn boot(&self) -> Option<BootId>;
+    ///
+    /// # Errors
+    /// The system tells, and cannot be asked just now.
+    fn boot(&self) -> io::Result<Option<BootId>>;
 }
 
 /// Names one boot of one machine.
--- a/crates/seam/src/real.rs
+++ b/crates/seam/src/real.rs
@@ -86,10 +86,16 @@
         seconds * MICROS_PER_SECOND + nanos / NANOS_PER_MICRO
     }
 
-    fn boot(&self) -> Option<BootId> {
-        let text = fs::read_to_string(BOOT_ID).ok()?;
+    fn boot(&self) -> io::Result<Option<BootId>> {
+        let text = match fs::read_to_string(BOOT_ID) {
+            Ok(text) => text,
+            Err(why) if matches!(why.kind(), ErrorKind::NotFound | ErrorKind::PermissionDenied) => {
+                return Ok(None);
+            }
+            Err(why) => return Err(why),
+        };
         let digits: String = text.trim().chars().filter(|c| *c != '-').collect();
-        u128::from_str_radix(&digits, 16).ok().map(|id| BootId(id.to_be_bytes()))
+        Ok(u128::from_str_radix(&digits, 16).ok().map(|id| BootId(id.to_be_bytes())))
     }
 }
 
