Two failing tests: memory lacking for socket calls, and a watch this side cannot begin

Found by reading recv(2), send(2) and connect(2) against io.rs and discovery.rs: ENOMEM and ENOBUFS of a sound connection end it, so a request that was read is closed with no answer; a connect that fails here rests 1.5 to 2.5 s as if the list service had refused, so three in a row take the watch beyond the 4 s after SIGHUP.

--- a/crates/daemon/tests/sockets/faults.rs
+++ b/crates/daemon/tests/sockets/faults.rs
@@ -272,3 +272,38 @@
     assert!(begun.elapsed() < Duration::from_secs(3), "only after {:?}", begun.elapsed());
     assert!(faults.injected(Word::Socket).expect("a count") > 0);
 }
+
+#[test]
+fn memory_that_the_system_lacks_for_a_moment_ends_no_connection() {
+    // recv and send may fail so on a connection that is sound.
+    const EACH: usize = 40;
+    let (node, endpoint, faults) = one(|_| answer("200 OK", "", ""));
+    for (round, errno) in (1..).zip([libc::ENOMEM, libc::ENOBUFS]) {
+        faults.fail(Word::SocketIo, errno, 300).expect("set");
+        let first = round as u64 * 1_000;
+        assert_eq!(taken_on(&node, first..first + EACH as u64), EACH, "errno {errno}");
+        until("a call of each", || endpoint.calls() >= round * EACH);
+        faults.clear().expect("set");
+    }
+    assert!(faults.injected(Word::SocketIo).expect("a count") > 0, "never injected");
+    thread::sleep(Duration::from_secs(1));
+    assert_eq!(endpoint.calls(), 2 * EACH, "each once");
+}
+
+#[test]
+fn a_watch_that_this_side_could_not_begin_begins_once_it_can() {
+    // It costs the list service nothing to be asked again; what it has to tell counts as told 4 s after the
+    // signal.
+    let (_endpoint, entry) = serving("s-1");
+    let (node, faults) = Node::with_faults(&[entry], |text| text);
+    for round in 1..=3 {
+        let elsewhere = Platform::new();
+        faults.fail(Word::Connect, libc::EADDRNOTAVAIL, ALWAYS).expect("set");
+        node.reload(&at(&elsewhere.address.to_string())(node.config()));
+        thread::sleep(Duration::from_secs(3));
+        faults.clear().expect("set");
+        let healed = Instant::now();
+        until("a watch at the new place", || !elsewhere.watches.lock().expect("sound").is_empty());
+        assert!(healed.elapsed() < Duration::from_millis(500), "round {round}: {:?}", healed.elapsed());
+    }
+}
