Socket calls that lack memory rest and go on; a watch this side could not begin is retried at once

Cause: of the errors of recv and send only EAGAIN and EINTR were tried again, so ENOMEM and ENOBUFS ended sound connections, with requests that had been read and calls that had run. And the watch told the module of a connect that failed here as of a list service that had refused.

Change: the seam gives both as OutOfMemory; Observed and the plain reads and writes rest 5 ms and try again, for as long as the connection's own time limits let them. What a failed connect means is one function (io::is_local), which calls and the watch share; the watch tries again after 100 ms.

--- a/crates/daemon/src/calls/error.rs
+++ b/crates/daemon/src/calls/error.rs
@@ -1,6 +1,7 @@
 //! Why a call has no answer.
 
-use std::io::{self, ErrorKind};
+use crate::io::is_local;
+use std::io;
 
 /// Why a call came to nothing. How far its request got tells whether it can have run.
 #[derive(Debug)]
@@ -15,15 +16,8 @@
 
 impl CallError {
     /// What an error of `connect` means. Only what the other side, or the way there, said is held against the
-    /// endpoint; all else that Linux documents for `socket` and `connect` is of this machine.
+    /// endpoint.
     pub(super) fn of_connect(why: io::Error) -> Self {
-        match why.kind() {
-            ErrorKind::ConnectionRefused
-            | ErrorKind::ConnectionReset
-            | ErrorKind::ConnectionAborted
-            | ErrorKind::TimedOut
-            | ErrorKind::HostUnreachable => Self::Unreachable,
-            _ => Self::NotSent(why),
-        }
+        if is_local(&why) { Self::NotSent(why) } else { Self::Unreachable }
     }
 }
--- a/crates/daemon/src/io.rs
+++ b/crates/daemon/src/io.rs
@@ -9,6 +9,8 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
+use tokio::time::{Sleep, sleep};
 
 /// Read at a time: far more than a usual request or answer, and little enough to lie on the stack.
 const BLOCK: usize = 4 << 10;
@@ -16,6 +18,27 @@
 /// Read at a time where a length was told, so that one that is a lie takes no memory.
 const PIECE: usize = 64 << 10;
 
+/// An operation for which the system lacks memory is tried again after this.
+const MEMORY_REST: Duration = Duration::from_millis(5);
+
+/// Whether an error of `connect` is of this machine, which lacks a socket, a port, memory or a route: all that
+/// Linux documents for `socket` and `connect` but what the other side, or the way there, has said.
+pub fn is_local(why: &io::Error) -> bool {
+    !matches!(
+        why.kind(),
+        ErrorKind::ConnectionRefused
+            | ErrorKind::ConnectionReset
+            | ErrorKind::ConnectionAborted
+            | ErrorKind::TimedOut
+            | ErrorKind::HostUnreachable
+    )
+}
+
+/// Whether the system lacks memory for an operation on a socket just now; the connection itself is sound.
+fn lacks_memory(why: &io::Error) -> bool {
+    why.kind() == ErrorKind::OutOfMemory
+}
+
 /// Whether an operation on a socket is to be tried again: it is not ready, or a signal came in between.
 fn is_passing(why: &io::Error) -> bool {
     matches!(why.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted)
@@ -27,6 +50,7 @@
         poll_fn(|cx| stream.poll_read_ready(cx)).await?;
         match stream.try_read(block) {
             Err(why) if is_passing(&why) => {}
+            Err(why) if lacks_memory(&why) => sleep(MEMORY_REST).await,
             done => return done,
         }
     }
@@ -55,6 +79,7 @@
         match stream.try_write(bytes) {
             Ok(n) => bytes = &bytes[n..],
             Err(why) if is_passing(&why) => {}
+            Err(why) if lacks_memory(&why) => sleep(MEMORY_REST).await,
             Err(why) => return Err(why),
         }
     }
@@ -79,24 +104,35 @@
 pub struct Observed<O> {
     stream: Rc<dyn Stream>,
     observer: O,
+    reading: Rest,
+    writing: Rest,
 }
 
+/// One direction of a connection rests for this while the system lacks memory for it.
+type Rest = Option<Pin<Box<Sleep>>>;
+
 impl<O> Observed<O> {
     pub fn new(stream: Rc<dyn Stream>, observer: O) -> Self {
-        Self { stream, observer }
+        Self { stream, observer, reading: None, writing: None }
     }
 }
 
 /// Runs an operation of the system until it is done or the socket is not ready for it.
 fn attempt<T>(
     cx: &mut Context<'_>,
+    rest: &mut Rest,
     ready: impl Fn(&mut Context<'_>) -> Poll<io::Result<()>>,
     mut run: impl FnMut() -> io::Result<T>,
 ) -> Poll<io::Result<T>> {
     loop {
+        if let Some(resting) = rest {
+            ready!(resting.as_mut().poll(cx));
+            *rest = None;
+        }
         ready!(ready(cx))?;
         match run() {
             Err(why) if is_passing(&why) => {}
+            Err(why) if lacks_memory(&why) => *rest = Some(Box::pin(sleep(MEMORY_REST))),
             done => return Poll::Ready(done),
         }
     }
@@ -104,14 +140,15 @@
 
 impl<O: Observer + Unpin> Read for Observed<O> {
     fn poll_read(
-        self: Pin<&mut Self>,
+        mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         mut buf: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
         let mut block = [0; BLOCK];
         let room = BLOCK.min(buf.remaining());
-        let stream = &self.stream;
-        let n = ready!(attempt(cx, |cx| stream.poll_read_ready(cx), || stream.try_read(&mut block[..room])))?;
+        let Self { stream, reading, .. } = &mut *self;
+        let ready = |cx: &mut Context<'_>| stream.poll_read_ready(cx);
+        let n = ready!(attempt(cx, reading, ready, || stream.try_read(&mut block[..room])))?;
         self.observer.read(&block[..n]);
         buf.put_slice(&block[..n]);
         Poll::Ready(Ok(()))
@@ -119,9 +156,10 @@
 }
 
 impl<O: Observer + Unpin> Write for Observed<O> {
-    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        let stream = &self.stream;
-        let n = ready!(attempt(cx, |cx| stream.poll_write_ready(cx), || stream.try_write(buf)))?;
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        let Self { stream, writing, .. } = &mut *self;
+        let ready = |cx: &mut Context<'_>| stream.poll_write_ready(cx);
+        let n = ready!(attempt(cx, writing, ready, || stream.try_write(buf)))?;
         self.observer.wrote(&buf[..n]);
         Poll::Ready(Ok(n))
     }
--- a/crates/daemon/src/platform/discovery.rs
+++ b/crates/daemon/src/platform/discovery.rs
@@ -6,9 +6,10 @@
 //! as much at most. Either way the attempt that succeeds begins a second before at the latest.
 
 use crate::input::Input;
-use crate::io::Observed;
+use crate::io::{Observed, is_local};
 use crate::listing::Listing;
 use crate::platform::values::{Piece, Values};
+use crate::rare_warning::RareWarning;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty};
 use hyper::Request;
@@ -16,12 +17,13 @@
 use hyper::header::HOST;
 use notchpoint_seam::Network;
 use std::cell::{Cell, RefCell};
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::task::AbortHandle;
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 /// A heartbeat comes every 2 s; this is a little for the way. Only whole values and heartbeats count: bytes
 /// that complete nothing keep no watch alive.
@@ -35,6 +37,9 @@
 const ANSWER: Duration = Duration::from_millis(2_500);
 const CONNECTING: Duration = Duration::from_millis(1_500);
 
+/// A watch that this side could not begin is tried again after this: that asks nothing of the service.
+const LOCAL_REST: Duration = Duration::from_millis(100);
+
 pub struct Discovery {
     net: Rc<dyn Network>,
     address: Cell<SocketAddr>,
@@ -83,6 +88,7 @@
         let number = self.number.get() + 1;
         self.number.set(number);
         let task = tokio::task::spawn_local(async move {
+            let trouble = RareWarning::default();
             loop {
                 let ended = follow(&*net, address, &revision, &inputs).await;
                 match ended {
@@ -90,7 +96,11 @@
                     Ok(Silent) => tracing::warn!(
                         "discovery: the watch fell silent, or a value was spoilt; watching anew"
                     ),
-                    Err(why) => {
+                    Err(Failure::Local(why)) => {
+                        trouble.tell(&format_args!("discovery: a connection cannot be made here: {why}"));
+                        sleep(LOCAL_REST).await;
+                    }
+                    Err(Failure::Watch(why)) => {
                         tracing::warn!("discovery: {why}");
                         break;
                     }
@@ -109,7 +119,19 @@
     }
 }
 
-type Failure = Box<dyn std::error::Error>;
+/// Why there is no watch.
+enum Failure {
+    /// This machine has no socket, port or route for its connection just now.
+    Local(io::Error),
+    /// The service refused it, did not answer, or ended it.
+    Watch(Box<dyn std::error::Error>),
+}
+
+impl<E: Into<Box<dyn std::error::Error>>> From<E> for Failure {
+    fn from(why: E) -> Self {
+        Self::Watch(why.into())
+    }
+}
 
 /// A watch that had begun brought nothing for too long, or something that could not be read.
 struct Silent;
@@ -121,7 +143,8 @@
     inputs: &UnboundedSender<Input>,
 ) -> Result<Silent, Failure> {
     let begun = Instant::now();
-    let stream = timeout(CONNECTING, net.connect(address)).await??;
+    let stream = timeout(CONNECTING, net.connect(address)).await?;
+    let stream = stream.map_err(|why| if is_local(&why) { Failure::Local(why) } else { why.into() })?;
     let _ = stream.set_nodelay(); // Without it small writes wait, and still arrive.
     let (mut sender, driver) = http1::handshake(Observed::new(stream, ())).await?;
     let driver = tokio::task::spawn_local(driver);
--- a/crates/seam/src/net.rs
+++ b/crates/seam/src/net.rs
@@ -48,14 +48,14 @@
     /// Reads what is there; 0 at the end.
     ///
     /// # Errors
-    /// `WouldBlock` where nothing is there.
+    /// `WouldBlock` where nothing is there, `OutOfMemory` where the system lacks memory just now.
     fn try_read(&self, buf: &mut [u8]) -> io::Result<usize>;
     /// Ready once [`Self::try_write`] may find room.
     fn poll_write_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<()>>;
     /// Hands over what there is room for.
     ///
     /// # Errors
-    /// `WouldBlock` where there is none.
+    /// `WouldBlock` where there is none, `OutOfMemory` where the system lacks memory just now.
     fn try_write(&self, buf: &[u8]) -> io::Result<usize>;
     /// Whether the peer has said nothing that was not read yet, its end included. It asks the system itself:
     /// what the runtime knows of a socket is as old as its last look.
--- a/crates/seam/src/real.rs
+++ b/crates/seam/src/real.rs
@@ -266,6 +266,12 @@
     Ok(socket.into())
 }
 
+/// The system says in two ways that it has no memory for a socket's data just now: here they are one.
+fn lack_of_memory(why: io::Error) -> io::Error {
+    let no_buffers = Some(rustix::io::Errno::NOBUFS.raw_os_error());
+    if why.raw_os_error() == no_buffers { ErrorKind::OutOfMemory.into() } else { why }
+}
+
 /// Connections by TCP and within the machine are alike but for one option.
 macro_rules! stream {
     ($socket:ty, $set_nodelay:expr) => {
@@ -275,7 +281,7 @@
             }
 
             fn try_read(&self, buf: &mut [u8]) -> io::Result<usize> {
-                <$socket>::try_read(self, buf)
+                <$socket>::try_read(self, buf).map_err(lack_of_memory)
             }
 
             fn poll_write_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -283,7 +289,7 @@
             }
 
             fn try_write(&self, buf: &[u8]) -> io::Result<usize> {
-                <$socket>::try_write(self, buf)
+                <$socket>::try_write(self, buf).map_err(lack_of_memory)
             }
 
             fn is_quiet(&self) -> bool {
