Two failing tests: the notice behind an answer that may not count, over a kill and a hand-over

A kill, the last second after SIGTERM (the node decides nothing then) and a hand-over (told() drops it) lose the notice, and with it a message whose answer did not count.

--- a/crates/daemon/tests/sockets/clock.rs
+++ b/crates/daemon/tests/sockets/clock.rs
@@ -105,3 +105,25 @@
     assert!(begun.elapsed() <= limit, "only after {:?}", begun.elapsed());
     assert!(!node.platform.has_notice(2), "one that was answered in time needs none");
 }
+
+#[test]
+fn a_notice_after_an_answer_that_may_not_count_outlasts_a_kill() {
+    const TIME: Duration = Duration::from_millis(1_000);
+    let endpoint = Endpoint::new(|_| {
+        thread::sleep(TIME - Duration::from_millis(80));
+        answer("200 OK", "", "")
+    });
+    let mut node = Node::new(&[member("s-1", endpoint.address, "shop", 3, "up")], |text| text);
+    *node.platform.turn_away.lock().expect("sound") = usize::MAX;
+    assert_eq!(node.hand_in("payment", 1, 3, 1_000, b"x").status(), 202);
+    // Behind the answer, and before a notice could be told.
+    thread::sleep(TIME);
+    node.kill();
+    assert_eq!(endpoint.calls(), 1);
+    *node.platform.turn_away.lock().expect("sound") = 0;
+    node.start_again();
+    let begun = Instant::now();
+    let limit = Duration::from_millis(1_500);
+    until("a notice, or too late", || node.platform.has_notice(1) || begun.elapsed() > limit);
+    assert!(node.platform.has_notice(1), "no notice in {limit:?}");
+}
--- a/crates/daemon/tests/sockets/upgrade.rs
+++ b/crates/daemon/tests/sockets/upgrade.rs
@@ -5,7 +5,8 @@
 use std::os::unix::net::UnixListener;
 use std::process::Command;
 use std::sync::mpsc::{Receiver, Sender, channel};
-use std::time::Duration;
+use std::thread;
+use std::time::{Duration, Instant};
 
 const LONG: u64 = 50_000;
 
@@ -231,3 +232,21 @@
         assert!(said.contains(&format!("BALANCER_ACCEPT_FD: {number} is no listening socket")), "{said}");
     }
 }
+
+#[test]
+fn an_answer_that_may_not_count_is_followed_by_a_notice_also_where_it_comes_to_the_old_process() {
+    const TIME: Duration = Duration::from_millis(2_000);
+    let endpoint = Endpoint::new(|_| {
+        thread::sleep(TIME - Duration::from_millis(80));
+        answer("200 OK", "", "")
+    });
+    let mut node = Node::held(&[member("s-1", endpoint.address, "shop", 3, "up")]);
+    let begun = Instant::now();
+    assert_eq!(node.hand_in("payment", 1, 3, 2_000, b"x").status(), 202);
+    until("its call", || endpoint.calls() == 1);
+    let _old = node.upgrade();
+    assert!(begun.elapsed() < Duration::from_millis(1_800), "handed over only after {:?}", begun.elapsed());
+    let limit = TIME + Duration::from_millis(300);
+    until("a notice, or too late", || node.platform.has_notice(1) || begun.elapsed() > limit);
+    assert!(node.platform.has_notice(1), "no notice in {limit:?}");
+}
