An answer that may not count leaves its message's record until the notice has been told

Cause: calls.rs ended the record of a delivery in the last 170 ms before the 'dead' notice beside it was told; the notice stood in the node's queue and in Reports only, and handover::told passed nothing of it on. Class: a promise kept in memory.

At a process that has handed over the call counts as unanswered, since its owner can be told no doubt: what may be repeated may be sent again, what may not ends with a notice.

--- a/crates/daemon/src/calls.rs
+++ b/crates/daemon/src/calls.rs
@@ -15,7 +15,7 @@
 use crate::reasons::Reasons;
 use crate::settings::config::Config;
 use crate::settings::descriptors::Descriptors;
-use crate::state::journal::Journal;
+use crate::state::journal::{Journal, Verdict};
 use crate::state::safety::Safety;
 use crate::upgrade::handover::Frame;
 use answer::Answer;
@@ -354,10 +354,18 @@
                 _ => Outcome::ConnectFailed.into(),
             };
             let doubtful = end.outcome == Outcome::Served && call.is_nearly_over(DOUBT);
-            self.report(endpoint, &item, end);
+            if doubtful && self.given.get() {
+                // The owner of the message cannot be told of the doubt: it takes it for unanswered, which
+                // promises no more than is known.
+                self.report(endpoint, &item, Outcome::TimedOut.into());
+                continue;
+            }
             if doubtful {
+                // Before its end is recorded: a verdict stands until the notice has been told.
+                self.journal.borrow_mut().verdict(item.id, Verdict::Dead);
                 let _ = self.inputs.send(Input::Doubtful(item.id));
             }
+            self.report(endpoint, &item, end);
         }
     }
 
@@ -367,7 +375,10 @@
         let says_ok = || call.progress.borrow().as_ref().is_some_and(|p| p.says_ok());
         if !call.settled.get() && !call.batch.get() && says_ok() && !call.is_over() {
             call.settled.set(true);
-            call.waiting.borrow().iter().for_each(|i| _ = self.journal.borrow_mut().end(i.id));
+            // Where its answer may not count its record stays, for the notice.
+            if !call.is_nearly_over(DOUBT) {
+                call.waiting.borrow().iter().for_each(|i| _ = self.journal.borrow_mut().end(i.id));
+            }
         }
         call.settled.get()
     }
@@ -400,7 +411,10 @@
             journal.get(id).and_then(|m| m.attempts.iter().find(|a| a.number == attempt)).map(|a| a.at);
         let age = sent.map_or(0, |at| journal.unix_now().saturating_sub(at));
         if end.over || outcome == Outcome::Served {
-            journal.end(id);
+            // One with a verdict ends once that has been told.
+            if journal.get(id).is_some_and(|m| m.verdict.is_none()) {
+                journal.end(id);
+            }
         } else if matches!(
             outcome,
             Outcome::Full { .. } | Outcome::ConnectFailed | Outcome::Moot | Outcome::NotSent
