A failing test: an outage found late is taken for a short one when another says it is over

The trace shows twelve senders that a note told 'up' while their own breaker had been open for 2.8 to 2.96 s, though they had last been served 4 to 12 s before: Health::Closed, and all that they held was sent at once. The outage had lasted 3.56 s. Of ten senders like that hundreds push anything over.

--- a/crates/policy/tests/fleet.rs
+++ b/crates/policy/tests/fleet.rs
@@ -276,6 +276,33 @@
     assert!(held >= 28, "a heard-of outage counts like a seen one: {held} of 40 held back");
 }
 
+#[test]
+fn who_finds_an_outage_late_does_not_take_it_for_a_short_one() {
+    // Each of many senders sees little of a destination, so it fails for seconds before the first of its calls
+    // does. Sent at once, what they all hold pushes it over.
+    let [_, up] = words();
+    let mut rig = Rig::new(Settings { may_note: true, ..thin(9) }, 0, 1);
+    rig.take(SAFE);
+    rig.pass(50 * MS);
+    rig.end_all(Outcome::Served);
+    rig.pass(5 * SEC);
+    rig.many(10);
+    for _ in 0..20 {
+        rig.end_all(Outcome::ConnectFailed);
+        rig.pass(100 * MS);
+    }
+    assert!(rig.log_has("held back"), "it knows of the outage");
+    rig.end_all(Outcome::ConnectFailed);
+    note(&mut rig, 3, &up);
+    let mut sent = rig.out.len();
+    for _ in 0..10 {
+        rig.end_all(Outcome::Served);
+        rig.pass(20 * MS);
+        sent += rig.out.len();
+    }
+    assert!(sent <= 2, "{sent} calls in the first moment");
+}
+
 #[test]
 fn without_leave_notes_are_neither_written_nor_heeded() {
     let [down, _] = words();
