An outage that a sender found late by its own call is as old as its last served call

Cause: on another's word that a route serves again the module counted the outage from the moment its own breaker opened. With little traffic that is seconds late, so a long outage counted as a short one and everything held was sent without a ramp (the rule of slow start). Ruled out: false alarms heard of only; they go on as before, since no call of one's own failed (two_senders_word_opens_the_breaker_...).

Change: Route::outage_begun takes the last served call where a call of this sender failed since.

--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -622,9 +622,10 @@
                 }
             }
             Word::Up => {
+                let begun = r.outage_begun();
                 (r.heard, r.fails, r.told) = (None, 0, now);
-                if let Health::Open { since, .. } = r.health {
-                    let long = now >= since + OUTAGE_LEAST;
+                if let Some(begun) = begun {
+                    let long = now >= begun + OUTAGE_LEAST;
                     r.health = if long { Health::Ramp { since: now, gap: 0 } } else { Health::Closed };
                     // What turned connections away was the outage.
                     let of = |id, e: &Endpoint| e.dest == route.0 && route.1.is_none_or(|only| only == id);
