The soak plays notes, batches, outages and more errors, and judges waits, slow start and limits

New: senders write notes to one another (some are lost), half of the destinations are routes apart with calls of up to 20 messages, endpoints go away and come back cold; errors of reading files, of memory for sockets, and no sockets. New rules judged from outside: a wait told, calls to a destination within any window after its return against the newest budget, descriptors and memory of each process, nothing carried out after 'bounced', 429 or 503.

--- a/crates/soak/src/book.rs
+++ b/crates/soak/src/book.rs
@@ -1,5 +1,6 @@
 //! What clients, endpoints and the list service saw, and what that says of the rules.
 
+use crate::partners::is_apart;
 use std::collections::BTreeMap;
 use std::fmt;
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -11,6 +12,8 @@
 const AFTER_START: Duration = Duration::from_millis(1_500);
 /// A draining endpoint may be called so long after the change was told, the slack of sockets included.
 const DRAIN_GRACE: Duration = Duration::from_millis(1_050);
+/// Calls that come so soon after a wait was told are let through, the slack of sockets included.
+const WAIT_SLACK: Duration = Duration::from_millis(150);
 /// This machine runs hundreds of threads: what is written here is late by so much.
 const MACHINE: Duration = Duration::from_millis(250);
 
@@ -52,6 +55,10 @@
     /// Calls whose last byte came: when, and whether the endpoint carried them out.
     runs: u32,
     delivered: bool,
+    /// Handing it in again was said to be harmless: nothing of it may run from then on.
+    refused: bool,
+    /// It went to the sender on two connections: an answer on one says nothing of the other.
+    again: bool,
     /// When the first notice came.
     ended: Option<Instant>,
     events: Vec<(Instant, String)>,
@@ -64,9 +71,50 @@
     downs: BTreeMap<usize, Vec<(Instant, Option<Instant>)>>,
     /// By sender and endpoint: since when it knows that the endpoint drains.
     drained: BTreeMap<(usize, usize), Instant>,
+    /// By sender and route: since when it has been told to wait, and until when.
+    waits: BTreeMap<(usize, usize), (Instant, Instant)>,
+    /// By route: when it was last out of service, and the calls that came after that, with their senders.
+    outages: BTreeMap<usize, Vec<Outage>>,
     violations: Vec<Violation>,
 }
 
+/// What shares a limit: a destination, by its first endpoint, or one endpoint of it.
+pub const fn route(endpoint: usize) -> usize {
+    if is_apart(endpoint / 2) { endpoint } else { endpoint / 2 * 2 }
+}
+
+#[derive(Debug)]
+struct Outage {
+    from: Instant,
+    to: Option<Instant>,
+    calls: Vec<(Instant, usize)>,
+}
+
+/// What a destination that comes back can bear.
+#[derive(Clone, Copy, Debug)]
+pub struct SlowStart {
+    /// Calls a second that it does when it is warm.
+    pub capacity: f64,
+    /// The share of that which it does at first, and after how long it does all.
+    pub start_share: f64,
+    /// See [`SlowStart::start_share`].
+    pub cold: Duration,
+    /// So many times what it does just then, for so long, push it over.
+    pub factor: f64,
+    /// See [`SlowStart::factor`].
+    pub window: Duration,
+}
+
+impl SlowStart {
+    /// Calls that may come in one window which ends so long after its return, with the slack for chance.
+    pub fn budget(&self, since_return: Duration) -> f64 {
+        let warm = (since_return.as_secs_f64() / self.cold.as_secs_f64()).min(1.0);
+        let share = self.start_share + (1.0 - self.start_share) * warm;
+        let calls = self.factor * self.capacity * share * self.window.as_secs_f64();
+        if calls < 30.0 { calls + 3.0 * calls.sqrt() + 3.0 } else { calls + 2.0 * calls.sqrt() + 2.0 }
+    }
+}
+
 /// Everything that was seen in one play.
 #[derive(Debug)]
 pub struct Book {
@@ -96,8 +144,18 @@
     pub fn handed_in(&self, id: u64, sender: usize, effect: Effect, time: Duration) {
         let events = vec![(Instant::now(), format!("handed in to sender {sender}"))];
         let (deadline, ended) = (Instant::now() + time, None);
-        let entry =
-            Entry { sender, effect, deadline, promised: false, runs: 0, delivered: false, ended, events };
+        let entry = Entry {
+            sender,
+            effect,
+            deadline,
+            promised: false,
+            runs: 0,
+            delivered: false,
+            refused: false,
+            again: false,
+            ended,
+            events,
+        };
         self.pages().messages.insert(id, entry);
     }
 
@@ -108,7 +166,15 @@
 
     /// Its client heard something else.
     pub fn answered(&self, id: u64, status: u16) {
-        self.note(id, format!("its client heard {status}"), |_| {});
+        let harmless = matches!(status, 429 | 503);
+        self.note(id, format!("its client heard {status}"), |entry| {
+            entry.refused |= harmless && !entry.again
+        });
+    }
+
+    /// Its connection ended, and it goes to the sender once more on another.
+    pub fn handed_in_again(&self, id: u64) {
+        self.note(id, "handed in on another connection".into(), |entry| entry.again = true);
     }
 
     /// The connection of a request that was written whole ended without an answer.
@@ -123,11 +189,23 @@
         }
     }
 
-    /// A call came whole at an endpoint.
-    pub fn called(&self, id: u64, endpoint: usize, began: Instant) {
-        self.note(id, format!("called at endpoint {endpoint}"), |_| {});
+    /// A call came whole at an endpoint; this is its first message.
+    pub fn call(&self, id: u64, endpoint: usize, began: Instant) {
         let mut pages = self.pages();
         let Some(sender) = pages.messages.get(&id).map(|entry| entry.sender) else { return };
+        let route = route(endpoint);
+        if let Some(outage) = pages.outages.get_mut(&route).and_then(|all| all.last_mut())
+            && outage.to.is_some()
+        {
+            outage.calls.push((began, sender));
+        }
+        if let Some((told, until)) = pages.waits.get(&(sender, route)).copied()
+            && told + WAIT_SLACK + MACHINE < began
+            && began < until
+        {
+            let what = format!("sent to endpoint {endpoint} {:?} before its wait was over", until - began);
+            pages.violations.push(Violation { rule: "wait", message: Some(id), what });
+        }
         let told = pages.drained.get(&(sender, endpoint)).copied();
         if let Some(late) = told.map(|told| began.saturating_duration_since(told + DRAIN_GRACE + MACHINE))
             && !late.is_zero()
@@ -137,6 +215,34 @@
         }
     }
 
+    /// A message came in a call.
+    pub fn called(&self, id: u64, endpoint: usize) {
+        self.note(id, format!("called at endpoint {endpoint}"), |_| {});
+    }
+
+    /// An endpoint turns a call with this message away, and its sender is told to wait.
+    pub fn told_to_wait(&self, id: u64, endpoint: usize, span: Duration) {
+        let mut pages = self.pages();
+        let Some(sender) = pages.messages.get(&id).map(|entry| entry.sender) else { return };
+        let now = Instant::now();
+        let wait = pages.waits.entry((sender, route(endpoint))).or_insert((now, now));
+        // One wait behind another is one: calls that go on coming make no room for more.
+        *wait = (if now < wait.1 { wait.0 } else { now }, now + span);
+    }
+
+    /// An endpoint is down, with all that share its limit.
+    pub fn outage(&self, endpoint: usize) {
+        let outage = Outage { from: Instant::now(), to: None, calls: Vec::new() };
+        self.pages().outages.entry(route(endpoint)).or_default().push(outage);
+    }
+
+    /// It is back, and cold.
+    pub fn back(&self, endpoint: usize) {
+        if let Some(outage) = self.pages().outages.entry(route(endpoint)).or_default().last_mut() {
+            outage.to = Some(Instant::now());
+        }
+    }
+
     /// An endpoint carried a message out.
     pub fn ran(&self, id: u64, endpoint: usize) {
         self.note(id, format!("carried out at endpoint {endpoint}"), |entry| entry.runs += 1);
@@ -146,6 +252,10 @@
             let what = format!("carried out again at endpoint {endpoint}");
             pages.violations.push(Violation { rule: "twice", message: Some(id), what });
         }
+        if pages.messages.get(&id).is_some_and(|entry| entry.refused) {
+            let what = format!("carried out at endpoint {endpoint} although it was refused");
+            pages.violations.push(Violation { rule: "refused", message: Some(id), what });
+        }
     }
 
     /// An endpoint wrote that it is delivered.
@@ -156,7 +266,10 @@
     /// A notice came.
     pub fn notice(&self, id: u64, result: &str) {
         let now = Instant::now();
-        self.note(id, format!("notice: {result}"), |entry| entry.ended = entry.ended.or(Some(now)));
+        self.note(id, format!("notice: {result}"), |entry| {
+            entry.ended = entry.ended.or(Some(now));
+            entry.refused |= result == "bounced";
+        });
     }
 
     /// A sender was told that an endpoint drains, or that it serves.
@@ -176,7 +289,10 @@
 
     /// A sender got a signal that ends it.
     pub fn down(&self, sender: usize) {
-        self.pages().downs.entry(sender).or_default().push((Instant::now(), None));
+        let mut pages = self.pages();
+        pages.downs.entry(sender).or_default().push((Instant::now(), None));
+        // A wait ends with the process that was told.
+        pages.waits.retain(|(told, _), _| *told != sender);
     }
 
     /// It is ready again.
@@ -200,9 +316,10 @@
     }
 
     /// All broken rules, once nothing can come any more.
-    pub fn violations(&self) -> Vec<Violation> {
+    pub fn violations(&self, slow_start: impl Fn(usize) -> SlowStart) -> Vec<Violation> {
         let pages = self.pages();
         let mut found = pages.violations.clone();
+        found.extend(pages.pushed_over(slow_start));
         for (&id, entry) in pages.messages.iter().filter(|(_, e)| e.promised && !e.delivered) {
             let due = pages.due(entry.sender, entry.deadline + OVERDUE) + MACHINE;
             match entry.ended {
@@ -232,6 +349,44 @@
 }
 
 impl Pages {
+    /// Destinations that got more than they bear after an outage, most of it from senders that lived through it.
+    fn pushed_over(&self, slow_start: impl Fn(usize) -> SlowStart) -> Vec<Violation> {
+        let mut found = Vec::new();
+        for (&route, outages) in &self.outages {
+            let limits = slow_start(route);
+            for outage in outages {
+                let Some(back) = outage.to else { continue };
+                let knew = |sender: usize, at: Instant| !self.began_within(sender, outage.from, at);
+                let mut worst: Option<(f64, usize, f64, Duration)> = None;
+                for (n, (at, _)) in outage.calls.iter().enumerate() {
+                    let begins = at.checked_sub(limits.window).unwrap_or(back);
+                    let window = outage.calls[..=n].iter().filter(|call| call.0 > begins);
+                    let (all, told) = window.fold((0, 0), |(all, told), call| {
+                        (all + 1, told + usize::from(knew(call.1, call.0)))
+                    });
+                    let budget = limits.budget(*at - back);
+                    let excess = all as f64 / budget;
+                    if told * 3 > all * 2 && worst.is_none_or(|worst| excess > worst.0) {
+                        worst = Some((excess, all, budget, *at - back));
+                    }
+                }
+                if let Some((_, calls, budget, after)) = worst.filter(|worst| worst.0 > 1.0) {
+                    let what = format!(
+                        "route {route} got {calls} calls for {budget:.0}, {after:?} after its return"
+                    );
+                    found.push(Violation { rule: "slow start", message: None, what });
+                }
+            }
+        }
+        found
+    }
+
+    /// Whether a sender began anew in this time, and forgot.
+    fn began_within(&self, sender: usize, from: Instant, to: Instant) -> bool {
+        let downs = self.downs.get(&sender).map(Vec::as_slice).unwrap_or_default();
+        downs.iter().any(|(down, up)| *down <= to && up.is_none_or(|up| from <= up))
+    }
+
     /// Whether a sender was down, or had just been told to end.
     fn was_down(&self, sender: usize, at: Instant) -> bool {
         let downs = self.downs.get(&sender).map(Vec::as_slice).unwrap_or_default();
--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -54,7 +54,7 @@
                 }
                 Came::Silence => continue,
                 // It may have ended between two requests: this one goes once more, on a new connection.
-                Came::Ended => {}
+                Came::Ended => book.handed_in_again(id),
             }
         }
         if !sender.accepts() {
--- a/crates/soak/src/http.rs
+++ b/crates/soak/src/http.rs
@@ -42,13 +42,37 @@
         u64::from_str_radix(self.headers.get("x-request-id")?, 16).ok()
     }
 
+    /// Whether it is a call of several messages.
+    pub fn is_batch(&self) -> bool {
+        self.line.contains(":batch")
+    }
+
+    /// The ids that a call names, of several messages by the lines of its body.
+    pub fn ids(&self) -> Vec<u64> {
+        if !self.is_batch() {
+            return self.id().into_iter().collect();
+        }
+        let (mut ids, mut rest) = (Vec::new(), &self.body[..]);
+        while let Some(end) = rest.iter().position(|byte| *byte == b'\n') {
+            let line = String::from_utf8_lossy(&rest[..end]);
+            let mut words = line.split_whitespace();
+            let id = words.next().and_then(|id| u64::from_str_radix(id, 16).ok());
+            let length: Option<usize> = words.nth(1).and_then(|length| length.parse().ok());
+            let (Some(id), Some(length)) = (id, length) else { break };
+            ids.push(id);
+            // The message's bytes, and the end of their line.
+            rest = rest.get(end + 1 + length + 2..).unwrap_or_default();
+        }
+        ids
+    }
+
     /// Whether an answer ends its connection.
     pub fn closes(&self) -> bool {
         self.headers.get("connection").is_some_and(|value| value.eq_ignore_ascii_case("close"))
     }
 }
 
-/// An answer without a body.
-pub fn answer(status: &str, headers: &str) -> String {
-    format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\n{headers}\r\n")
+/// An answer.
+pub fn answer(status: &str, headers: &str, body: &str) -> String {
+    format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n{headers}\r\n{body}", body.len())
 }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod book;
 mod client;
 mod http;
+mod notes;
 mod partners;
 pub mod plan;
 mod play;
--- a/crates/soak/src/partners.rs
+++ b/crates/soak/src/partners.rs
@@ -4,14 +4,18 @@
 use crate::http::{Message, answer};
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 
 /// What a usual call takes.
 const LATENCY: Duration = Duration::from_millis(20);
+/// How long a full endpoint tells callers to wait.
+const WAIT: Duration = Duration::from_millis(1_500);
+/// How often an endpoint looks for connections, and whether it is to be down.
+const LISTEN_LOOK: Duration = Duration::from_millis(2);
 /// How often a watch looks for news.
 const WATCH_LOOK: Duration = Duration::from_millis(20);
 const HEARTBEAT: Duration = Duration::from_secs(2);
@@ -30,11 +34,13 @@
     Full = 3,
     /// It answers a second late.
     Slow = 4,
+    /// It is not there: connections end, and new ones are refused.
+    Down = 5,
 }
 
 impl Manner {
     fn of(number: u8) -> Self {
-        [Self::Sound, Self::Hangs, Self::Resets, Self::Full, Self::Slow][usize::from(number) % 5]
+        [Self::Sound, Self::Hangs, Self::Resets, Self::Full, Self::Slow, Self::Down][usize::from(number) % 6]
     }
 }
 
@@ -44,29 +50,70 @@
     /// Where it listens.
     pub address: SocketAddr,
     manner: AtomicU8,
+    /// Its connections, to be ended when it goes down.
+    open: Mutex<Vec<TcpStream>>,
 }
 
 impl Endpoint {
-    /// Begins to listen. `number` is its name in the book.
+    /// Begins to listen at an address that is nobody else's, also while it is down. `number` is its name in the
+    /// book.
     ///
     /// # Errors
-    /// There is no port.
-    pub fn new(number: usize, book: &Arc<Book>) -> std::io::Result<Arc<Self>> {
-        let listener = TcpListener::bind("127.0.0.1:0")?;
-        let endpoint = Arc::new(Self { address: listener.local_addr()?, manner: AtomicU8::new(0) });
+    /// The address cannot be had.
+    pub fn new(number: usize, address: SocketAddr, book: &Arc<Book>) -> std::io::Result<Arc<Self>> {
+        let listener = TcpListener::bind(address)?;
+        listener.set_nonblocking(true)?;
+        let endpoint = Arc::new(Self { address, manner: AtomicU8::new(0), open: Mutex::default() });
         let (shared, book) = (endpoint.clone(), book.clone());
-        thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let (shared, book) = (shared.clone(), book.clone());
-                thread::spawn(move || shared.serve(&stream, number, &book));
-            }
-        });
+        thread::spawn(move || shared.listen(listener, number, &book));
         Ok(endpoint)
     }
 
     /// Changes how it treats calls.
     pub fn set(&self, manner: Manner) {
         self.manner.store(manner as u8, Ordering::Relaxed);
+        if manner == Manner::Down {
+            for stream in self.connections().drain(..) {
+                let _ = stream.shutdown(Shutdown::Both);
+            }
+        }
+    }
+
+    fn manner(&self) -> Manner {
+        Manner::of(self.manner.load(Ordering::Relaxed))
+    }
+
+    fn connections(&self) -> MutexGuard<'_, Vec<TcpStream>> {
+        self.open.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn bind(&self) -> std::io::Result<TcpListener> {
+        let listener = TcpListener::bind(self.address)?;
+        listener.set_nonblocking(true)?;
+        Ok(listener)
+    }
+
+    /// Takes connections for as long as the process lives, but while it is down.
+    fn listen(self: Arc<Self>, first: TcpListener, number: usize, book: &Arc<Book>) {
+        let mut listener = Some(first);
+        loop {
+            if self.manner() == Manner::Down {
+                listener = None;
+            } else if listener.is_none() {
+                listener = self.bind().ok();
+            }
+            let Some(Ok((stream, _))) = listener.as_ref().map(TcpListener::accept) else {
+                thread::sleep(LISTEN_LOOK);
+                continue;
+            };
+            let _ = stream.set_nonblocking(false);
+            let mut connections = self.connections();
+            connections.retain(|stream| stream.peer_addr().is_ok());
+            connections.extend(stream.try_clone());
+            drop(connections);
+            let (shared, book) = (self.clone(), book.clone());
+            thread::spawn(move || shared.serve(&stream, number, &book));
+        }
     }
 
     fn serve(&self, mut stream: &TcpStream, number: usize, book: &Book) {
@@ -78,26 +125,34 @@
             }
             let began = Instant::now();
             let Some(call) = Message::read(&mut reader) else { return };
-            let Some(id) = call.id() else { return };
-            book.called(id, number, began);
-            let manner = Manner::of(self.manner.load(Ordering::Relaxed));
+            let ids = call.ids();
+            let Some(&first) = ids.first() else { return };
+            book.call(first, number, began);
+            ids.iter().for_each(|id| book.called(*id, number));
+            let manner = self.manner();
             if manner == Manner::Full {
-                if stream.write_all(answer("429 Full", "Retry-After: 0.5\r\n").as_bytes()).is_err() {
+                let waits = format!("Retry-After: {}\r\n", WAIT.as_secs_f64());
+                book.told_to_wait(first, number, WAIT);
+                if stream.write_all(answer("429 Full", &waits, "").as_bytes()).is_err() {
                     return;
                 }
                 continue;
             }
-            book.ran(id, number);
+            ids.iter().for_each(|id| book.ran(*id, number));
             match manner {
                 Manner::Hangs => continue,
-                Manner::Resets => return,
+                Manner::Resets | Manner::Down => return,
                 Manner::Slow => thread::sleep(Duration::from_secs(1)),
                 _ => thread::sleep(LATENCY),
             }
-            if stream.write_all(answer("200 OK", "").as_bytes()).is_err() {
+            let done: String = match call.is_batch() {
+                true => ids.iter().map(|id| format!("{id:016x} done\r\n")).collect(),
+                false => String::new(),
+            };
+            if stream.write_all(answer("200 OK", "", &done).as_bytes()).is_err() {
                 return;
             }
-            book.delivered(id);
+            ids.iter().for_each(|id| book.delivered(*id));
         }
     }
 }
@@ -161,13 +216,19 @@
     }
 }
 
+/// Whether the endpoints of a destination are routes of their own, and take several messages in a call.
+pub const fn is_apart(dest: usize) -> bool {
+    dest % 2 == 1
+}
+
 /// A member as JSON.
 pub fn shown(member: &Member) -> String {
     format!(
-        "{{\"id\":\"e-{}\",\"host_port\":\"{}\",\"locality\":\"a\",\"flavor\":\"shop\",\"cell\":{},\
+        "{{\"id\":\"e-{}\",\"host_port\":\"{}\",\"locality\":\"a\",\"flavor\":\"{}\",\"cell\":{},\
          \"phase\":\"{}\",\"size\":1.0,\"up_since_ms\":0}}",
         member.endpoint,
         member.address,
+        if is_apart(member.dest) { "chain" } else { "shop" },
         member.dest,
         if member.drains { "draining" } else { "up" }
     )
@@ -207,7 +268,7 @@
                 book.notice(id, result);
             }
         }
-        if stream.write_all(answer("204 Fine", "").as_bytes()).is_err() {
+        if stream.write_all(answer("204 Fine", "", "").as_bytes()).is_err() {
             return;
         }
     }
@@ -215,7 +276,7 @@
 
 fn watch(mut stream: &TcpStream, sender: usize, mut revision: u64, list: &List, book: &Book) {
     if list.is_down() {
-        let _ = stream.write_all(answer("503 Down", "").as_bytes());
+        let _ = stream.write_all(answer("503 Down", "", "").as_bytes());
         return;
     }
     let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -24,6 +24,16 @@
     SocketIo,
     /// A sender's accepts fail with this error number.
     Accept(i32),
+    /// A sender can read no file: this error number.
+    FileRead(i32),
+    /// A sender's calls on sockets lack memory now and then.
+    Memory(i32),
+    /// A sender has no sockets now and then: this error number.
+    Socket(i32),
+    /// Notes between senders are lost, so many of a thousand.
+    NotesLost(u32),
+    /// All endpoints of a destination refuse connections, and come back cold.
+    Outage,
     /// An endpoint says nothing.
     Hangs,
     /// An endpoint resets connections after it has carried calls out.
@@ -96,7 +106,7 @@
 }
 
 fn kind(random: &mut fastrand::Rng) -> Kind {
-    match random.u8(..18) {
+    match random.u8(..24) {
         0..=1 => Kind::Kill,
         2..=3 => Kind::Restart,
         4 => Kind::HeldUp,
@@ -112,6 +122,11 @@
         14 => Kind::Full,
         15 => Kind::Slow,
         16 => Kind::Drain,
+        17 => Kind::FileRead(if random.bool() { libc::ENFILE } else { libc::EIO }),
+        18 => Kind::Memory(if random.bool() { libc::ENOMEM } else { libc::ENOBUFS }),
+        19 => Kind::Socket(if random.bool() { libc::ENFILE } else { libc::ENOBUFS }),
+        20 => Kind::NotesLost(random.u32(300..1_000)),
+        21..=22 => Kind::Outage,
         _ => Kind::ListDown,
     }
 }
--- a/crates/soak/src/play.rs
+++ b/crates/soak/src/play.rs
@@ -1,16 +1,17 @@
 //! One play: senders, their partners and clients, and the troubles of a plan.
 
-use crate::book::{Book, Violation};
+use crate::book::{Book, SlowStart, Violation, route};
 use crate::client;
-use crate::partners::{Endpoint, FIRST_REVISION, List, Manner, Member, list_service, shown};
+use crate::notes::Notes;
+use crate::partners::{Endpoint, FIRST_REVISION, List, Manner, Member, is_apart, list_service, shown};
 use crate::plan::{Kind, Size, Trouble};
 use crate::sender::Sender;
 use notchpoint_faults::Word;
 use std::io;
 use std::net::SocketAddr;
 use std::path::Path;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -22,8 +23,23 @@
 const HALF: u32 = 500;
 const MOST: u32 = 950;
 const RELOADS: usize = 4;
-/// Below those that the system gives out.
+/// Below those that the system gives out: for clients, and for notes.
 const PORT: u16 = 20_000;
+const NOTES_PORT: u16 = 20_001;
+/// Endpoints have addresses behind those of senders.
+const FIRST_ENDPOINT: usize = 100;
+/// How often it is looked what senders hold.
+const LIMITS_LOOK: Duration = Duration::from_millis(200);
+const MEMORY_MB: u64 = 192;
+const DESCRIPTORS: usize = 256;
+/// What destinations bear: so many times what comes in for them, and see `safety` in the configuration.
+const HEADROOM: f64 = 10.0 / 7.0;
+const COLD: Duration = Duration::from_millis(9_200);
+const START_SHARE: f64 = 0.17;
+const OVERLOAD_FACTOR: f64 = 2.0;
+const TIP_AFTER: Duration = Duration::from_secs(2);
+/// An outage that leaves a destination cold lasts so long beyond the trouble's span.
+const OUTAGE: Duration = Duration::from_secs(3);
 
 /// Plays of this process so far.
 static PLAYS: AtomicU32 = AtomicU32::new(0);
@@ -39,39 +55,69 @@
     pub timeline: String,
 }
 
+/// Where a sender finds its neighbours.
+struct Place {
+    listen: SocketAddr,
+    notes: SocketAddr,
+    discovery: SocketAddr,
+}
+
 /// The configuration of a sender.
-fn config(number: usize, seed: u64, listen: SocketAddr, discovery: SocketAddr, members: &str) -> String {
+fn config(number: usize, seed: u64, place: &Place, notes: &Notes, members: &str) -> String {
+    let Place { listen, notes: own, discovery } = place;
+    let peers: Vec<String> = notes.peers[number].iter().map(|peer| format!("\"{peer}\"")).collect();
+    let (peers, siblings, to_all) = (peers.join(","), peers.len(), notes.to_all[number]);
+    let (cold, tip) = (COLD.as_secs_f64(), TIP_AFTER.as_secs_f64());
     format!(
         r#"{{"name": "n{number}", "listen": "{listen}", "discovery": "{discovery}", "seed": "{seed:016x}",
- "limits": {{"cores": 1.0, "memory_mb": 192, "sockets": 256, "disk_mb": 3}}, "peers": [],
+ "limits": {{"cores": 1.0, "memory_mb": {MEMORY_MB}, "sockets": {DESCRIPTORS}, "disk_mb": 3}},
+ "peer_listen": "{own}", "peers": [{peers}], "peers_all": "{to_all}",
  "known": {{"revision": {FIRST_REVISION}, "complete": true, "members": [{members}]}},
  "settings": {{
   "bounds": {{"cancelling": true, "connIdleS": 5.0, "connectTimeoutS": 1.5, "maxAttempts": 8,
-    "maxRetryAfterS": 2.0, "mostHeld": 230, "multiplex": 1, "parallelTries": true, "retryAfter": true}},
+    "maxRetryAfterS": 2.0, "mostHeld": 230, "multiplex": 1, "parallelTries": true, "peerMessages": true,
+    "retryAfter": true}},
   "classes": [
     {{"name": "update", "effect": "idempotent", "sloS": 1.0, "deadlineS": 6.0, "worth": 1.0}},
     {{"name": "payment", "effect": "at_most_once", "sloS": 2.0, "deadlineS": 6.0, "worth": 3.0}}],
   "clients": {{"marksRetry": true}}, "discovery": "ask",
-  "familyInfo": {{"bundleMax": [1], "fades": "by_half", "kindApart": [false], "slots": 7}},
-  "kinds": ["shop"], "locality": "a", "me": 0, "overShareWorth": 0.2,
+  "familyInfo": {{"bundleMax": [1, 20], "fades": "by_half", "kindApart": [false, true], "slots": 7}},
+  "kinds": ["shop", "chain"], "locality": "a", "me": {number}, "overShareWorth": 0.2,
   "parties": [{{"allowancePerS": 24.0, "name": "acme", "share": 1.0}}],
-  "safety": {{"coldS": 9.2, "startCapacity": 0.17, "overloadFactor": 2.0, "tipAfterS": 2.0}},
-  "siblings": 1, "tickS": 0.005, "zones": ["a"]}}}}"#
+  "safety": {{"coldS": {cold}, "startCapacity": {START_SHARE}, "overloadFactor": {OVERLOAD_FACTOR},
+    "tipAfterS": {tip}}},
+  "siblings": {siblings}, "tickS": 0.005, "zones": ["a"]}}}}"#
     )
 }
 
-/// Where clients reach a sender. Its address is nobody else's on the loopback network, so that while the
-/// sender is down no other socket can get its port: another play's messages would come in there.
-fn address(play_number: u32, sender: usize) -> SocketAddr {
+/// Where a sender or an endpoint is reached. Its address is nobody else's on the loopback network, so that
+/// while it is down no other socket can get its port: another play's messages would come in there.
+fn address(play_number: u32, number: usize, port: u16) -> SocketAddr {
     let play = std::process::id().wrapping_mul(7).wrapping_add(play_number);
     let [_, _, high, low] = play.to_be_bytes();
-    SocketAddr::from(([127, 64 + high % 64, low, sender as u8 + 1], PORT))
+    SocketAddr::from(([127, 64 + high % 64, low, number as u8 + 1], port))
+}
+
+/// What a route bears after an outage: all senders' messages come in for its destination in the mean.
+fn slow_start(size: &Size, route: usize) -> SlowStart {
+    let comes = size.senders as f64 * CLIENTS_EACH as f64 / EVERY.as_secs_f64() / size.dests as f64;
+    let endpoints = if is_apart(route / 2) { 2.0 } else { 1.0 };
+    SlowStart {
+        capacity: comes * HEADROOM / endpoints,
+        start_share: START_SHARE,
+        cold: COLD,
+        factor: OVERLOAD_FACTOR,
+        window: TIP_AFTER,
+    }
 }
 
 struct World {
     senders: Vec<Arc<Sender>>,
     endpoints: Vec<Arc<Endpoint>>,
     list: Arc<List>,
+    notes: Arc<Notes>,
+    /// By route: its endpoints are in one trouble at a time.
+    turns: Vec<Mutex<()>>,
 }
 
 /// Plays a plan with real processes of this program.
@@ -82,25 +128,29 @@
     let folder = tempfile::tempdir()?;
     let play_number = PLAYS.fetch_add(1, Ordering::Relaxed);
     let (book, list) = (Arc::new(Book::default()), Arc::new(List::default()));
-    let endpoints: Vec<_> =
-        (0..2 * size.dests).map(|number| Endpoint::new(number, &book)).collect::<io::Result<_>>()?;
+    let endpoints: Vec<_> = (0..2 * size.dests)
+        .map(|number| Endpoint::new(number, address(play_number, FIRST_ENDPOINT + number, PORT), &book))
+        .collect::<io::Result<_>>()?;
+    let readers: Vec<_> = (0..size.senders).map(|n| address(play_number, n, NOTES_PORT)).collect();
+    let notes = Arc::new(Notes::new(&readers, seed)?);
     for (number, endpoint) in endpoints.iter().enumerate() {
         list.add(number, number / 2, endpoint.address);
     }
     let senders: Vec<_> = (0..size.senders)
         .map(|number| {
-            let place = list_service(number, &list, &book)?;
-            let address = address(play_number, number);
-            let (list, told) = (list.clone(), book.clone());
+            let discovery = list_service(number, &list, &book)?;
+            let listen = address(play_number, number, PORT);
+            let place = Place { listen, notes: readers[number], discovery };
+            let (list, told, notes) = (list.clone(), book.clone(), notes.clone());
             let configure = move || {
                 let known = |mut member: Member| {
                     member.drains = told.knows_drain(number, member.endpoint);
                     shown(&member)
                 };
                 let members: Vec<String> = list.since(0).0.into_iter().map(known).collect();
-                config(number, seed ^ number as u64, address, place, &members.join(","))
+                config(number, seed ^ number as u64, &place, &notes, &members.join(","))
             };
-            Sender::new(number, program, folder.path(), address, Box::new(configure), &book)
+            Sender::new(number, program, folder.path(), listen, Box::new(configure), &book)
         })
         .collect::<io::Result<_>>()?;
     thread::scope(|scope| {
@@ -108,7 +158,8 @@
             scope.spawn(|| started(&book, sender.start()));
         }
     });
-    let world = Arc::new(World { senders, endpoints, list });
+    let turns = endpoints.iter().map(|_| Mutex::default()).collect();
+    let world = Arc::new(World { senders, endpoints, list, notes, turns });
     let begun = Instant::now();
     let until = begun + size.span;
     thread::scope(|scope| {
@@ -119,6 +170,12 @@
                 scope.spawn(move || client::run(sender, dests, EVERY, until, book, own));
             }
         }
+        scope.spawn(|| {
+            while Instant::now() < until {
+                world.senders.iter().for_each(|sender| sender.check_limits(DESCRIPTORS, MEMORY_MB));
+                thread::sleep(LIMITS_LOOK);
+            }
+        });
         // Troubles of one sender one after another: a process that is being restarted cannot be killed.
         for which in 0..world.senders.len().max(world.endpoints.len()) {
             let mut its: Vec<&Trouble> = plan.iter().filter(|trouble| trouble.which == which).collect();
@@ -133,7 +190,7 @@
         }
     });
     thread::sleep((until + client::TIME + AFTERWARDS).saturating_duration_since(Instant::now()));
-    let violations = book.violations();
+    let violations = book.violations(|route| slow_start(size, route));
     let first = violations.iter().find_map(|violation| violation.message);
     let timeline = first.map(|id| book.timeline(id)).unwrap_or_default();
     world.senders.iter().for_each(|sender| sender.end());
@@ -155,6 +212,21 @@
 }
 
 impl World {
+    fn turn(&self, endpoint: usize) -> MutexGuard<'_, ()> {
+        self.turns[route(endpoint)].lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes all endpoints of a route out of service for a while.
+    fn outage(&self, number: usize, span: Duration, book: &Book) {
+        let _turn = self.turn(number);
+        let all = || self.endpoints.iter().enumerate().filter(|(n, _)| route(*n) == route(number));
+        book.outage(number);
+        all().for_each(|(_, endpoint)| endpoint.set(Manner::Down));
+        thread::sleep(span);
+        book.back(number);
+        all().for_each(|(_, endpoint)| endpoint.set(Manner::Sound));
+    }
+
     fn play(&self, trouble: &Trouble, book: &Book) {
         let sender = &self.senders[trouble.which % self.senders.len()];
         let number = trouble.which % self.endpoints.len();
@@ -163,6 +235,7 @@
             let _ = sender.faults.fail(what, errno, per_mille);
         };
         let misbehaves = |manner: Manner| {
+            let _turn = self.turn(number);
             endpoint.set(manner);
             thread::sleep(trouble.span);
             endpoint.set(Manner::Sound);
@@ -202,6 +275,27 @@
                 thread::sleep(trouble.span);
                 fail(Word::Accept, 0, 0);
             }
+            Kind::FileRead(errno) => {
+                fail(Word::FileRead, errno, MOST);
+                thread::sleep(trouble.span);
+                fail(Word::FileRead, 0, 0);
+            }
+            Kind::Memory(errno) => {
+                fail(Word::SocketIo, errno, HALF / 2);
+                thread::sleep(trouble.span);
+                fail(Word::SocketIo, 0, 0);
+            }
+            Kind::Socket(errno) => {
+                fail(Word::Socket, errno, HALF);
+                thread::sleep(trouble.span);
+                fail(Word::Socket, 0, 0);
+            }
+            Kind::NotesLost(per_mille) => {
+                self.notes.lose(per_mille);
+                thread::sleep(trouble.span);
+                self.notes.lose(0);
+            }
+            Kind::Outage => self.outage(number, trouble.span + OUTAGE, book),
             Kind::Hangs => misbehaves(Manner::Hangs),
             Kind::Resets => misbehaves(Manner::Resets),
             Kind::Full => misbehaves(Manner::Full),
--- a/crates/soak/src/sender.rs
+++ b/crates/soak/src/sender.rs
@@ -188,6 +188,22 @@
         }
     }
 
+    /// Looks at what its process holds.
+    pub fn check_limits(&self, descriptors: usize, memory_mb: u64) {
+        let Some(pid) = self.child().as_ref().map(Child::id) else { return };
+        let open = fs::read_dir(format!("/proc/{pid}/fd")).map_or(0, Iterator::count);
+        if open > descriptors {
+            self.book.broken("descriptors", format!("sender {} holds {open} descriptors", self.number));
+        }
+        let status = fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+        let resident = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let kilobytes: u64 =
+            resident.and_then(|text| text.split_whitespace().next()?.parse().ok()).unwrap_or_default();
+        if kilobytes > memory_mb * 1_024 {
+            self.book.broken("memory", format!("sender {} takes {kilobytes} kB", self.number));
+        }
+    }
+
     /// Holds it up for a moment.
     pub fn hold_up(&self) {
         if let Some(child) = &*self.child() {
