--- a/crates/daemon/tests/sockets/main.rs
+++ b/crates/daemon/tests/sockets/main.rs
@@ -4,6 +4,7 @@
 mod closing;
 mod faults;
 mod flight;
+mod growth;
 mod keys;
 mod operations;
 mod restart;
--- a/crates/daemon/tests/sockets/world.rs
+++ b/crates/daemon/tests/sockets/world.rs
@@ -459,6 +459,11 @@
         assert!(Command::new("kill").args([name, &pid]).status().expect("kill").success());
     }
 
+    /// The number of its process.
+    pub fn process(&self) -> u32 {
+        self.child.id()
+    }
+
     pub fn config(&self) -> String {
         std::fs::read_to_string(self.folder.path().join("config.json")).expect("a file")
     }
