A change of the list costs what it concerns, and not all endpoints that there are

Cause: enter() and list() of the module retained over all endpoints, each destination's endpoints, all destinations and all routes at each change, and Calls::list looked through all targets for another of the same destination.

Change: the module keeps what the list does not name (Unlisted: endpoints, destinations, routes) and looks at just that; Calls counts endpoints by destination.

--- a/crates/daemon/src/calls.rs
+++ b/crates/daemon/src/calls.rs
@@ -89,6 +89,8 @@
     targets: RefCell<BTreeMap<EndpointId, Target>>,
     /// Endpoints that operators have taken out.
     taken_out: RefCell<BTreeSet<EndpointId>>,
+    /// How many endpoints the list has of each destination.
+    endpoints_of: RefCell<BTreeMap<DestinationId, usize>>,
     /// The destinations that the list names, or, until then, has named.
     named: RefCell<BTreeMap<DestinationId, Option<Instant>>>,
     pool: RefCell<BTreeMap<EndpointId, Vec<Idle>>>,
@@ -135,6 +137,7 @@
             net,
             targets: RefCell::default(),
             taken_out: RefCell::default(),
+            endpoints_of: RefCell::default(),
             named: RefCell::default(),
             pool: RefCell::default(),
             waits: RefCell::default(),
@@ -204,12 +207,27 @@
             let closed = self.pool.borrow_mut().remove(&id).map_or(0, |idle| idle.len());
             self.tell_closed(id, closed);
         }
-        let left = old.filter(|o| self.targets.borrow().values().all(|t| t.dest != o.dest));
+        let left = self.count_endpoint(old, target);
         let mut named = self.named.borrow_mut();
-        named.extend(left.map(|o| (o.dest, Some(Instant::now() + LATELY))));
+        named.extend(left.map(|dest| (dest, Some(Instant::now() + LATELY))));
         named.extend(target.map(|t| (t.dest, None)));
     }
 
+    /// Counts an endpoint that came, left or moved; gives the destination whose last one it was.
+    fn count_endpoint(&self, old: Option<Target>, new: Option<Target>) -> Option<DestinationId> {
+        let mut counts = self.endpoints_of.borrow_mut();
+        if let Some(target) = new {
+            *counts.entry(target.dest).or_default() += 1;
+        }
+        let count = counts.get_mut(&old?.dest)?;
+        *count -= 1;
+        if *count > 0 {
+            return None;
+        }
+        counts.remove(&old?.dest);
+        Some(old?.dest)
+    }
+
     /// Operators took an endpoint out, or put it back: a call that is not written yet is not made, and idle
     /// connections end, since it will be restarted.
     pub fn set_out(&self, id: EndpointId, out: bool) {
--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -206,20 +206,9 @@
             let fresh = || Route { window: FLOOR, pace: 1.0, credit, ..Route::default() };
             self.routes.entry(route).or_insert_with(fresh);
         }
-        let (known, now) = (&self.endpoints, self.now);
-        // Destinations come and go: what is kept of one ends with its last endpoint and message.
-        let queued = &self.queued;
-        self.dests.retain(|id, d| {
-            !d.endpoints.is_empty() || !d.queue.is_empty() || queued.contains(id) || d.rate_at + FORGET > now
-        });
+        self.forget_unlisted(FORGET);
         let dests = &self.dests;
         self.leans.values_mut().for_each(|l| l.keep(|d| dests.contains_key(&d)));
-        // A wait, and what is known of an outage, outlive a short absence from the list.
-        let recent = |r: &Route| r.last_ok.max(r.rest_until) + FORGET > now;
-        self.routes.retain(|(d, e), r| {
-            let named = e.map_or_else(|| dests.contains_key(d), |e| known.contains_key(&e));
-            r.out > 0 || recent(r) || named
-        });
         if !matches!(news, ListNews::Restored(_)) {
             self.watch_at = Micros::MAX;
         }
@@ -278,11 +267,10 @@
             Held { class, dest: m.dest, key, over_share, aim, expires, attempts, ran, ..Held::default() };
         self.held.insert(m.id, held);
         self.live += 1;
-        let d = self.dests.entry(m.dest).or_default();
-        d.queue.push(m.id);
-        self.queued.insert(m.dest);
-        let (flow, part) = (d.flow(self.now), d.part());
-        d.arrived(self.now);
+        let now = self.now;
+        let d = self.enqueue(m.dest, m.id);
+        let (flow, part) = (d.flow(now), d.part());
+        d.arrived(now);
         for (_, r) in self.routes.range_mut(routes_of(m.dest)) {
             r.accrue(&self.set, self.now, part, flow);
         }
@@ -478,8 +466,7 @@
         match (over || outcome == Served || h.done, h.out, again) {
             (true, ..) => self.finish(id),
             (_, 0, true) => {
-                self.queued.insert(h.dest);
-                self.dests.entry(h.dest).or_default().queue.push(id);
+                self.enqueue(h.dest, id);
             }
             (_, 0, false) => self.give_up(id),
             _ => {}
--- a/crates/policy/src/choice/tests.rs
+++ b/crates/policy/src/choice/tests.rs
@@ -2,9 +2,7 @@
 
 use super::*;
 
-#[test]
-fn destinations_that_come_and_go_leave_nothing_behind() {
-    // Guards against memory that grows for as long as the process runs.
+fn settings() -> Settings {
     let kinds = vec![Kind { apart: false, bundle: 1 }, Kind { apart: true, bundle: 2 }];
     let class = Class {
         effect: Effect::Safe,
@@ -16,7 +14,7 @@
         late_share: 0.0,
         in_order: false,
     };
-    let set = Settings {
+    Settings {
         slots: 4,
         max_held: 9,
         max_attempts: 8,
@@ -44,8 +42,13 @@
         conns_told: false,
         tick: 5 * MS,
         max_advice: SEC,
-    };
-    let mut sender = Sender::new(set, 1).expect("sound");
+    }
+}
+
+#[test]
+fn destinations_that_come_and_go_leave_nothing_behind() {
+    // Guards against memory that grows for as long as the process runs.
+    let mut sender = Sender::new(settings(), 1).expect("sound");
     let (mut now, mut out) = (0, Vec::new());
     for n in 0..200u64 {
         now += SEC;
@@ -64,3 +67,100 @@
     let kept = [sender.dests.len(), sender.routes.len(), sender.endpoints.len(), sender.held.len()];
     assert!(kept.iter().all(|&n| n <= most), "{kept:?}");
 }
+
+/// One sender whose list, messages and calls change at random.
+struct Churn {
+    sender: Sender,
+    random: fastrand::Rng,
+    now: Micros,
+    next: u64,
+    out: Vec<(MessageId, u32)>,
+    attempts: BTreeMap<MessageId, u32>,
+}
+
+impl Churn {
+    fn entry(&mut self) -> Entry {
+        let endpoint = self.random.u64(..12);
+        let phase = [Phase::Live, Phase::Live, Phase::Draining, Phase::Gone][self.random.usize(..4)];
+        let (dest, kind) = (DestinationId(endpoint / 2), (endpoint / 2 % 2) as u32);
+        Entry { endpoint: EndpointId(endpoint), dest, zone: 0, kind, phase }
+    }
+
+    fn event(&mut self) -> Option<Event> {
+        Some(match self.random.u8(..10) {
+            0..=2 => {
+                Event::List(ListNews::Changes((0..self.random.usize(1..4)).map(|_| self.entry()).collect()))
+            }
+            3 => Event::List(ListNews::Whole((0..self.random.usize(..9)).map(|_| self.entry()).collect())),
+            4..=6 => {
+                self.next += 1;
+                // Some go to a destination that no list names.
+                let (id, dest) = (MessageId(self.next), DestinationId(self.random.u64(..8)));
+                let expires_in = 20 * SEC;
+                Event::Taken(Message {
+                    id,
+                    class: 0,
+                    tenant: None,
+                    key: None,
+                    dest,
+                    again: false,
+                    expires_in,
+                })
+            }
+            7..=8 if !self.out.is_empty() => {
+                let (id, attempt) = self.out.swap_remove(self.random.usize(..self.out.len()));
+                let outcome = [Served, Full { wait: None }, TimedOut, ConnectFailed][self.random.usize(..4)];
+                Event::Ended { id, attempt, outcome, over: outcome == Served, allowance: None }
+            }
+            9 => Event::Service { endpoint: EndpointId(self.random.u64(..12)), out: self.random.bool() },
+            _ => return None,
+        })
+    }
+
+    fn step(&mut self) {
+        let spans = [5 * MS, 100 * MS, 5 * SEC, 70 * SEC];
+        self.now += spans[self.random.usize(..spans.len())];
+        let (event, mut actions) = (self.event(), Vec::new());
+        // What falls due goes first, so that nothing else changes with the list.
+        self.sender.handle(self.now, &[Event::Wake], &mut actions);
+        self.sender.handle(self.now, event.as_slice(), &mut actions);
+        for action in actions {
+            if let Action::Send { id, .. } = action {
+                let made = self.attempts.entry(id).or_default();
+                self.out.push((id, *made));
+                *made += 1;
+            }
+        }
+        self.check(matches!(event, Some(Event::List(_))));
+    }
+
+    /// What is kept of the unlisted is all of it, as a look at everything finds it.
+    fn check(&self, listed: bool) {
+        let Sender { endpoints, dests, routes, unlisted, queued, .. } = &self.sender;
+        let gone: BTreeSet<EndpointId> =
+            endpoints.iter().filter(|(_, e)| !e.listed).map(|(&id, _)| id).collect();
+        assert_eq!(unlisted.endpoints, gone);
+        for (id, d) in dests.iter().filter(|(_, d)| d.endpoints.is_empty()) {
+            assert!(unlisted.dests.contains(id), "{id:?}");
+            let left = !d.queue.is_empty() || queued.contains(id) || d.rate_at + FORGET > self.now;
+            assert!(!listed || left, "{id:?} is kept for nothing");
+        }
+        for (route, r) in routes {
+            let named = route.1.map_or_else(|| dests.contains_key(&route.0), |e| endpoints.contains_key(&e));
+            assert!(named || unlisted.routes.contains(route), "{route:?}");
+            let left = r.out > 0 || r.last_ok.max(r.rest_until) + FORGET > self.now;
+            assert!(!listed || named || left, "{route:?} is kept for nothing");
+        }
+    }
+}
+
+#[test]
+fn what_the_list_names_no_more_is_found_without_a_look_at_everything() {
+    for seed in 0..100 {
+        let sender = Sender::new(settings(), seed).expect("sound");
+        let random = fastrand::Rng::with_seed(seed);
+        let (out, attempts) = Default::default();
+        let mut churn = Churn { sender, random, now: 1 << 40, next: 0, out, attempts };
+        (0..300).for_each(|_| churn.step());
+    }
+}
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -164,6 +164,18 @@
 /// Messages of one key in the order taken, and until when the key rests.
 pub type Key = (VecDeque<MessageId>, Micros);
 
+/// What the list does not name any more and is kept for a while: what one change of the list costs follows
+/// these, and not all that there is.
+#[derive(Clone, Default, Serialize, Deserialize)]
+pub struct Unlisted {
+    /// Endpoints that are not live by the list.
+    pub endpoints: BTreeSet<EndpointId>,
+    /// Destinations without an endpoint.
+    pub dests: BTreeSet<DestinationId>,
+    /// Routes of neither a known endpoint nor a known destination.
+    pub routes: BTreeSet<RouteId>,
+}
+
 /// One sender's decisions. It has no clock and does no I/O: see [`Sender::handle`].
 #[derive(Clone, Serialize, Deserialize)]
 pub struct Sender {
@@ -181,6 +193,8 @@
     /// Endpoints that operators have taken out, whether the list names them or not.
     pub(crate) taken_out: BTreeSet<EndpointId>,
     pub(crate) queued: BTreeSet<DestinationId>,
+    /// What the list does not name any more and is kept for a while.
+    pub(crate) unlisted: Unlisted,
     pub(crate) keys: BTreeMap<Box<str>, Key>,
     /// Connections idle for longer are not trusted, until then.
     pub(crate) idle_safe: (Micros, Micros),
@@ -214,6 +228,7 @@
             dests: BTreeMap::new(),
             taken_out: BTreeSet::new(),
             queued: BTreeSet::new(),
+            unlisted: Unlisted::default(),
             keys: BTreeMap::new(),
             idle_safe: (FAR, 0),
             scarce: vec![0; settings.kinds.len()],
@@ -277,7 +292,104 @@
 
     /// Enters what the list says; gives the routes that it names.
     pub(crate) fn enter(&mut self, news: &ListNews) -> Vec<RouteId> {
-        enter(&mut self.endpoints, &mut self.dests, &self.set.kinds, &self.taken_out, news)
+        let mut routes = Vec::new();
+        let list = match news {
+            ListNews::Changes(list) => list,
+            ListNews::Whole(list) | ListNews::Restored(list) => {
+                let named: BTreeSet<EndpointId> = list.iter().map(|n| n.endpoint).collect();
+                for (id, e) in self.endpoints.iter_mut().filter(|(id, _)| !named.contains(id)) {
+                    (e.listed, e.live) = (false, false);
+                    self.unlisted.endpoints.insert(*id);
+                }
+                list
+            }
+            ListNews::Unavailable => return routes,
+        };
+        for entry in list {
+            routes.extend(self.enter_one(entry));
+        }
+        if !matches!(news, ListNews::Changes(_)) || list.iter().any(|n| n.phase != Phase::Live) {
+            self.drop_endpoints();
+        }
+        routes
+    }
+
+    fn enter_one(&mut self, n: &Entry) -> Option<RouteId> {
+        let kind = self.set.kinds.get(n.kind as usize)?;
+        let fresh = || Endpoint { dest: n.dest, ..Endpoint::default() };
+        let e = self.endpoints.entry(n.endpoint).or_insert_with(fresh);
+        (e.listed, e.zone, e.kind) = (n.phase == Phase::Live, n.zone, n.kind as usize);
+        e.live = e.listed && !self.taken_out.contains(&n.endpoint);
+        if e.listed {
+            self.unlisted.endpoints.remove(&n.endpoint);
+        } else {
+            self.unlisted.endpoints.insert(n.endpoint);
+        }
+        let d = self.dests.entry(e.dest).or_default();
+        (d.apart, d.bundle, d.kind) = (kind.apart, kind.bundle as usize, e.kind);
+        if !d.endpoints.contains(&n.endpoint) {
+            d.endpoints.push(n.endpoint);
+        }
+        self.unlisted.dests.remove(&e.dest);
+        Some((e.dest, kind.apart.then_some(n.endpoint)))
+    }
+
+    /// Puts a message into its destination's queue, also where no list names that.
+    pub(crate) fn enqueue(&mut self, dest: DestinationId, id: MessageId) -> &mut Dest {
+        self.queued.insert(dest);
+        let d = self.dests.entry(dest).or_default();
+        if d.endpoints.is_empty() {
+            self.unlisted.dests.insert(dest);
+        }
+        d.queue.push(id);
+        d
+    }
+
+    /// Drops endpoints that the list does not have as live, unless something is out there or operators took
+    /// them out.
+    fn drop_endpoints(&mut self) {
+        let (endpoints, taken_out) = (&self.endpoints, &self.taken_out);
+        let goes = |id: &EndpointId| endpoints[id].out == 0 && !taken_out.contains(id);
+        let gone: Vec<EndpointId> = self.unlisted.endpoints.iter().copied().filter(goes).collect();
+        for id in gone {
+            self.unlisted.endpoints.remove(&id);
+            let Some(e) = self.endpoints.remove(&id) else { continue };
+            self.unlisted.routes.insert((e.dest, Some(id)));
+            let Some(d) = self.dests.get_mut(&e.dest) else { continue };
+            d.endpoints.retain(|other| *other != id);
+            if d.endpoints.is_empty() {
+                self.unlisted.dests.insert(e.dest);
+            }
+        }
+    }
+
+    /// Forgets destinations and routes that the list names no more, once nothing is left of them: a wait, and
+    /// what is known of an outage, outlive a short absence.
+    pub(crate) fn forget_unlisted(&mut self, span: Micros) {
+        let now = self.now;
+        let stays = |d: &Dest| !d.queue.is_empty() || d.rate_at + span > now;
+        let (dests, queued) = (&mut self.dests, &self.queued);
+        let routes = &mut self.unlisted.routes;
+        self.unlisted.dests.retain(|id| {
+            let Some(d) = dests.get(id).filter(|d| d.endpoints.is_empty()) else { return false };
+            let kept = stays(d) || queued.contains(id);
+            if !kept {
+                dests.remove(id);
+                routes.insert((*id, None));
+            }
+            kept
+        });
+        let known = &self.endpoints;
+        let all = &mut self.routes;
+        self.unlisted.routes.retain(|route| {
+            let named = route.1.map_or_else(|| dests.contains_key(&route.0), |e| known.contains_key(&e));
+            let Some(r) = all.get(route).filter(|_| !named) else { return false };
+            let kept = r.out > 0 || r.last_ok.max(r.rest_until) + span > now;
+            if !kept {
+                all.remove(route);
+            }
+            kept
+        });
     }
 
     /// Enters that operators took an endpoint out, or put it back; gives whether that is news, and whether
@@ -428,48 +540,6 @@
     }
 }
 
-/// Enters what the list says; gives the routes that it names. What is gone and has nothing out is dropped.
-fn enter(
-    endpoints: &mut BTreeMap<EndpointId, Endpoint>,
-    dests: &mut BTreeMap<DestinationId, Dest>,
-    kinds: &[Kind],
-    taken_out: &BTreeSet<EndpointId>,
-    news: &ListNews,
-) -> Vec<RouteId> {
-    let mut routes = Vec::new();
-    let list = match news {
-        ListNews::Changes(list) => list,
-        ListNews::Whole(list) | ListNews::Restored(list) => {
-            let named: BTreeSet<EndpointId> = list.iter().map(|n| n.endpoint).collect();
-            endpoints.iter_mut().for_each(|(id, e)| {
-                e.listed &= named.contains(id);
-                e.live &= e.listed;
-            });
-            list
-        }
-        ListNews::Unavailable => return routes,
-    };
-    for n in list {
-        let Some(kind) = kinds.get(n.kind as usize) else { continue };
-        let e =
-            endpoints.entry(n.endpoint).or_insert_with(|| Endpoint { dest: n.dest, ..Endpoint::default() });
-        (e.listed, e.zone, e.kind) = (n.phase == Phase::Live, n.zone, n.kind as usize);
-        e.live = e.listed && !taken_out.contains(&n.endpoint);
-        let d = dests.entry(e.dest).or_default();
-        (d.apart, d.bundle, d.kind) = (kind.apart, kind.bundle as usize, e.kind);
-        if !d.endpoints.contains(&n.endpoint) {
-            d.endpoints.push(n.endpoint);
-        }
-        routes.push((e.dest, kind.apart.then_some(n.endpoint)));
-    }
-    if list.iter().all(|n| n.phase == Phase::Live) && matches!(news, ListNews::Changes(_)) {
-        return routes;
-    }
-    endpoints.retain(|id, e| e.listed || e.out > 0 || taken_out.contains(id));
-    dests.values_mut().for_each(|d| d.endpoints.retain(|e| endpoints.contains_key(e)));
-    routes
-}
-
 /// A random generator is kept by its state, which is its seed.
 pub mod seed {
     use serde::{Deserialize, Deserializer, Serializer};
