The soak lets troubles meet at one sender, and judges what was refused after it had run

Change: signals to a process and its other troubles run beside each other, and half of the troubles of one moment meet the same sender or endpoint; 'bounced' for a payment that has run breaks a rule.

--- a/crates/soak/src/book.rs
+++ b/crates/soak/src/book.rs
@@ -266,10 +266,16 @@
     /// A notice came.
     pub fn notice(&self, id: u64, result: &str) {
         let now = Instant::now();
+        let mut has_run = false;
         self.note(id, format!("notice: {result}"), |entry| {
             entry.ended = entry.ended.or(Some(now));
             entry.refused |= result == "bounced";
+            has_run = entry.refused && entry.effect == Effect::Once && entry.runs > 0;
         });
+        if has_run {
+            let what = "handing it in again was said to be harmless after it had run".to_owned();
+            self.pages().violations.push(Violation { rule: "refused", message: Some(id), what });
+        }
     }
 
     /// A sender was told that an endpoint drains, or that it serves.
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -48,6 +48,13 @@
     ListDown,
 }
 
+impl Kind {
+    /// Whether a sender's process gets a signal: two of these wait for each other.
+    pub const fn is_signal(self) -> bool {
+        matches!(self, Self::Kill | Self::Restart | Self::HeldUp | Self::Reload)
+    }
+}
+
 /// One trouble of a plan.
 #[derive(Clone, Copy, Debug)]
 pub struct Trouble {
@@ -86,19 +93,22 @@
 /// The first trouble comes after this, the last one ends so long before messages end.
 const QUIET: Duration = Duration::from_secs(1);
 
-/// Draws the troubles of a seed. Each begins near another one, so that they overlap.
+/// Draws the troubles of a seed. Each begins near another one, so that they overlap, also at one sender.
 pub fn draw(seed: u64, size: &Size) -> Vec<Trouble> {
     let mut random = fastrand::Rng::with_seed(seed);
     let room = size.span.saturating_sub(2 * QUIET);
-    let mut moment = Duration::ZERO;
+    let (mut moment, mut concerned) = (Duration::ZERO, 0);
+    let all = size.senders.max(2 * size.dests);
     (0..size.troubles)
         .map(|n| {
             // Three by three they share a moment.
             if n % 3 == 0 {
                 moment = QUIET + room.mul_f64(random.f64());
+                concerned = random.usize(..all);
             }
             let kind = kind(&mut random);
-            let which = random.usize(..size.senders.max(2 * size.dests));
+            // Half of the others meet the same sender or endpoint: what goes wrong together is looked for.
+            let which = if random.bool() { concerned } else { random.usize(..all) };
             let from = moment + Duration::from_millis(random.u64(..400));
             Trouble { kind, which, from, span: Duration::from_millis(random.u64(300..3_000)) }
         })
--- a/crates/soak/src/play.rs
+++ b/crates/soak/src/play.rs
@@ -176,17 +176,21 @@
                 thread::sleep(LIMITS_LOOK);
             }
         });
-        // Troubles of one sender one after another: a process that is being restarted cannot be killed.
+        // Signals of one sender one after another: a process that is being restarted cannot be killed. What
+        // else goes wrong goes on beside them.
         for which in 0..world.senders.len().max(world.endpoints.len()) {
-            let mut its: Vec<&Trouble> = plan.iter().filter(|trouble| trouble.which == which).collect();
-            its.sort_by_key(|trouble| trouble.from);
-            let (world, book) = (&*world, &*book);
-            scope.spawn(move || {
-                for trouble in its {
-                    thread::sleep((begun + trouble.from).saturating_duration_since(Instant::now()));
-                    world.play(trouble, book);
-                }
-            });
+            for signals in [true, false] {
+                let its = |trouble: &&Trouble| trouble.which == which && trouble.kind.is_signal() == signals;
+                let mut its: Vec<&Trouble> = plan.iter().filter(its).collect();
+                its.sort_by_key(|trouble| trouble.from);
+                let (world, book) = (&*world, &*book);
+                scope.spawn(move || {
+                    for trouble in its {
+                        thread::sleep((begun + trouble.from).saturating_duration_since(Instant::now()));
+                        world.play(trouble, book);
+                    }
+                });
+            }
         }
     });
     thread::sleep((until + client::TIME + AFTERWARDS).saturating_duration_since(Instant::now()));
