A failing test: a process that lacks a socket as it starts can never hand over

Found by reading, of the class 'error of a moment taken for a lasting one': the private place at which the next process asks is opened once, and where that fails the process serves without it for good. The next one waits for the store, and an upgrade stands still until the platform kills the old process.

--- a/crates/daemon/tests/sockets/upgrade.rs
+++ b/crates/daemon/tests/sockets/upgrade.rs
@@ -250,3 +250,15 @@
     until("a notice, or too late", || node.platform.has_notice(1) || begun.elapsed() > limit);
     assert!(node.platform.has_notice(1), "no notice in {limit:?}");
 }
+
+#[test]
+fn a_process_that_had_no_socket_for_a_moment_as_it_started_hands_over_all_the_same() {
+    for _ in 0..5 {
+        let (_endpoint, members, _say) = slow();
+        let span = Duration::from_secs(1);
+        let node = Node::held_short_of_sockets(&members, 700, span);
+        thread::sleep(2 * span);
+        let said = node.next_says(&["hand-over: 0 attempts", "waiting: another process"]);
+        assert!(said.contains("hand-over"), "{said}");
+    }
+}
--- a/crates/daemon/tests/sockets/world.rs
+++ b/crates/daemon/tests/sockets/world.rs
@@ -1,7 +1,7 @@
 //! What stands round the program in the tests: endpoints, the platform, clients, all on loopback sockets.
 //! It waits on conditions; the one time limit is only there so that a failing test ends.
 
-use notchpoint_faults::Faults;
+use notchpoint_faults::{Faults, Word};
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -345,6 +345,19 @@
         (Self::build_in(folder, members, change, None, false), faults)
     }
 
+    /// One whose clients' socket the test holds, and which has no sockets of its own for a while as it starts:
+    /// so many times in a thousand each.
+    pub fn held_short_of_sockets(members: &[String], per_mille: u32, span: Duration) -> Self {
+        let folder = tempfile::tempdir().expect("a folder");
+        let faults = Faults::create(&folder.path().join(FAULTS)).expect("a control file");
+        faults.fail(Word::Socket, libc::ENFILE, per_mille).expect("set");
+        thread::spawn(move || {
+            thread::sleep(span);
+            faults.clear().expect("set");
+        });
+        Self::build_in(folder, members, |text| text, None, true)
+    }
+
     /// With an operator's file; in it FOLDER stands for a folder beside the state.
     pub fn with_operator(
         members: &[String],
@@ -424,6 +437,17 @@
         ended
     }
 
+    /// Starts the next process beside this one, and kills it at the first of these lines; gives that.
+    pub fn next_says(&self, either: &[&str]) -> String {
+        let mut child = command(&self.folder, self.held.as_ref()).spawn().expect("the program");
+        let lines = BufReader::new(child.stdout.take().expect("its output")).lines();
+        let mut said = lines.map(|line| line.expect("text"));
+        let found = said.find(|line| either.iter().any(|part| line.contains(part))).expect("it says one");
+        child.kill().expect("it runs");
+        child.wait().expect("it ended");
+        found
+    }
+
     /// Starts the next process beside this one, and gives the old one once the new one is ready.
     pub fn upgrade(&mut self) -> Old {
         let (child, address, admin) = start(&self.folder, self.held.as_ref());
