The place where a hand-over is asked for is opened again where it could not be had

Cause: sender.rs opened it once and went on without it. Change: it is tried again every second while the process serves.

--- a/crates/daemon/src/sender.rs
+++ b/crates/daemon/src/sender.rs
@@ -58,6 +58,8 @@
 const WRITTEN: Duration = Duration::from_millis(200);
 /// A configuration that could not be read is tried again after this.
 const READ_AGAIN: Duration = Duration::from_millis(100);
+/// The place where the next process asks is tried again after this.
+const PLACE_AGAIN: Duration = Duration::from_secs(1);
 /// Mistakes in a configuration that are told one by one.
 const MISTAKES: usize = 20;
 
@@ -179,6 +181,12 @@
         Ok(true)
     }
 
+    /// Opens the place where the next process asks this one to hand over; tried again where it cannot be had.
+    fn place_for_hand_over(&self) -> Option<Rc<dyn Listener>> {
+        let place = self.net.listen_within(passage::PLACE);
+        place.inspect_err(|e| self.trouble.tell(&format_args!("no hand-over is possible yet: {e}"))).ok()
+    }
+
     /// Asks who serves to hand over.
     async fn ask(&self) -> Before {
         match passage::ask(&*self.net).await {
@@ -372,16 +380,18 @@
             Shown { copies: copies.clone(), zoning: zoning.clone(), reasons: calls.reasons.clone() };
         self.operators.open(&config.name, &door, &safety, told_of, &inputs);
         self.told.look_again(source);
-        let asked = self.accept.as_ref().and_then(|_| {
-            let place = self.net.listen_within(passage::PLACE);
-            place.inspect_err(|e| tracing::warn!("no hand-over will be possible: {e}")).ok()
-        });
+        let mut asked = None;
         loop {
+            if self.accept.is_some() && asked.is_none() {
+                asked = self.place_for_hand_over();
+            }
             let asking = async {
                 match &asked {
-                    Some(listener) => passage::asked(&**listener).await,
+                    Some(listener) => return Some(passage::asked(&**listener).await),
+                    None if self.accept.is_some() => sleep(PLACE_AGAIN).await,
                     None => pending().await,
                 }
+                None
             };
             let stream = tokio::select! {
                 biased;
@@ -389,6 +399,7 @@
                 () = self.told.terminate.notified() => break,
                 stream = asking => stream,
             };
+            let Some(stream) = stream else { continue };
             // From here to the frames nothing waits: no event falls between the two owners.
             let released = journal.borrow_mut().release();
             if let Err(why) = released {
