A failing test: a signal that meets an interrupted socket call ends the process

Ruled out: a panic of our own code.

Beside it a test with no fault found: connections for which epoll_ctl fails are blamed on nobody and made again.

--- a/crates/daemon/tests/sockets/faults.rs
+++ b/crates/daemon/tests/sockets/faults.rs
@@ -307,3 +307,38 @@
         assert!(healed.elapsed() < Duration::from_millis(500), "round {round}: {:?}", healed.elapsed());
     }
 }
+
+#[test]
+fn a_connection_that_cannot_be_watched_here_is_blamed_on_nobody() {
+    // Each call needs a connection of its own.
+    let closing = "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+    let (node, endpoint, faults) = one(move |_| Reply::Last(closing.to_owned()));
+    let mut client = Client::new(node.address);
+    assert_eq!(client.hand_in("payment", 1, 3, LONG, b"x").status(), 202);
+    until("a first call", || endpoint.calls() == 1);
+    for (round, errno) in (1..).zip([libc::ENOSPC, libc::ENOMEM]) {
+        faults.fail(Word::EpollAdd, errno, 700).expect("set");
+        for id in 0..10 {
+            assert_eq!(client.hand_in("payment", round * 100 + id, 3, LONG, b"x").status(), 202);
+        }
+        until("a call of each", || endpoint.calls() as u64 > round * 10);
+        faults.clear().expect("set");
+    }
+    assert!(faults.injected(Word::EpollAdd).expect("a count") > 0, "never injected");
+    assert_eq!(endpoint.calls(), 21, "each once");
+}
+
+#[test]
+fn signals_that_come_while_socket_calls_are_interrupted_are_heeded_and_end_nothing() {
+    let (mut node, endpoint, faults) = one(|_| answer("200 OK", "", ""));
+    faults.fail(Word::SocketIo, libc::EINTR, 500).expect("set");
+    for id in 1..=20 {
+        node.signal("-HUP");
+        assert_eq!(node.hand_in("payment", id, 3, LONG, b"x").status(), 202);
+    }
+    until("a call of each", || endpoint.calls() == 20);
+    let told = Instant::now();
+    node.terminate();
+    assert!(node.exit(), "it ended as it was told to");
+    assert!(told.elapsed() < Duration::from_secs(4), "only after {:?}", told.elapsed());
+}
