--- a/crates/seam/src/lib.rs
+++ b/crates/seam/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod disk;
 pub mod net;
 pub mod real;
+mod signals;
 
 pub use disk::{Disk, File, Syncing};
 pub use net::{Datagrams, Listener, Network, Stream};
--- a/crates/seam/src/real.rs
+++ b/crates/seam/src/real.rs
@@ -2,7 +2,7 @@
 
 use crate::net::Connecting;
 use crate::{
-    BootId, Clock, ConfigSource, Datagrams, Disk, File, Listener, Network, Signal, Stream, Syncing, World,
+    BootId, Clock, ConfigSource, Datagrams, Disk, File, Listener, Network, Stream, Syncing, World, signals,
 };
 use rustix::fs::FlockOperation;
 use rustix::process::{PidfdFlags, PidfdGetfdFlags, getpid, pidfd_getfd, pidfd_open};
@@ -20,8 +20,6 @@
 use std::time::{SystemTime, UNIX_EPOCH};
 use tokio::io::ReadBuf;
 use tokio::net::{TcpListener, TcpStream, UdpSocket, UnixListener, UnixStream};
-use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::mpsc::{Receiver, channel};
 
 /// The system as it is, for a sender with this folder, this configuration and this private place for sockets
 /// between processes. It belongs inside a `LocalSet`.
@@ -30,7 +28,7 @@
 /// Signals cannot be watched.
 pub fn world(state: &Path, config: PathBuf, within: Option<PathBuf>) -> io::Result<World> {
     // First of all: without a handler a signal would end the process.
-    let signals = signals()?;
+    let signals = signals::watch()?;
     let config: ConfigSource = Box::new(move || {
         fs::read_to_string(&config)
             .map_err(|e| io::Error::new(e.kind(), format!("{}: {e}", config.display())))
@@ -47,25 +45,6 @@
     })
 }
 
-/// Signals that wait to be heeded. Those after them wait in the system, where equal ones are one.
-const SIGNALS: usize = 8;
-
-fn signals() -> io::Result<Receiver<Signal>> {
-    let (tell, told) = channel(SIGNALS);
-    for (kind, means) in [
-        (SignalKind::hangup(), Signal::Reload),
-        (SignalKind::terminate(), Signal::Terminate),
-        (SignalKind::interrupt(), Signal::Terminate),
-        (SignalKind::user_defined1(), Signal::Dump),
-    ] {
-        let (mut stream, tell) = (signal(kind)?, tell.clone());
-        tokio::task::spawn_local(async move {
-            while stream.recv().await.is_some() && tell.send(means).await.is_ok() {}
-        });
-    }
-    Ok(told)
-}
-
 /// The system's clocks.
 pub struct SystemClock;
 
