A failing test: while every socket call is interrupted the process does nothing else

Found by reading io.rs: EINTR is tried again at once for as long as it comes, within one poll, so neither signals nor deadlines are heeded meanwhile.

--- a/crates/daemon/tests/sockets/faults.rs
+++ b/crates/daemon/tests/sockets/faults.rs
@@ -1,6 +1,7 @@
 //! System calls of the program fail in ways that the system documents: nothing is lost, given back early or
 //! blamed on others for that.
 
+use crate::growth::Needs;
 use crate::world::*;
 use notchpoint_faults::{ALWAYS, Faults, Word};
 use std::thread;
@@ -342,3 +343,22 @@
     assert!(node.exit(), "it ended as it was told to");
     assert!(told.elapsed() < Duration::from_secs(4), "only after {:?}", told.elapsed());
 }
+
+#[test]
+fn while_all_socket_calls_are_interrupted_the_process_rests_between_them() {
+    // One that tries again at once for as long as that lasts heeds nothing else, no signal and no deadline.
+    let (mut node, endpoint, faults) = one(|_| answer("200 OK", "", ""));
+    let mut client = Client::new(node.address);
+    assert_eq!(client.hand_in("payment", 1, 3, LONG, b"x").status(), 202);
+    until("its call", || endpoint.calls() == 1);
+    faults.fail(Word::SocketIo, libc::EINTR, ALWAYS).expect("set");
+    let before = Needs::of(node.process()).cpu_seconds;
+    client.send("POST /payment", &headers("0000000000000002", "payment", "9000", "3"), b"x");
+    thread::sleep(Duration::from_secs(2));
+    let spent = Needs::of(node.process()).cpu_seconds - before;
+    assert!(spent < 1.0, "{spent} s of processor time in two seconds");
+    let told = Instant::now();
+    node.terminate();
+    assert!(node.exit(), "it ended as it was told to");
+    assert!(told.elapsed() < Duration::from_secs(4), "only after {:?}", told.elapsed());
+}
--- a/crates/daemon/tests/sockets/growth.rs
+++ b/crates/daemon/tests/sockets/growth.rs
@@ -17,8 +17,8 @@
 
 /// What a process has needed.
 #[derive(Debug)]
-struct Needs {
-    cpu_seconds: f64,
+pub struct Needs {
+    pub cpu_seconds: f64,
     memory_mb: f64,
     descriptors: usize,
 }
@@ -27,7 +27,7 @@
 const TICKS: f64 = 100.0;
 
 impl Needs {
-    fn of(pid: u32) -> Self {
+    pub fn of(pid: u32) -> Self {
         let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).expect("it runs");
         // Behind the name, which ends with a bracket: user and system time are the fields 14 and 15.
         let fields: Vec<&str> = stat.rsplit_once(')').expect("a name").1.split_whitespace().collect();
