Socket calls that are interrupted again and again rest; members of the list are read once

Cause: EINTR was tried again at once without end, within one poll. Change: after eight in a row the operation rests 5 ms, as for want of memory; the look ahead gives up after eight; signals rest where their byte cannot be read.

Cause: each member of a list was read into a tree of values and then from that. Now it is read once (raw values of serde_json).

--- a/crates/daemon/src/io.rs
+++ b/crates/daemon/src/io.rs
@@ -18,8 +18,10 @@
 /// Read at a time where a length was told, so that one that is a lie takes no memory.
 const PIECE: usize = 64 << 10;
 
-/// An operation for which the system lacks memory is tried again after this.
-const MEMORY_REST: Duration = Duration::from_millis(5);
+/// An operation that goes on failing although its socket is ready is tried again after this.
+const REST: Duration = Duration::from_millis(5);
+/// So many interruptions in a row are no signals any more.
+const INTERRUPTIONS: u32 = 8;
 
 /// Whether an error of `connect` is of this machine, which lacks a socket, a port, memory or a route: all that
 /// Linux documents for `socket` and `connect` but what the other side, or the way there, has said.
@@ -34,24 +36,56 @@
     )
 }
 
-/// Whether the system lacks memory for an operation on a socket just now; the connection itself is sound.
-fn lacks_memory(why: &io::Error) -> bool {
-    why.kind() == ErrorKind::OutOfMemory
+/// When an operation that failed is to be tried again; the connection itself is sound.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Again {
+    /// Once the socket is ready, or at once where a signal came in between.
+    Now,
+    /// After a rest: the system lacks memory for it, or it is interrupted again and again.
+    Later,
 }
 
-/// Whether an operation on a socket is to be tried again: it is not ready, or a signal came in between.
-fn is_passing(why: &io::Error) -> bool {
-    matches!(why.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted)
+/// The errors of one operation that is tried again and again.
+#[derive(Debug, Default)]
+struct Failures {
+    interrupted: u32,
+}
+
+impl Failures {
+    /// When it is to be tried again after this error; nothing where it ends the connection.
+    fn again(&mut self, why: &io::Error) -> Option<Again> {
+        match why.kind() {
+            ErrorKind::WouldBlock => Some(Again::Now),
+            ErrorKind::OutOfMemory => Some(Again::Later),
+            ErrorKind::Interrupted => {
+                self.interrupted += 1;
+                Some(if self.interrupted.is_multiple_of(INTERRUPTIONS) { Again::Later } else { Again::Now })
+            }
+            _ => None,
+        }
+    }
+
+    /// The same, with the rest.
+    async fn rest(&mut self, why: io::Error) -> io::Result<()> {
+        match self.again(&why) {
+            Some(Again::Now) => Ok(()),
+            Some(Again::Later) => {
+                sleep(REST).await;
+                Ok(())
+            }
+            None => Err(why),
+        }
+    }
 }
 
 /// Reads what is there, once something is; 0 at the end.
 pub async fn read_some(stream: &dyn Stream, block: &mut [u8]) -> io::Result<usize> {
+    let mut failures = Failures::default();
     loop {
         poll_fn(|cx| stream.poll_read_ready(cx)).await?;
         match stream.try_read(block) {
-            Err(why) if is_passing(&why) => {}
-            Err(why) if lacks_memory(&why) => sleep(MEMORY_REST).await,
-            done => return done,
+            Ok(read) => return Ok(read),
+            Err(why) => failures.rest(why).await?,
         }
     }
 }
@@ -74,13 +108,12 @@
 
 /// Writes all of it.
 pub async fn write_all(stream: &dyn Stream, mut bytes: &[u8]) -> io::Result<()> {
+    let mut failures = Failures::default();
     while !bytes.is_empty() {
         poll_fn(|cx| stream.poll_write_ready(cx)).await?;
         match stream.try_write(bytes) {
             Ok(n) => bytes = &bytes[n..],
-            Err(why) if is_passing(&why) => {}
-            Err(why) if lacks_memory(&why) => sleep(MEMORY_REST).await,
-            Err(why) => return Err(why),
+            Err(why) => failures.rest(why).await?,
         }
     }
     Ok(())
@@ -108,7 +141,7 @@
     writing: Rest,
 }
 
-/// One direction of a connection rests for this while the system lacks memory for it.
+/// One direction of a connection rests for this while its operations fail.
 type Rest = Option<Pin<Box<Sleep>>>;
 
 impl<O> Observed<O> {
@@ -124,6 +157,7 @@
     ready: impl Fn(&mut Context<'_>) -> Poll<io::Result<()>>,
     mut run: impl FnMut() -> io::Result<T>,
 ) -> Poll<io::Result<T>> {
+    let mut failures = Failures::default();
     loop {
         if let Some(resting) = rest {
             ready!(resting.as_mut().poll(cx));
@@ -131,9 +165,12 @@
         }
         ready!(ready(cx))?;
         match run() {
-            Err(why) if is_passing(&why) => {}
-            Err(why) if lacks_memory(&why) => *rest = Some(Box::pin(sleep(MEMORY_REST))),
-            done => return Poll::Ready(done),
+            Ok(done) => return Poll::Ready(Ok(done)),
+            Err(why) => match failures.again(&why) {
+                Some(Again::Now) => {}
+                Some(Again::Later) => *rest = Some(Box::pin(sleep(REST))),
+                None => return Poll::Ready(Err(why)),
+            },
         }
     }
 }
--- a/crates/daemon/src/listing.rs
+++ b/crates/daemon/src/listing.rs
@@ -2,6 +2,7 @@
 
 use notchpoint_policy::EndpointId;
 use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
 use std::net::SocketAddr;
 
 /// The list, or what changed in it.
@@ -19,7 +20,7 @@
     #[serde(default)]
     complete: bool,
     #[serde(default)]
-    members: Vec<serde_json::Value>,
+    members: Vec<Box<RawValue>>,
 }
 
 impl From<Told> for Listing {
@@ -27,9 +28,11 @@
     /// member could not be read does not mean that it has gone.
     fn from(told: Told) -> Self {
         let all = told.members.len();
-        let read =
-            |m| serde_json::from_value(m).inspect_err(|e| tracing::warn!("discovery: a member: {e}")).ok();
-        let members: Vec<Member> = told.members.into_iter().filter_map(read).collect();
+        let read = |member: &RawValue| {
+            let read = serde_json::from_str(member.get());
+            read.inspect_err(|e| tracing::warn!("discovery: a member: {e}")).ok()
+        };
+        let members: Vec<Member> = told.members.iter().filter_map(|member| read(member)).collect();
         Self { revision: told.revision, complete: told.complete && members.len() == all, members }
     }
 }
--- a/crates/seam/src/real.rs
+++ b/crates/seam/src/real.rs
@@ -251,6 +251,9 @@
     if why.raw_os_error() == no_buffers { ErrorKind::OutOfMemory.into() } else { why }
 }
 
+/// So often it is looked at once whether something can be read, where a signal interrupts that.
+const PEEKS: usize = 8;
+
 /// Connections by TCP and within the machine are alike but for one option.
 macro_rules! stream {
     ($socket:ty, $set_nodelay:expr) => {
@@ -272,12 +275,13 @@
             }
 
             fn is_quiet(&self) -> bool {
-                loop {
-                    match SockRef::from(self).peek(&mut [MaybeUninit::uninit()]) {
-                        Err(why) if why.kind() == ErrorKind::Interrupted => {}
-                        peeked => return peeked.is_err_and(|why| why.kind() == ErrorKind::WouldBlock),
-                    }
-                }
+                let peek = || SockRef::from(self).peek(&mut [MaybeUninit::uninit()]);
+                let interrupted = |peeked: &io::Result<usize>| {
+                    peeked.as_ref().is_err_and(|why| why.kind() == ErrorKind::Interrupted)
+                };
+                let peeked = (0..PEEKS).map(|_| peek()).find(|peeked| !interrupted(peeked));
+                // Where nothing can be told it may have spoken.
+                peeked.is_some_and(|peeked| peeked.is_err_and(|why| why.kind() == ErrorKind::WouldBlock))
             }
 
             fn shutdown(&self, how: Shutdown) -> io::Result<()> {
--- a/crates/seam/src/signals.rs
+++ b/crates/seam/src/signals.rs
@@ -5,13 +5,13 @@
 
 use crate::Signal;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
-use std::io;
+use std::io::{self, ErrorKind};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 use tokio::net::UnixStream;
 use tokio::sync::mpsc::{Receiver, Sender, channel};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 /// The signals that are heeded, and what each means.
 const HEEDED: [(i32, Signal); 4] = [
@@ -24,6 +24,8 @@
 const WAITING: usize = 8;
 /// How often flags are looked at where no byte comes.
 const LOOK: Duration = Duration::from_millis(200);
+/// Bytes that cannot be read now are tried again after this.
+const REST: Duration = Duration::from_millis(5);
 /// Bytes that are read at a time: one for each signal that came since the last look.
 const BLOCK: usize = 64;
 
@@ -56,8 +58,9 @@
             }
         }
         let _ = timeout(LOOK, woken.readable()).await;
-        // What cannot be read now is read after the next look.
-        let mut block = [0; BLOCK];
-        while woken.try_read(&mut block).is_ok_and(|read| read == BLOCK) {}
+        if woken.try_read(&mut [0; BLOCK]).is_err_and(|why| why.kind() != ErrorKind::WouldBlock) {
+            // It stands there still: read after the next look, and not at once.
+            sleep(REST).await;
+        }
     }
 }
