--- a/crates/daemon/src/io.rs
+++ b/crates/daemon/src/io.rs
@@ -23,8 +23,8 @@
 /// So many interruptions in a row are no signals any more.
 const INTERRUPTIONS: u32 = 8;
 
-/// Whether an error of `connect` is of this machine, which lacks a socket, a port, memory or a route: all that
-/// Linux documents for `socket` and `connect` but what the other side, or the way there, has said.
+/// Whether an error of `connect` is of this machine, which lacks a socket, a port, memory or a route: all
+/// that Linux documents for `socket` and `connect` but what the other side, or the way there, has said.
 pub fn is_local(why: &io::Error) -> bool {
     !matches!(
         why.kind(),
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -313,8 +313,8 @@
         }
     }
 
-    /// Takes the newest configuration. Where the list service is holds at once; all else holds as one step, once
-    /// the store has the classes that messages name.
+    /// Takes the newest configuration. Where the list service is holds at once; all else holds as one step,
+    /// once the store has the classes that messages name.
     fn configure(&mut self) -> Option<Event> {
         let (config, text) = self.unstored.take()?;
         self.discovery.relocate(config.discovery);
--- a/crates/daemon/src/startup.rs
+++ b/crates/daemon/src/startup.rs
@@ -36,8 +36,8 @@
     }
 }
 
-/// Does one step of a start, again and again while it fails for a reason that may pass. Gives nothing where the
-/// process is told to end meanwhile.
+/// Does one step of a start, again and again while it fails for a reason that may pass. Gives nothing where
+/// the process is told to end meanwhile.
 ///
 /// # Errors
 /// The last one.
--- a/crates/daemon/tests/sockets/growth.rs
+++ b/crates/daemon/tests/sockets/growth.rs
@@ -1,5 +1,5 @@
-//! What one sender needs where the fleet is sixteen times as large, with the same traffic: the standing check's
-//! page bounds it by what it needs at the usual size.
+//! What one sender needs where the fleet is sixteen times as large, with the same traffic: the standing
+//! check's page bounds it by what it needs at the usual size.
 
 use crate::world::*;
 use std::thread;
--- a/crates/daemon/tests/sockets/world.rs
+++ b/crates/daemon/tests/sockets/world.rs
@@ -345,8 +345,8 @@
         (Self::build_in(folder, members, change, None, false), faults)
     }
 
-    /// One whose clients' socket the test holds, and which has no sockets of its own for a while as it starts:
-    /// so many times in a thousand each.
+    /// One whose clients' socket the test holds, and which has no sockets of its own for a while as it
+    /// starts: so many times in a thousand each.
     pub fn held_short_of_sockets(members: &[String], per_mille: u32, span: Duration) -> Self {
         let folder = tempfile::tempdir().expect("a folder");
         let faults = Faults::create(&folder.path().join(FAULTS)).expect("a control file");
--- a/crates/policy/src/credit.rs
+++ b/crates/policy/src/credit.rs
@@ -37,8 +37,8 @@
         ((share + (share - 1.0).max(0.0)) * rate).max(TRIALS_LEAST / f64::from(set.senders))
     }
 
-    /// When the outage for which the route is held back began, as far as is known. A sender that found it by a
-    /// call of its own may have found it late: it began behind the last call that was served.
+    /// When the outage for which the route is held back began, as far as is known. A sender that found it by
+    /// a call of its own may have found it late: it began behind the last call that was served.
     pub fn outage_begun(&self) -> Option<Micros> {
         let Health::Open { since, .. } = self.health else { return None };
         Some(if self.fails > 0 { since.min(self.last_ok) } else { since })
--- a/crates/policy/tests/fleet.rs
+++ b/crates/policy/tests/fleet.rs
@@ -278,8 +278,8 @@
 
 #[test]
 fn who_finds_an_outage_late_does_not_take_it_for_a_short_one() {
-    // Each of many senders sees little of a destination, so it fails for seconds before the first of its calls
-    // does. Sent at once, what they all hold pushes it over.
+    // Each of many senders sees little of a destination, so it fails for seconds before the first of its
+    // calls does. Sent at once, what they all hold pushes it over.
     let [_, up] = words();
     let mut rig = Rig::new(Settings { may_note: true, ..thin(9) }, 0, 1);
     rig.take(SAFE);
--- a/crates/seam/src/signals.rs
+++ b/crates/seam/src/signals.rs
@@ -1,7 +1,8 @@
 //! The system's signals.
 //!
-//! Each sets a flag and writes a byte to a socket that the runtime watches. Only the flags say what has come: the
-//! byte may be lost and its reading may fail, as socket calls do, so they are looked at from time to time as well.
+//! Each sets a flag and writes a byte to a socket that the runtime watches. Only the flags say what has come:
+//! the byte may be lost and its reading may fail, as socket calls do, so they are looked at from time to time
+//! as well.
 
 use crate::Signal;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
--- a/crates/soak/src/book.rs
+++ b/crates/soak/src/book.rs
@@ -355,7 +355,8 @@
 }
 
 impl Pages {
-    /// Destinations that got more than they bear after an outage, most of it from senders that lived through it.
+    /// Destinations that got more than they bear after an outage, most of it from senders that lived through
+    /// it.
     fn pushed_over(&self, slow_start: impl Fn(usize) -> SlowStart) -> Vec<Violation> {
         let mut found = Vec::new();
         for (&route, outages) in &self.outages {
--- a/crates/soak/src/partners.rs
+++ b/crates/soak/src/partners.rs
@@ -55,8 +55,8 @@
 }
 
 impl Endpoint {
-    /// Begins to listen at an address that is nobody else's, also while it is down. `number` is its name in the
-    /// book.
+    /// Begins to listen at an address that is nobody else's, also while it is down. `number` is its name in
+    /// the book.
     ///
     /// # Errors
     /// The address cannot be had.
