--- a/crates/soak/src/book.rs
+++ b/crates/soak/src/book.rs
@@ -1,6 +1,6 @@
 //! What clients, endpoints and the list service saw, and what that says of the rules.
 
-use crate::partners::is_apart;
+use crate::topology::route;
 use std::collections::BTreeMap;
 use std::fmt;
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -78,11 +78,6 @@
     violations: Vec<Violation>,
 }
 
-/// What shares a limit: a destination, by its first endpoint, or one endpoint of it.
-pub const fn route(endpoint: usize) -> usize {
-    if is_apart(endpoint / 2) { endpoint } else { endpoint / 2 * 2 }
-}
-
 #[derive(Debug)]
 struct Outage {
     from: Instant,
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -10,5 +10,6 @@
 pub mod plan;
 mod play;
 mod sender;
+mod topology;
 
 pub use play::{Outcome, play};
--- a/crates/soak/src/partners.rs
+++ b/crates/soak/src/partners.rs
@@ -2,6 +2,7 @@
 
 use crate::book::Book;
 use crate::http::{Message, answer};
+use crate::topology::is_apart;
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -216,11 +217,6 @@
     }
 }
 
-/// Whether the endpoints of a destination are routes of their own, and take several messages in a call.
-pub const fn is_apart(dest: usize) -> bool {
-    dest % 2 == 1
-}
-
 /// A member as JSON.
 pub fn shown(member: &Member) -> String {
     format!(
--- a/crates/soak/src/play.rs
+++ b/crates/soak/src/play.rs
@@ -1,11 +1,12 @@
 //! One play: senders, their partners and clients, and the troubles of a plan.
 
-use crate::book::{Book, SlowStart, Violation, route};
+use crate::book::{Book, SlowStart, Violation};
 use crate::client;
 use crate::notes::Notes;
-use crate::partners::{Endpoint, FIRST_REVISION, List, Manner, Member, is_apart, list_service, shown};
+use crate::partners::{Endpoint, FIRST_REVISION, List, Manner, Member, list_service, shown};
 use crate::plan::{Kind, Size, Trouble};
 use crate::sender::Sender;
+use crate::topology::{is_apart, route};
 use notchpoint_faults::Word;
 use std::io;
 use std::net::SocketAddr;
