The soak makes system calls fail for a while in one place

The only difference: the thousandths of half writes go back to nought too, which means nothing while writes succeed.

--- a/crates/soak/src/play.rs
+++ b/crates/soak/src/play.rs
@@ -236,8 +236,12 @@
         let sender = &self.senders[trouble.which % self.senders.len()];
         let number = trouble.which % self.endpoints.len();
         let endpoint = &self.endpoints[number];
-        let fail = |what: Word, errno: i32, per_mille: u32| {
-            let _ = sender.faults.fail(what, errno, per_mille);
+        let fails = |calls: &[(Word, i32, u32)]| {
+            for (what, errno, per_mille) in calls {
+                let _ = sender.faults.fail(*what, *errno, *per_mille);
+            }
+            thread::sleep(trouble.span);
+            calls.iter().for_each(|(what, ..)| drop(sender.faults.fail(*what, 0, 0)));
         };
         let misbehaves = |manner: Manner| {
             let _turn = self.turn(number);
@@ -257,44 +261,15 @@
             }
             Kind::Reload => (0..RELOADS).for_each(|_| sender.reload()),
             Kind::Clock(step) => drop(sender.faults.step_wall_clock(step)),
-            Kind::Connect(errno) => {
-                fail(Word::Connect, errno, HALF);
-                thread::sleep(trouble.span);
-                fail(Word::Connect, 0, 0);
-            }
+            Kind::Connect(errno) => fails(&[(Word::Connect, errno, HALF)]),
             Kind::FileWrite(errno) => {
-                fail(Word::HalfWritten, errno, HALF);
-                fail(Word::FileWrite, errno, MOST);
-                thread::sleep(trouble.span);
-                fail(Word::FileWrite, 0, 0);
-            }
-            Kind::SocketIo => {
-                fail(Word::SocketIo, libc::EINTR, HALF / 2);
-                fail(Word::ShortIo, 0, HALF);
-                thread::sleep(trouble.span);
-                fail(Word::SocketIo, 0, 0);
-                fail(Word::ShortIo, 0, 0);
-            }
-            Kind::Accept(errno) => {
-                fail(Word::Accept, errno, HALF);
-                thread::sleep(trouble.span);
-                fail(Word::Accept, 0, 0);
-            }
-            Kind::FileRead(errno) => {
-                fail(Word::FileRead, errno, MOST);
-                thread::sleep(trouble.span);
-                fail(Word::FileRead, 0, 0);
-            }
-            Kind::Memory(errno) => {
-                fail(Word::SocketIo, errno, HALF / 2);
-                thread::sleep(trouble.span);
-                fail(Word::SocketIo, 0, 0);
-            }
-            Kind::Socket(errno) => {
-                fail(Word::Socket, errno, HALF);
-                thread::sleep(trouble.span);
-                fail(Word::Socket, 0, 0);
+                fails(&[(Word::HalfWritten, errno, HALF), (Word::FileWrite, errno, MOST)]);
             }
+            Kind::SocketIo => fails(&[(Word::SocketIo, libc::EINTR, HALF / 2), (Word::ShortIo, 0, HALF)]),
+            Kind::Accept(errno) => fails(&[(Word::Accept, errno, HALF)]),
+            Kind::FileRead(errno) => fails(&[(Word::FileRead, errno, MOST)]),
+            Kind::Memory(errno) => fails(&[(Word::SocketIo, errno, HALF / 2)]),
+            Kind::Socket(errno) => fails(&[(Word::Socket, errno, HALF)]),
             Kind::NotesLost(per_mille) => {
                 self.notes.lose(per_mille);
                 thread::sleep(trouble.span);
