Failing tests: ends are told too late behind slow steps, and a keyed message goes out again

What callers see: behind a record that takes 0.35 s, or a hand-over that does, a message's end is told as much too late (over 0.35 s is lost); a start that waits for its address adds its whole wait to each deadline, and repeats a keyed message beyond its window. The shim can have writes take longer.

--- a/crates/daemon/tests/sockets/clock.rs
+++ b/crates/daemon/tests/sockets/clock.rs
@@ -10,13 +10,6 @@
 /// The window in which a keyed repeat is known.
 const WINDOW: Duration = Duration::from_secs(2);
 
-/// Adds a class whose repeats are known for [`WINDOW`].
-fn with_keyed_class(text: String) -> String {
-    let keyed = r#""classes": [{"name": "keyed", "effect": "deduplicated", "group": "all", "memorySpanS": 2.0,
-        "sloS": 1.0, "deadlineS": 60.0, "worth": 1.0},"#;
-    text.replace("\"classes\": [", keyed)
-}
-
 #[test]
 fn a_wall_clock_that_is_stepped_while_calls_wait_and_are_out_ends_no_message() {
     for step in [HOUR, -HOUR] {
--- a/crates/daemon/tests/sockets/main.rs
+++ b/crates/daemon/tests/sockets/main.rs
@@ -2,6 +2,7 @@
 
 mod clock;
 mod closing;
+mod delays;
 mod faults;
 mod flight;
 mod growth;
--- a/crates/daemon/tests/sockets/world.rs
+++ b/crates/daemon/tests/sockets/world.rs
@@ -314,6 +314,13 @@
     }
 }
 
+/// Adds a class whose repeats are known for two seconds.
+pub fn with_keyed_class(text: String) -> String {
+    let keyed = r#""classes": [{"name": "keyed", "effect": "deduplicated", "group": "all", "memorySpanS": 2.0,
+        "sloS": 1.0, "deadlineS": 60.0, "worth": 1.0},"#;
+    text.replace("\"classes\": [", keyed)
+}
+
 /// The program, with its folder. It is killed when dropped.
 pub struct Node {
     pub folder: tempfile::TempDir,
@@ -345,6 +352,13 @@
         (Self::build_in(folder, members, change, None, false), faults)
     }
 
+    /// One whose clients' socket the test holds, and whose system calls can be made to fail.
+    pub fn held_with_faults(members: &[String]) -> (Self, Faults) {
+        let folder = tempfile::tempdir().expect("a folder");
+        let faults = Faults::create(&folder.path().join(FAULTS)).expect("a control file");
+        (Self::build_in(folder, members, |text| text, None, true), faults)
+    }
+
     /// One whose clients' socket the test holds, and which has no sockets of its own for a while as it
     /// starts: so many times in a thousand each.
     pub fn held_short_of_sockets(members: &[String], per_mille: u32, span: Duration) -> Self {
--- a/crates/faults-shim/src/lib.rs
+++ b/crates/faults-shim/src/lib.rs
@@ -115,7 +115,8 @@
     // SAFETY: as the caller's own call, or for fewer bytes.
     unsafe {
         let mut len = len;
-        if control().is_some() && is_file(fd) {
+        let slow = control().filter(|_| is_file(fd));
+        if slow.is_some() {
             if CUT_SHORT.swap(false, Ordering::Relaxed)
                 && let Some(control) = control()
             {
@@ -130,10 +131,27 @@
                 len /= 2;
             }
         }
-        libc::syscall(libc::SYS_write, fd, bytes, len) as ssize_t
+        let written = libc::syscall(libc::SYS_write, fd, bytes, len) as ssize_t;
+        if let Some(control) = slow {
+            wait(control);
+        }
+        written
     }
 }
 
+/// Waits for as long as writes are to take longer, and leaves the error number as it is.
+fn wait(control: &[AtomicU64; WORDS]) {
+    let micros = control[Word::SlowWrite as usize].load(Ordering::Relaxed);
+    if micros == 0 {
+        return;
+    }
+    control[Word::SlowWrite.counter()].fetch_add(1, Ordering::Relaxed);
+    // SAFETY: the address of this thread's own error number.
+    let errno = unsafe { *libc::__errno_location() };
+    std::thread::sleep(std::time::Duration::from_micros(micros));
+    fail(errno);
+}
+
 /// Has a file's data outlast a loss of power.
 #[unsafe(no_mangle)]
 pub unsafe extern "C" fn fdatasync(fd: c_int) -> c_int {
--- a/crates/faults/src/lib.rs
+++ b/crates/faults/src/lib.rs
@@ -11,6 +11,7 @@
 use std::os::unix::fs::FileExt;
 use std::path::{Path, PathBuf};
 use std::process::Command;
+use std::time::Duration;
 
 /// Names the control file to the shim.
 pub const CONTROL_VARIABLE: &str = "NOTCHPOINT_FAULTS";
@@ -57,6 +58,8 @@
     Socket = 12,
     /// `epoll_ctl` that adds a descriptor.
     EpollAdd = 13,
+    /// Microseconds that each `write` to a regular file takes longer, once its bytes are written.
+    SlowWrite = 14,
 }
 
 impl Word {
@@ -109,6 +112,14 @@
         self.write(Word::WallStep as usize, micros as u64)
     }
 
+    /// Has each write to a regular file take so much longer; nothing to have it as quick as it is.
+    ///
+    /// # Errors
+    /// The control file cannot be written.
+    pub fn slow_writes(&self, by: Duration) -> io::Result<()> {
+        self.write(Word::SlowWrite as usize, by.as_micros() as u64)
+    }
+
     /// Lets everything succeed again; the wall clock stays where it is.
     ///
     /// # Errors
