What a message has left is read from its record in the turn that hears of it

What callers saw: ends told as much too late as the sender was late between two steps, 0.35 s behind a slow record or a hand-over (more is a message lost), 3 s behind a start that waits for its address, and a keyed message repeated beyond its window. Cause: what was left was worked out early and counted from a later moment: behind the record's write (inbound.rs), behind the way to the new process and back (pass_on, take_over), behind the wait for the address (node.rs, Event::Resumed made at the start, heard with the first turn). Ruled out: the waits given to a new process, which are made younger by the way already. It holds since no span is kept between two steps any more.

--- a/crates/daemon/src/clients/inbound.rs
+++ b/crates/daemon/src/clients/inbound.rs
@@ -5,7 +5,7 @@
 use crate::clients::queue::Queue;
 use crate::clients::seats::{GRACE, LOOK, Seat, Seats, Stage};
 use crate::copies::copying::Copying;
-use crate::input::Input;
+use crate::input::{Accepted, Input};
 use crate::io::{Observed, Observer};
 use crate::rare_warning::RareWarning;
 use crate::reasons::{Close, Refusal};
@@ -96,8 +96,7 @@
 }
 
 struct Due {
-    message: Message,
-    since: Instant,
+    accepted: Accepted,
     begun: bool,
 }
 
@@ -115,7 +114,7 @@
             self.seat.answered();
         }
         for due in self.due.borrow_mut().extract_if(.., |d| d.begun) {
-            let _ = self.inbound.inputs.send(Input::Taken(due.message, due.since));
+            let _ = self.inbound.inputs.send(Input::Taken(due.accepted));
         }
     }
 }
@@ -123,8 +122,8 @@
 impl Drop for Receipt {
     fn drop(&mut self) {
         for due in self.due.take() {
-            self.inbound.journal.borrow_mut().end(due.message.id);
-            let _ = self.inbound.inputs.send(Input::Unheard(due.message.id));
+            self.inbound.journal.borrow_mut().end(due.accepted.id);
+            let _ = self.inbound.inputs.send(Input::Unheard(due.accepted.id));
         }
     }
 }
@@ -329,11 +328,13 @@
     if let Some(successor) = successor {
         return pass_on(inbound, &successor, handed, tag, body, since, receipt).await;
     }
-    let Some(left) = record(inbound, &handed, &tag, body, since)? else {
+    let mut open =
+        Open::new(&tag, &handed.tenant_name, handed.dest.0, deadline(inbound, &handed, since), body);
+    open.idempotency_key.clone_from(&handed.idempotency_key);
+    if !record(inbound, handed.id, open)? {
         return Ok(come_back(inbound, Refusal::NoRoom));
-    };
-    let (mark, since, mut record) =
-        (inbound.safety.mark(), Instant::now(), Record { inbound, id: Some(handed.id) });
+    }
+    let (mark, mut record) = (inbound.safety.mark(), Record { inbound, id: Some(handed.id) });
     if !is_safe(inbound, handed.id, &mark).await {
         return if record.withdraw() {
             Ok(come_back(inbound, Refusal::NotDurable))
@@ -344,16 +345,7 @@
     }
     record.id = None;
     // From here to the return nothing waits: the next flush on this connection is this answer's.
-    let message = Message {
-        id: handed.id,
-        class: class as u32,
-        tenant: handed.tenant,
-        key: None,
-        dest: handed.dest,
-        again: handed.again,
-        expires_in: left,
-    };
-    receipt.due.borrow_mut().push(Due { message, since, begun: false });
+    receipt.due.borrow_mut().push(Due { accepted: handed.accepted(class as u32), begun: false });
     Ok(plain(StatusCode::ACCEPTED))
 }
 
@@ -367,18 +359,21 @@
     since: Instant,
     receipt: &Receipt,
 ) -> Result<Response<Full<Bytes>>, StatusCode> {
-    let left = handed.time.saturating_sub(since.elapsed()).as_micros() as Micros;
-    let (id, tenant, dest) = (handed.id, handed.tenant_name, handed.dest);
-    let (idempotency_key, body) = (handed.idempotency_key, body.to_vec());
-    let passed = Passed { id, tag, tenant, dest, left, idempotency_key, body };
-    let (class, left) = match successor.take(passed).await {
-        Taken::Yes { class, left } => (class, left),
+    let passed = Passed {
+        id: handed.id,
+        tag,
+        tenant: handed.tenant_name.clone(),
+        dest: handed.dest,
+        deadline: deadline(inbound, &handed, since),
+        idempotency_key: handed.idempotency_key.clone(),
+        body: body.to_vec(),
+    };
+    let class = match successor.take(passed).await {
+        Taken::Yes { class } => class,
         Taken::ComeBack => return Ok(come_back(inbound, Refusal::Successor)),
         Taken::Conflict => return Err(StatusCode::CONFLICT),
     };
-    let (tenant, again) = (handed.tenant, handed.again);
-    let message = Message { id, class, tenant, key: None, dest, again, expires_in: left };
-    receipt.due.borrow_mut().push(Due { message, since: Instant::now(), begun: false });
+    receipt.due.borrow_mut().push(Due { accepted: handed.accepted(class), begun: false });
     Ok(plain(StatusCode::ACCEPTED))
 }
 
@@ -386,26 +381,20 @@
 pub async fn take_over(inbound: &Inbound, passed: Passed) -> Taken {
     let place = inbound.terms.borrow().classes.place(&passed.tag);
     let Some(class) = place.filter(|_| inbound.calls.knows(passed.dest)) else { return Taken::ComeBack };
-    let handed = Handed {
-        id: passed.id,
-        tenant: None,
-        tenant_name: passed.tenant,
-        dest: passed.dest,
-        again: false,
-        time: Duration::from_micros(passed.left),
-        idempotency_key: passed.idempotency_key,
-    };
-    let left = match record(inbound, &handed, &passed.tag, passed.body.into(), Instant::now()) {
-        Ok(Some(left)) => left,
-        Ok(None) => return Taken::ComeBack,
+    let Passed { id, tag, tenant, dest, deadline, idempotency_key, body } = passed;
+    let mut open = Open::new(&tag, &tenant, dest.0, deadline, body.into());
+    open.idempotency_key = idempotency_key;
+    match record(inbound, id, open) {
+        Ok(true) => {}
+        Ok(false) => return Taken::ComeBack,
         Err(_) => return Taken::Conflict,
-    };
-    let (mark, mut record) = (inbound.safety.mark(), Record { inbound, id: Some(handed.id) });
-    if !is_safe(inbound, handed.id, &mark).await {
+    }
+    let (mark, mut record) = (inbound.safety.mark(), Record { inbound, id: Some(id) });
+    if !is_safe(inbound, id, &mark).await {
         return if record.withdraw() { Taken::ComeBack } else { Taken::Conflict };
     }
     record.id = None;
-    Taken::Yes { class: class as u32, left }
+    Taken::Yes { class: class as u32 }
 }
 
 /// Whether a record is on all that it is to outlast, once it is.
@@ -422,32 +411,28 @@
     kept && firm && (!careful || inbound.journal.borrow_mut().promise(id).is_ok())
 }
 
-/// Records a message and gives the time that it has left; nothing where there is no room for it.
-fn record(
-    inbound: &Inbound,
-    handed: &Handed,
-    tag: &str,
-    body: Bytes,
-    since: Instant,
-) -> Result<Option<Micros>, StatusCode> {
+/// When the time of a message that its client sent then is up, by the journal's timeline. Held up between the
+/// two looks at a clock, it ends too soon and not too late.
+fn deadline(inbound: &Inbound, handed: &Handed, since: Instant) -> u64 {
+    let now = inbound.journal.borrow().unix_now();
+    now + handed.time.saturating_sub(since.elapsed()).as_micros() as Micros
+}
+
+/// Records a message; false where there is no room for it, or its time is up.
+fn record(inbound: &Inbound, id: MessageId, mut open: Open) -> Result<bool, StatusCode> {
     let mut journal = inbound.journal.borrow_mut();
     // An id is new each time. One that is still in use would mix up the ends of two messages.
-    if journal.get(handed.id).is_some() || inbound.calls.has_out(handed.id) {
+    if journal.get(id).is_some() || inbound.calls.has_out(id) {
         return Err(StatusCode::CONFLICT);
     }
-    // Held up between the two looks at a clock, its time ends too soon and not too late.
-    let now = journal.unix_now();
-    let left = handed.time.saturating_sub(since.elapsed());
-    if left.is_zero() || journal.held() >= inbound.terms.borrow().set.max_held as usize {
-        return Ok(None);
+    let is_over = open.deadline <= journal.unix_now();
+    if is_over || journal.held() >= inbound.terms.borrow().set.max_held as usize {
+        return Ok(false);
     }
-    let left = left.as_micros() as Micros;
-    let mut open = Open::new(tag, &handed.tenant_name, handed.dest.0, now + left, body);
-    open.idempotency_key.clone_from(&handed.idempotency_key);
     // Until others have it, a process that ends here has promised nothing.
-    open.sure = inbound.copies.is_none() || !inbound.terms.borrow().is_careful(tag);
+    open.sure = inbound.copies.is_none() || !inbound.terms.borrow().is_careful(&open.class);
     // The record comes before the answer. Without a record there is no promise.
-    Ok(journal.take(handed.id, open).is_ok().then_some(left))
+    Ok(journal.take(id, open).is_ok())
 }
 
 /// A record whose message is not promised yet: it ends with the request.
@@ -555,6 +540,13 @@
     idempotency_key: String,
 }
 
+impl Handed {
+    fn accepted(&self, class: u32) -> Accepted {
+        let Self { id, tenant, dest, again, .. } = *self;
+        Accepted { id, class, tenant, dest, again }
+    }
+}
+
 fn read_headers(terms: &Terms, headers: &HeaderMap, name: &str, class: usize) -> Result<Handed, StatusCode> {
     let bad = StatusCode::BAD_REQUEST;
     // A header given twice would mean one thing to us and another to who reads the other line.
--- a/crates/daemon/src/clients/inbound/tests.rs
+++ b/crates/daemon/src/clients/inbound/tests.rs
@@ -88,9 +88,8 @@
             let (id, class, tenant, dest) = (MessageId(id), 0, None, DestinationId(3));
             let open = Open::new("update", "acme", 3, u64::MAX, Bytes::new());
             journal.borrow_mut().take(id, open).expect("room");
-            let (again, key, expires_in) = (false, None, 1_000_000);
-            let message = Message { id, class, tenant, key, dest, again, expires_in };
-            receipt.due.borrow_mut().push(Due { message, since: Instant::now(), begun: false });
+            let accepted = Accepted { id, class, tenant, dest, again: false };
+            receipt.due.borrow_mut().push(Due { accepted, begun: false });
         };
         // The connection ends before anything, or before all of the answer is written.
         for begun in [false, true] {
@@ -113,7 +112,7 @@
         drop(receipt);
         for id in [2, 3] {
             assert!(journal.borrow().get(MessageId(id)).is_some());
-            assert!(matches!(received.try_recv(), Ok(Input::Taken(m, _)) if m.id == MessageId(id)));
+            assert!(matches!(received.try_recv(), Ok(Input::Taken(m)) if m.id == MessageId(id)));
         }
     });
 }
--- a/crates/daemon/src/input.rs
+++ b/crates/daemon/src/input.rs
@@ -3,22 +3,43 @@
 use crate::listing::Listing;
 use crate::operations::{No, Word};
 use crate::settings::config::Config;
-use notchpoint_policy::{Event, Message, MessageId, Micros};
+use notchpoint_policy::{DestinationId, Event, Message, MessageId, Micros};
 use notchpoint_store::Mark;
+use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
 use tokio::sync::oneshot;
-use tokio::time::Instant;
 
 /// The module's clock starts here, so that no span looks back beyond its zero: longer ones are turned down in
 /// settings.
 pub const CLOCK_START: Micros = 1 << 50;
 
+/// A message that was taken on. What is left of its time stands in its record alone: counted here as well, it
+/// would run from a later moment behind a slow disk or on its way from another process.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Accepted {
+    pub id: MessageId,
+    /// By position, as the tenant.
+    pub class: u32,
+    pub tenant: Option<u32>,
+    pub dest: DestinationId,
+    /// It is known to have been handed in before.
+    pub again: bool,
+}
+
+impl Accepted {
+    /// What the decisions are told of it.
+    pub fn message(&self, expires_in: Micros) -> Message {
+        let Self { id, class, tenant, dest, again } = *self;
+        Message { id, class, tenant, key: None, dest, again, expires_in }
+    }
+}
+
 /// One piece of news for the node.
 #[derive(Debug)]
 pub enum Input {
     Event(Event),
-    /// A message was taken on, and its client can have heard it; the time left counts from then.
-    Taken(Message, Instant),
+    /// A message was taken on, and its client can have heard it.
+    Taken(Accepted),
     Listed(Listing),
     /// The watch with this number failed or ended.
     Unlisted(u64),
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -254,8 +254,7 @@
 
     fn resumed(&self, id: MessageId, open: &Open, attempts: u32) -> Option<Event> {
         let place = |list: &[String], name: &str| list.iter().position(|n| n == name).map(|n| n as u32);
-        let (now, terms) = (self.journal.borrow().unix_now(), self.terms.borrow());
-        let ran = open.attempts.iter().filter(|a| !a.never_ran).min_by_key(|a| a.at);
+        let terms = self.terms.borrow();
         let message = Message {
             id,
             class: terms.classes.place(&open.class)? as u32,
@@ -263,15 +262,14 @@
             key: None,
             dest: DestinationId(open.dest),
             again: true,
-            expires_in: open.deadline.saturating_sub(now),
+            expires_in: self.left(id),
         };
         // Its client may not have heard 202, and have handed it in again.
         let unsure = self.copies.is_some() && !open.sure && self.terms.borrow().is_careful(&open.class);
         if unsure {
             return None;
         }
-        let ran = ran.map(|a| (now.saturating_sub(a.at), a.endpoint));
-        Some(Event::Resumed { message, attempts, ran })
+        Some(Event::Resumed { message, attempts, ran: self.ran(id) })
     }
 
     fn now(&self) -> Micros {
@@ -442,10 +440,9 @@
             Input::Operator(word, reply) => return self.word(word, reply),
             Input::GivesWay(wanted) => return self.door.shut(Shut::Zone, wanted),
             Input::Event(event) => event,
-            Input::Taken(mut message, since) => {
-                message.expires_in = message.expires_in.saturating_sub(since.elapsed().as_micros() as Micros);
-                self.attempts.insert(message.id, Attempts::default());
-                Event::Taken(message)
+            Input::Taken(accepted) => {
+                self.attempts.insert(accepted.id, Attempts::default());
+                Event::Taken(accepted.message(self.left(accepted.id)))
             }
             Input::Listed(news) => {
                 let entries = self.entries(&news, news.complete);
@@ -547,10 +544,40 @@
         }
     }
 
+    /// What is left of a message's time, by its record.
+    fn left(&self, id: MessageId) -> Micros {
+        let journal = self.journal.borrow();
+        journal.get(id).map_or(0, |open| open.deadline.saturating_sub(journal.unix_now()))
+    }
+
+    /// How long ago the earliest attempt that may have run was made, and where.
+    fn ran(&self, id: MessageId) -> Option<(Micros, EndpointId)> {
+        let journal = self.journal.borrow();
+        let (open, now) = (journal.get(id)?, journal.unix_now());
+        let first = open.attempts.iter().filter(|a| !a.never_ran).min_by_key(|a| a.at)?;
+        Some((now.saturating_sub(first.at), first.endpoint))
+    }
+
+    /// The module counts spans from the turn in which it hears of them, and an event may have waited for its
+    /// turn: for seconds where a start waits for an address, or another process took over.
+    fn renew_spans(&self, events: &mut [Event]) {
+        for event in events {
+            match event {
+                Event::Taken(message) => message.expires_in = self.left(message.id),
+                Event::Resumed { message, ran, .. } => {
+                    message.expires_in = self.left(message.id);
+                    *ran = self.ran(message.id);
+                }
+                _ => {}
+            }
+        }
+    }
+
     fn turn(&mut self) {
         let mut actions = Vec::new();
-        let events = std::mem::take(&mut self.events);
+        let mut events = std::mem::take(&mut self.events);
         self.last_turn = Some(Instant::now());
+        self.renew_spans(&mut events);
         let now = self.now();
         if cfg!(debug_assertions) {
             self.compare_connections(&events);
--- a/crates/daemon/src/sender.rs
+++ b/crates/daemon/src/sender.rs
@@ -486,11 +486,9 @@
                     let _ = to.send(Frame::Answer { number, taken });
                 });
             }
-            Frame::Heard { message, ago } => {
-                taken.borrow_mut().remove(&message.id);
-                let since = Instant::now();
-                let since = since.checked_sub(Duration::from_micros(ago)).unwrap_or(since);
-                let _ = inbound.inputs.send(Input::Taken(message, since));
+            Frame::Heard(accepted) => {
+                taken.borrow_mut().remove(&accepted.id);
+                let _ = inbound.inputs.send(Input::Taken(accepted));
             }
             Frame::Unheard(id) => {
                 taken.borrow_mut().remove(&id);
--- a/crates/daemon/src/upgrade/handover.rs
+++ b/crates/daemon/src/upgrade/handover.rs
@@ -5,17 +5,17 @@
 //! the new one opens the store, says [`Frame::Owned`], and owns from then on. What is still open at the old
 //! one, calls and half-read requests, ends there, and every end is told to the owner.
 
-use crate::input::Input;
+use crate::input::{Accepted, Input};
 use crate::listing::Member;
 use crate::operations::No;
 use hyper::StatusCode;
 use notchpoint_policy::{
-    Allowance, Class, DestinationId, EndpointId, Event, Message, MessageId, Micros, Outcome, Sender,
+    Allowance, Class, DestinationId, EndpointId, Event, MessageId, Micros, Outcome, Sender,
 };
 use serde::{Deserialize, Serialize};
 
 /// Raised with every change of the frames; the form of the module's state has a number of its own.
-pub const VERSION: u16 = 2;
+pub const VERSION: u16 = 3;
 const MAGIC: [u8; 6] = *b"NPHAND";
 /// The first word of both sides, the same in every version.
 pub const HELLO: usize = 16;
@@ -57,8 +57,8 @@
     pub tag: String,
     pub tenant: String,
     pub dest: DestinationId,
-    /// What is left of its time, in microseconds.
-    pub left: Micros,
+    /// When its time is up, by the journal's timeline, which both processes read: the way here takes time.
+    pub deadline: u64,
     pub idempotency_key: String,
     pub body: Vec<u8>,
 }
@@ -66,8 +66,8 @@
 /// What the owner says of such a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Taken {
-    /// Recorded, in this place of classes, with so much time left.
-    Yes { class: u32, left: Micros },
+    /// Recorded, in this place of classes.
+    Yes { class: u32 },
     /// No room: the client is told when to come back.
     ComeBack,
     /// An id that is in use.
@@ -90,8 +90,8 @@
     Handed { number: u64, handed: Handed },
     /// New: what became of it.
     Answer { number: u64, taken: Taken },
-    /// Old: a client can have heard that its message was taken on, so long ago.
-    Heard { message: Message, ago: Micros },
+    /// Old: a client can have heard that its message was taken on.
+    Heard(Accepted),
     /// Old: a client did not hear it, and its message is withdrawn.
     Unheard(MessageId),
 }
@@ -106,7 +106,7 @@
             Self::Cancel { .. } => "Cancel",
             Self::Handed { .. } => "Handed",
             Self::Answer { .. } => "Answer",
-            Self::Heard { .. } => "Heard",
+            Self::Heard(_) => "Heard",
             Self::Unheard(_) => "Unheard",
         })
     }
@@ -146,9 +146,7 @@
         Input::Event(Event::Ended { id, attempt, outcome, over, allowance }) => {
             Some(Frame::Ended { id, attempt, outcome, over, allowance })
         }
-        Input::Taken(message, since) => {
-            Some(Frame::Heard { message, ago: since.elapsed().as_micros() as Micros })
-        }
+        Input::Taken(accepted) => Some(Frame::Heard(accepted)),
         Input::Unheard(id) => Some(Frame::Unheard(id)),
         Input::Operator(_, reply) => {
             let why = "another process has taken over: ask at its address";
@@ -182,11 +180,6 @@
 impl State {
     /// What was to last for a time counted from the moment of the state has so much less of it now.
     pub fn grow_older(&mut self, by: Micros) {
-        for event in &mut self.events {
-            if let Event::Taken(message) = event {
-                message.expires_in = message.expires_in.saturating_sub(by);
-            }
-        }
         self.waits.iter_mut().for_each(|w| w.2 = w.2.saturating_sub(by));
     }
 }
