Failing tests: requests in a hand-over are refused and sent, or sent though never promised

What callers see: where the new process dies between its record of a request and its answer, the client hears 503 (handing it in again is harmless) and the old process sends the message all the same: a payment twice. A request whose client has gone while it was handed on is sent too.

--- a/crates/daemon/tests/sockets/upgrade.rs
+++ b/crates/daemon/tests/sockets/upgrade.rs
@@ -1,6 +1,7 @@
 //! A new process takes over from the old one while it serves.
 
 use crate::world::*;
+use notchpoint_faults::{Faults, Word};
 use std::io::{Read, Write};
 use std::os::unix::net::UnixListener;
 use std::process::Command;
@@ -262,3 +263,60 @@
         assert!(said.contains("hand-over"), "{said}");
     }
 }
+
+/// The bytes of a payment for destination 3.
+fn payment(id: u64) -> Vec<u8> {
+    let (id, ms) = (format!("{id:016x}"), LONG.to_string());
+    let lines = headers(&id, "payment", &ms, "dest=3").map(|(n, v)| format!("{n}: {v}\r\n")).concat();
+    format!("POST /payment HTTP/1.1\r\nHost: api\r\nContent-Length: 1\r\n{lines}\r\nx").into_bytes()
+}
+
+/// An old process that has read the beginning of payment 1, and a new one whose next record takes so long.
+fn handing_on(by: Duration) -> (Endpoint, Node, Faults, Client, Old) {
+    let endpoint = Endpoint::new(|_| ok());
+    let (mut node, faults) = Node::held_with_faults(&[member("s-1", endpoint.address, "shop", 3, "up")]);
+    let mut client = Client::new(node.address);
+    client.raw(&payment(1)[..40]);
+    assert_eq!(node.ask("GET /up", &[], b"").status(), 200);
+    let old = node.upgrade();
+    faults.slow_writes(by).expect("set");
+    client.raw(&payment(1)[40..]);
+    until("its record", || faults.injected(Word::SlowWrite).expect("a count") > 0);
+    (endpoint, node, faults, client, old)
+}
+
+fn has_run(endpoint: &Endpoint, id: u64) -> bool {
+    let id = format!("{id:016x}");
+    endpoint.heard.lock().expect("sound").iter().any(|call| call.header("x-request-id") == id)
+}
+
+#[test]
+fn a_request_that_the_new_process_recorded_before_it_died_is_not_refused_and_sent() {
+    // What callers see: a payment is refused with 503, which says that handing it in again is harmless, and
+    // is sent all the same.
+    let (endpoint, mut node, faults, mut client, _old) = handing_on(Duration::from_secs(2));
+    node.kill();
+    faults.slow_writes(Duration::ZERO).expect("set");
+    let said = client.until_end();
+    until("the old one serves", || node.hand_in("update", 2, 3, LONG, b"x").status() == 202);
+    until("its call", || has_run(&endpoint, 2));
+    thread::sleep(Duration::from_millis(500));
+    assert!(!(said.starts_with("HTTP/1.1 503") && has_run(&endpoint, 1)), "refused, and sent");
+    if said.starts_with("HTTP/1.1 202") {
+        until("what was promised is sent", || has_run(&endpoint, 1));
+    }
+}
+
+#[test]
+fn a_request_whose_client_left_while_it_was_handed_on_is_not_sent() {
+    // What callers see: a payment that had no answer in 0.4 s, and was handed in anew, is sent as well.
+    let (endpoint, node, faults, client, mut old) = handing_on(Duration::from_secs(1));
+    drop(client);
+    thread::sleep(Duration::from_millis(200));
+    faults.slow_writes(Duration::ZERO).expect("set");
+    assert!(old.left());
+    assert_eq!(node.hand_in("update", 2, 3, LONG, b"x").status(), 202);
+    until("its call", || has_run(&endpoint, 2));
+    thread::sleep(Duration::from_millis(500));
+    assert!(!has_run(&endpoint, 1), "nobody was promised it");
+}
