Requests that a new process recorded and never answered are asked of the next owner

What callers saw, in a hand-over: a payment refused with 503 and sent all the same, where the new process died between its record and its answer; a payment sent though its client had gone without a promise. Cause: the old process took silence for 'not recorded', refused, then read the folder with the record in it; and a request dropped with its connection was told to nobody. Ruled out: the frames' order (Owned comes before any record). Mend: requests that wait are asked once more of the folder's next owner, who knows the record by its id; one whose client has gone is withdrawn when its answer comes, and the old process stays until then. It holds since nothing is refused, or taken for promised, before the folder has been read.

--- a/crates/daemon/src/clients/inbound.rs
+++ b/crates/daemon/src/clients/inbound.rs
@@ -27,6 +27,7 @@
 use notchpoint_seam::Listener;
 use notchpoint_store::Mark;
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
 use std::convert::Infallible;
 use std::future::poll_fn;
 use std::io::{self, ErrorKind};
@@ -68,6 +69,8 @@
     pub door: Rc<Door>,
     /// Once another process owns the store.
     pub successor: RefCell<Option<Rc<Successor>>>,
+    /// Messages whose 202 is not written yet.
+    pub answering: RefCell<BTreeSet<MessageId>>,
     /// Connections at once.
     pub places: usize,
     /// Bytes of the bodies that are being read, and how many there may be.
@@ -75,6 +78,15 @@
     pub most_reading: usize,
 }
 
+impl Inbound {
+    /// Messages that may be recorded, and whose clients have not heard yet.
+    pub fn unheard(&self) -> BTreeSet<MessageId> {
+        let mut all = self.answering.borrow().clone();
+        all.extend(self.successor.borrow().iter().flat_map(|successor| successor.asked()));
+        all
+    }
+}
+
 /// As many as descriptors and memory allow.
 pub fn places(config: &Config) -> usize {
     let fit = usize::try_from(config.memory / PLACES_SHARE / PLACE).unwrap_or(usize::MAX);
@@ -100,6 +112,18 @@
     begun: bool,
 }
 
+impl Receipt {
+    /// Its client hears of it with the next answer that is written.
+    fn expect(&self, accepted: Accepted) {
+        self.inbound.answering.borrow_mut().insert(accepted.id);
+        self.due.borrow_mut().push(Due { accepted, begun: false });
+    }
+
+    fn is_answered(&self, id: MessageId) {
+        self.inbound.answering.borrow_mut().remove(&id);
+    }
+}
+
 impl Observer for Rc<Receipt> {
     fn read(&self, bytes: &[u8]) {
         self.seat.read(bytes);
@@ -114,6 +138,7 @@
             self.seat.answered();
         }
         for due in self.due.borrow_mut().extract_if(.., |d| d.begun) {
+            self.is_answered(due.accepted.id);
             let _ = self.inbound.inputs.send(Input::Taken(due.accepted));
         }
     }
@@ -122,6 +147,7 @@
 impl Drop for Receipt {
     fn drop(&mut self) {
         for due in self.due.take() {
+            self.is_answered(due.accepted.id);
             self.inbound.journal.borrow_mut().end(due.accepted.id);
             let _ = self.inbound.inputs.send(Input::Unheard(due.accepted.id));
         }
@@ -345,7 +371,7 @@
     }
     record.id = None;
     // From here to the return nothing waits: the next flush on this connection is this answer's.
-    receipt.due.borrow_mut().push(Due { accepted: handed.accepted(class as u32), begun: false });
+    receipt.expect(handed.accepted(class as u32));
     Ok(plain(StatusCode::ACCEPTED))
 }
 
@@ -373,14 +399,18 @@
         Taken::ComeBack => return Ok(come_back(inbound, Refusal::Successor)),
         Taken::Conflict => return Err(StatusCode::CONFLICT),
     };
-    receipt.due.borrow_mut().push(Due { accepted: handed.accepted(class), begun: false });
+    receipt.expect(handed.accepted(class));
     Ok(plain(StatusCode::ACCEPTED))
 }
 
-/// Records what the process before this one has read, under the same conditions.
-pub async fn take_over(inbound: &Inbound, passed: Passed) -> Taken {
+/// Records what the process before this one has read, under the same conditions. A process in between may have
+/// done that (`before`) and died with its answer: the record is the same request's then.
+pub async fn take_over(inbound: &Inbound, passed: Passed, before: bool) -> Taken {
     let place = inbound.terms.borrow().classes.place(&passed.tag);
     let Some(class) = place.filter(|_| inbound.calls.knows(passed.dest)) else { return Taken::ComeBack };
+    if before && inbound.journal.borrow().get(passed.id).is_some() {
+        return Taken::Yes { class: class as u32 };
+    }
     let Passed { id, tag, tenant, dest, deadline, idempotency_key, body } = passed;
     let mut open = Open::new(&tag, &tenant, dest.0, deadline, body.into());
     open.idempotency_key = idempotency_key;
--- a/crates/daemon/src/clients/inbound/tests.rs
+++ b/crates/daemon/src/clients/inbound/tests.rs
@@ -28,6 +28,7 @@
         inputs,
         door: Rc::default(),
         successor: RefCell::default(),
+        answering: RefCell::default(),
     };
     (Rc::new(inbound), received)
 }
@@ -89,7 +90,7 @@
             let open = Open::new("update", "acme", 3, u64::MAX, Bytes::new());
             journal.borrow_mut().take(id, open).expect("room");
             let accepted = Accepted { id, class, tenant, dest, again: false };
-            receipt.due.borrow_mut().push(Due { accepted, begun: false });
+            receipt.expect(accepted);
         };
         // The connection ends before anything, or before all of the answer is written.
         for begun in [false, true] {
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -115,12 +115,12 @@
     pub fn new(
         config: &Config,
         text: &str,
-        elsewhere: BTreeSet<MessageId>,
+        (elsewhere, unheard): (BTreeSet<MessageId>, BTreeSet<MessageId>),
         parts: Parts,
     ) -> Result<Self, SettingsError> {
         let sender = Sender::new(parts.terms.borrow().set.clone(), config.seed)?;
         let mut node = Self::build(sender, config, text, parts);
-        node.elsewhere = elsewhere;
+        (node.elsewhere, node.unheard) = (elsewhere, unheard);
         node.restore_marks();
         let entries = node.entries(&config.known, true);
         node.events.push(Event::List(ListNews::Restored(entries)));
@@ -234,7 +234,8 @@
             let known = |ids: &BTreeSet<MessageId>| {
                 !ids.contains(&id) || open.verdict.is_some() || self.attempts.contains_key(&id)
             };
-            if only.is_some_and(known) || self.elsewhere.contains(&id) {
+            let waits = self.elsewhere.contains(&id) || only.is_none() && self.unheard.contains(&id);
+            if only.is_some_and(known) || waits {
                 continue;
             }
             if let Some(verdict) = open.verdict {
@@ -401,8 +402,15 @@
 
     fn note(&mut self, input: Input) {
         let event = match input {
-            // Nothing is owed for it, and the record is gone.
-            Input::Unheard(_) => return,
+            // Nothing is owed for it, and the record is gone. It is known here only where the folder was read
+            // before its client had gone.
+            Input::Unheard(id) => {
+                self.unheard.remove(&id);
+                if !self.attempts.contains_key(&id) {
+                    return;
+                }
+                self.withdraw(id)
+            }
             Input::Home(id) => {
                 let home = self.elsewhere.remove(&id);
                 return self.resume(Some(&home.then_some(id).into_iter().collect()));
@@ -424,13 +432,7 @@
                 None => return,
             },
             Input::Adopted(id) => return self.adopt(id),
-            Input::Lost(id) => {
-                self.calls.cancel_all(id);
-                if self.attempts.get(&id).is_some_and(|a| a.out == 0) {
-                    self.attempts.remove(&id);
-                }
-                Event::Withdrawn(id)
-            }
+            Input::Lost(id) => self.withdraw(id),
             Input::Parked(id) => match self.park(id) {
                 Some(event) => event,
                 None => return,
@@ -441,6 +443,12 @@
             Input::GivesWay(wanted) => return self.door.shut(Shut::Zone, wanted),
             Input::Event(event) => event,
             Input::Taken(accepted) => {
+                self.unheard.remove(&accepted.id);
+                // Taken up from the folder already, and perhaps over.
+                let known = self.attempts.contains_key(&accepted.id);
+                if known || self.journal.borrow().get(accepted.id).is_none() {
+                    return;
+                }
                 self.attempts.insert(accepted.id, Attempts::default());
                 Event::Taken(accepted.message(self.left(accepted.id)))
             }
@@ -464,6 +472,15 @@
         self.events.push(event);
     }
 
+    /// The decisions let a message go; calls that it is in end.
+    fn withdraw(&mut self, id: MessageId) -> Event {
+        self.calls.cancel_all(id);
+        if self.attempts.get(&id).is_some_and(|a| a.out == 0) {
+            self.attempts.remove(&id);
+        }
+        Event::Withdrawn(id)
+    }
+
     /// Goes on with a message that another sender had promised, as after a restart.
     fn adopt(&mut self, id: MessageId) {
         let verdict = self.journal.borrow().get(id).and_then(|open| open.verdict);
--- a/crates/daemon/src/sender.rs
+++ b/crates/daemon/src/sender.rs
@@ -148,8 +148,17 @@
     Nobody,
     /// Another process, which gave its state.
     Given(Box<State>, Ends),
-    /// What is left of this process's own earlier life, beside the folder: messages with a call out there.
-    Rest(Ends, BTreeSet<MessageId>),
+    /// What is left of this process's own earlier life, beside the folder.
+    Rest(Ends, Left),
+}
+
+/// Messages of which something is still open in an earlier life of this process.
+#[derive(Default)]
+struct Left {
+    /// A call is out there.
+    out: BTreeSet<MessageId>,
+    /// Their clients have not heard yet that they were taken on.
+    unheard: BTreeSet<MessageId>,
 }
 
 /// What lasts as long as the process, however often it takes over.
@@ -343,22 +352,23 @@
             inputs: inputs.clone(),
             door: door.clone(),
             successor: RefCell::default(),
+            answering: RefCell::default(),
         });
         let mut node = match before {
             Before::Given(mut state, ends) => {
                 let gap = journal.borrow().unix_now().saturating_sub(state.unix);
                 state.grow_older(gap);
                 calls.adopt(&state.out, &state.waits, ends.to.clone());
-                tokio::task::spawn_local(inherit(inbound.clone(), ends));
+                tokio::task::spawn_local(inherit(inbound.clone(), ends, BTreeSet::new()));
                 // One that is silent: the watch is begun anew, from where the other's had come.
                 discovery.watch();
                 Node::continued(&config, *state, parts)
             }
-            Before::Rest(ends, out) => {
-                tokio::task::spawn_local(inherit(inbound.clone(), ends));
-                Node::new(&config, &text, out, parts)?
+            Before::Rest(ends, left) => {
+                tokio::task::spawn_local(inherit(inbound.clone(), ends, left.unheard.clone()));
+                Node::new(&config, &text, (left.out, left.unheard), parts)?
             }
-            Before::Nobody => Node::new(&config, &text, BTreeSet::new(), parts)?,
+            Before::Nobody => Node::new(&config, &text, Default::default(), parts)?,
         };
         // What was left open is taken up: only now is the sender ready.
         let listener = match &self.accept {
@@ -466,11 +476,13 @@
     terms
 }
 
-/// Hears what the process before this one still tells, until it has ended.
-async fn inherit(inbound: Rc<Inbound>, ends: Ends) {
+/// Hears what the process before this one still tells, until it has ended. `unheard` may have been recorded by
+/// one in between, which did not live to say so.
+async fn inherit(inbound: Rc<Inbound>, ends: Ends, unheard: BTreeSet<MessageId>) {
     let Ends { to, mut from } = ends;
-    // What was recorded here for clients that have not heard yet.
-    let taken: Rc<RefCell<BTreeSet<MessageId>>> = Rc::default();
+    // What was recorded for clients that have not heard yet; none once nobody can tell them any more.
+    let taken = Rc::new(RefCell::new(Some(BTreeSet::<MessageId>::new())));
+    let forget = |id: MessageId| taken.borrow_mut().as_mut().is_some_and(|ids| ids.remove(&id));
     while let Some(frame) = from.recv().await {
         match frame {
             Frame::Ended { id, attempt, outcome, over, allowance } => {
@@ -478,28 +490,34 @@
             }
             Frame::Handed { number, handed } => {
                 let (inbound, to, recorded, id) = (inbound.clone(), to.clone(), taken.clone(), handed.id);
+                let before = unheard.contains(&id);
                 tokio::task::spawn_local(async move {
-                    let taken = crate::clients::inbound::take_over(&inbound, handed).await;
+                    let taken = crate::clients::inbound::take_over(&inbound, handed, before).await;
                     if matches!(taken, Taken::Yes { .. }) {
-                        recorded.borrow_mut().insert(id);
+                        match &mut *recorded.borrow_mut() {
+                            Some(ids) => _ = ids.insert(id),
+                            // Who asked has ended meanwhile, and its client with it.
+                            None => _ = inbound.journal.borrow_mut().end(id),
+                        }
                     }
                     let _ = to.send(Frame::Answer { number, taken });
                 });
             }
             Frame::Heard(accepted) => {
-                taken.borrow_mut().remove(&accepted.id);
+                forget(accepted.id);
                 let _ = inbound.inputs.send(Input::Taken(accepted));
             }
             Frame::Unheard(id) => {
-                taken.borrow_mut().remove(&id);
+                forget(id);
                 inbound.journal.borrow_mut().end(id);
+                let _ = inbound.inputs.send(Input::Unheard(id));
             }
             other => tracing::warn!("hand-over: {other:?} came from the process before"),
         }
     }
     tracing::info!("hand-over: the process before has ended");
     inbound.calls.orphan();
-    let taken = taken.take();
+    let taken = taken.take().unwrap_or_default();
     let _ = inbound.inputs.send(Input::Orphaned(taken));
 }
 
@@ -515,7 +533,9 @@
     /// Nothing is open here any more, nor at a process before this one, whose word passes through here.
     fn is_done(&self) -> bool {
         let calls = &self.inbound.calls;
-        calls.out() == 0 && calls.attempts_out() == 0 && self.inbound.door.inside.get() == 0
+        // A request whose client has gone meanwhile is recorded over there, and withdrawn by a word from here.
+        let waits = self.inbound.successor.borrow().as_ref().is_some_and(|s| s.is_asked());
+        calls.out() == 0 && calls.attempts_out() == 0 && self.inbound.door.inside.get() == 0 && !waits
     }
 
     /// Tells the new process how things end here. Gives who served before for a next life, where the new
@@ -568,16 +588,13 @@
         tracing::warn!("hand-over: the new process has ended; this one serves again ({next:?})");
         let (near, far) = passage::pair();
         self.told.drain(..).for_each(|frame| drop(near.to.send(frame)));
-        let successor = Rc::new(Successor::new(near.to.clone()));
-        if let Some(old) = self.inbound.successor.borrow_mut().replace(successor) {
-            old.gone();
+        let out = state.out.iter().map(|o| o.0).collect();
+        let left = Left { out, unheard: self.inbound.unheard() };
+        if let Some(successor) = &*self.inbound.successor.borrow() {
+            successor.replaced_by(near.to.clone());
         }
         tokio::task::spawn_local(self.linger(near));
-        Some(if next == Next::GoOn {
-            Before::Given(Box::new(state), far)
-        } else {
-            Before::Rest(far, state.out.iter().map(|o| o.0).collect())
-        })
+        Some(if next == Next::GoOn { Before::Given(Box::new(state), far) } else { Before::Rest(far, left) })
     }
 
     /// The same towards a next life of this process.
--- a/crates/daemon/tests/sockets/upgrade.rs
+++ b/crates/daemon/tests/sockets/upgrade.rs
@@ -293,7 +293,8 @@
 #[test]
 fn a_request_that_the_new_process_recorded_before_it_died_is_not_refused_and_sent() {
     // What callers see: a payment is refused with 503, which says that handing it in again is harmless, and
-    // is sent all the same.
+    // is sent all the same. Why: the old process took the other's silence for "not recorded", refused, and then
+    // read the folder, where the record was ("this one serves again (FromFolder)" in its log).
     let (endpoint, mut node, faults, mut client, _old) = handing_on(Duration::from_secs(2));
     node.kill();
     faults.slow_writes(Duration::ZERO).expect("set");
@@ -309,7 +310,9 @@
 
 #[test]
 fn a_request_whose_client_left_while_it_was_handed_on_is_not_sent() {
-    // What callers see: a payment that had no answer in 0.4 s, and was handed in anew, is sent as well.
+    // What callers see: a payment that had no answer in 0.4 s, and was handed in anew, is sent as well. Why: the
+    // old process dropped the request with its connection and told nobody, or had left already; at its end the
+    // new one took the record for promised.
     let (endpoint, node, faults, client, mut old) = handing_on(Duration::from_secs(1));
     drop(client);
     thread::sleep(Duration::from_millis(200));
