A failing test: twenty payments go in one call on a new connection that says nothing

What callers see: killed at any of ten moments (0.1 to 1 s behind the call), the sender ends all 20 payments as ones that may have run. Fails each time.

--- a/crates/daemon/tests/sockets/main.rs
+++ b/crates/daemon/tests/sockets/main.rs
@@ -10,6 +10,7 @@
 mod operations;
 mod restart;
 mod store;
+mod unproven;
 mod upgrade;
 mod watch;
 mod world;
