Failing tests: messages of an earlier life are nobody's over the next hand-over

What callers see, where a process serves again (its successor was killed) and hands over once more: a payment that is answered in time is ended by a notice, and ends are told only once that process has ended.

--- a/crates/daemon/tests/sockets/upgrade.rs
+++ b/crates/daemon/tests/sockets/upgrade.rs
@@ -323,3 +323,47 @@
     thread::sleep(Duration::from_millis(500));
     assert!(!has_run(&endpoint, 1), "nobody was promised it");
 }
+
+/// A process that serves again, since the one that had taken over was killed, with a call of its earlier life
+/// out: payment 1, which has so much time.
+fn serving_again(time: Duration) -> (Endpoint, Node, Sender<Reply>) {
+    let (endpoint, members, say) = slow();
+    let mut node = Node::held(&members);
+    assert_eq!(node.hand_in("payment", 1, 3, time.as_millis() as u64, b"x").status(), 202);
+    endpoint.call(0);
+    let old = node.upgrade();
+    node.kill();
+    let again = || Client::new(old.1).ask("GET /status", &[], b"").status() == 200;
+    until("the old one serves again", again);
+    node.goes_on_with(old);
+    (endpoint, node, say)
+}
+
+#[test]
+fn a_call_of_an_earlier_life_ends_at_its_process_over_the_next_hand_over() {
+    // What callers see: a payment that is answered in time is ended by a notice.
+    let (_endpoint, mut node, say) = serving_again(Duration::from_millis(LONG));
+    let mut old = node.upgrade();
+    thread::sleep(Duration::from_millis(300));
+    say.send(ok()).expect("it waits");
+    assert!(old.left(), "nothing is open there any more");
+    assert_eq!(node.hand_in("payment", 2, 3, LONG, b"x").status(), 202);
+    say.send(ok()).expect("it waits");
+    thread::sleep(Duration::from_millis(500));
+    assert!(!node.platform.has_notice(1), "it was delivered");
+}
+
+#[test]
+fn a_message_of_an_earlier_life_is_ended_in_time_over_the_next_hand_over() {
+    // What callers see: its end is told seconds too late, once the old process has ended.
+    const TIME: Duration = Duration::from_millis(2_000);
+    let begun = Instant::now();
+    let (endpoint, mut node, _say) = serving_again(TIME);
+    // A call of its new life keeps the process there.
+    assert_eq!(node.hand_in("payment", 2, 3, LONG, b"x").status(), 202);
+    until("its call", || endpoint.calls() == 2 || node.platform.has_notice(1));
+    let _old = node.upgrade();
+    let limit = TIME + Duration::from_millis(300);
+    until("a notice, or too late", || node.platform.has_notice(1) || begun.elapsed() > limit);
+    assert!(node.platform.has_notice(1), "no notice in {limit:?}");
+}
--- a/crates/daemon/tests/sockets/world.rs
+++ b/crates/daemon/tests/sockets/world.rs
@@ -471,6 +471,12 @@
         old
     }
 
+    /// The process before the one that was killed serves again.
+    pub fn goes_on_with(&mut self, mut old: Old) {
+        std::mem::swap(&mut self.child, &mut old.0);
+        self.admin = old.1;
+    }
+
     pub fn kill(&mut self) {
         self.child.kill().expect("it runs");
         self.child.wait().expect("it ended");
