--- a/crates/soak/src/book.rs
+++ b/crates/soak/src/book.rs
@@ -1,5 +1,7 @@
 //! What clients, endpoints and the list service saw, and what that says of the rules.
 
+use crate::configuration::KEY_WINDOW;
+use crate::lag::Lag;
 use crate::topology::route;
 use std::collections::BTreeMap;
 use std::fmt;
@@ -14,14 +16,19 @@
 const DRAIN_GRACE: Duration = Duration::from_millis(1_050);
 /// Calls that come so soon after a wait was told are let through, the slack of sockets included.
 const WAIT_SLACK: Duration = Duration::from_millis(150);
-/// This machine runs hundreds of threads: what is written here is late by so much.
+/// This machine runs hundreds of threads: what is written here is late by so much, and by what is seen of
+/// that while a play runs.
 const MACHINE: Duration = Duration::from_millis(250);
+/// Each limit of time is so much longer on sockets.
+const SOCKETS: Duration = Duration::from_millis(50);
 
 /// Whether a message may run more than once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Effect {
     /// It may be repeated.
     Repeatable,
+    /// A repeat is known for a while, and dropped; after that it would run again.
+    Keyed,
     /// It must run at most once.
     Once,
 }
@@ -52,8 +59,9 @@
     effect: Effect,
     deadline: Instant,
     promised: bool,
-    /// Calls whose last byte came: when, and whether the endpoint carried them out.
+    /// Calls that an endpoint carried out, and when the first one came.
     runs: u32,
+    first_run: Option<Instant>,
     delivered: bool,
     /// Handing it in again was said to be harmless: nothing of it may run from then on.
     refused: bool,
@@ -69,8 +77,12 @@
     messages: BTreeMap<u64, Entry>,
     /// By sender: when it was down, from its signal to its readiness.
     downs: BTreeMap<usize, Vec<(Instant, Option<Instant>)>>,
+    /// The same from the signal that told it to end in a while: no notice is overdue from then on.
+    restarts: BTreeMap<usize, Vec<(Instant, Option<Instant>)>>,
     /// By sender and endpoint: since when it knows that the endpoint drains.
     drained: BTreeMap<(usize, usize), Instant>,
+    /// By sender and endpoint: since when operators have taken it out of service.
+    out_of_service: BTreeMap<(usize, usize), Instant>,
     /// By sender and route: since when it has been told to wait, and until when.
     waits: BTreeMap<(usize, usize), (Instant, Instant)>,
     /// By route: when it was last out of service, and the calls that came after that, with their senders.
@@ -114,12 +126,13 @@
 #[derive(Debug)]
 pub struct Book {
     begun: Instant,
+    lag: Lag,
     pages: Mutex<Pages>,
 }
 
 impl Default for Book {
     fn default() -> Self {
-        Self { begun: Instant::now(), pages: Mutex::default() }
+        Self { begun: Instant::now(), lag: Lag::watch(), pages: Mutex::default() }
     }
 }
 
@@ -128,6 +141,16 @@
         self.pages.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// How late this machine woke its threads at the worst.
+    pub fn worst_lag(&self) -> Duration {
+        self.lag.worst()
+    }
+
+    /// How late what is written here may be.
+    pub fn machine(&self) -> Duration {
+        MACHINE + self.lag.worst()
+    }
+
     fn note(&self, id: u64, what: String, change: impl FnOnce(&mut Entry)) {
         if let Some(entry) = self.pages().messages.get_mut(&id) {
             entry.events.push((Instant::now(), what));
@@ -145,6 +168,7 @@
             deadline,
             promised: false,
             runs: 0,
+            first_run: None,
             delivered: false,
             refused: false,
             again: false,
@@ -172,13 +196,29 @@
         self.note(id, "handed in on another connection".into(), |entry| entry.again = true);
     }
 
+    /// A connection for it has come up: its time counts from when it is sent.
+    pub fn sent(&self, id: u64, time: Duration) {
+        self.note(id, "sent on a new connection".into(), |entry| entry.deadline = Instant::now() + time);
+    }
+
+    /// A new connection was refused.
+    pub fn turned_away(&self, sender: usize) {
+        let machine = self.machine();
+        let mut pages = self.pages();
+        if !pages.was_down(sender, Instant::now(), machine) {
+            let what = format!("sender {sender} refused a connection while new ones still come");
+            pages.violations.push(Violation { rule: "turned away", message: None, what });
+        }
+    }
+
     /// The connection of a request that was written whole ended without an answer.
     pub fn unanswered(&self, id: u64) {
+        let machine = self.machine();
         let mut pages = self.pages();
         let Some(entry) = pages.messages.get_mut(&id) else { return };
         entry.events.push((Instant::now(), "its connection ended with no answer".into()));
         let (sender, now) = (entry.sender, Instant::now());
-        if !pages.was_down(sender, now) {
+        if !pages.was_down(sender, now, machine) {
             let what = format!("sender {sender} ended its connection with no answer");
             pages.violations.push(Violation { rule: "unanswered", message: Some(id), what });
         }
@@ -186,6 +226,7 @@
 
     /// A call came whole at an endpoint; this is its first message.
     pub fn call(&self, id: u64, endpoint: usize, began: Instant) {
+        let machine = self.machine();
         let mut pages = self.pages();
         let Some(sender) = pages.messages.get(&id).map(|entry| entry.sender) else { return };
         let route = route(endpoint);
@@ -195,14 +236,16 @@
             outage.calls.push((began, sender));
         }
         if let Some((told, until)) = pages.waits.get(&(sender, route)).copied()
-            && told + WAIT_SLACK + MACHINE < began
+            && told + WAIT_SLACK + machine < began
             && began < until
         {
             let what = format!("sent to endpoint {endpoint} {:?} before its wait was over", until - began);
             pages.violations.push(Violation { rule: "wait", message: Some(id), what });
         }
-        let told = pages.drained.get(&(sender, endpoint)).copied();
-        if let Some(late) = told.map(|told| began.saturating_duration_since(told + DRAIN_GRACE + MACHINE))
+        let listed = pages.drained.get(&(sender, endpoint)).copied();
+        let out = pages.out_of_service.get(&(sender, endpoint)).copied();
+        let told = listed.into_iter().chain(out).min();
+        if let Some(late) = told.map(|told| began.saturating_duration_since(told + DRAIN_GRACE + machine))
             && !late.is_zero()
         {
             let what = format!("sent to draining endpoint {endpoint}, {late:?} after the grace");
@@ -210,6 +253,16 @@
         }
     }
 
+    /// Operators have taken an endpoint out of service at a sender, or are about to put it back.
+    pub fn out_of_service(&self, sender: usize, endpoint: usize, out: bool) {
+        let mut pages = self.pages();
+        if out {
+            pages.out_of_service.insert((sender, endpoint), Instant::now());
+        } else {
+            pages.out_of_service.remove(&(sender, endpoint));
+        }
+    }
+
     /// A message came in a call.
     pub fn called(&self, id: u64, endpoint: usize) {
         self.note(id, format!("called at endpoint {endpoint}"), |_| {});
@@ -240,9 +293,20 @@
 
     /// An endpoint carried a message out.
     pub fn ran(&self, id: u64, endpoint: usize) {
-        self.note(id, format!("carried out at endpoint {endpoint}"), |entry| entry.runs += 1);
+        let now = Instant::now();
+        self.note(id, format!("carried out at endpoint {endpoint}"), |entry| {
+            entry.runs += 1;
+            entry.first_run.get_or_insert(now);
+        });
         let mut pages = self.pages();
-        let twice = pages.messages.get(&id).is_some_and(|e| e.effect == Effect::Once && e.runs > 1);
+        let unknown = |e: &Entry| {
+            e.first_run.is_some_and(|first| now > first + KEY_WINDOW + SOCKETS + self.lag.worst())
+        };
+        let twice = pages.messages.get(&id).is_some_and(|entry| match entry.effect {
+            Effect::Repeatable => false,
+            Effect::Keyed => unknown(entry),
+            Effect::Once => entry.runs > 1,
+        });
         if twice {
             let what = format!("carried out again at endpoint {endpoint}");
             pages.violations.push(Violation { rule: "twice", message: Some(id), what });
@@ -288,18 +352,26 @@
         self.pages().drained.contains_key(&(sender, endpoint))
     }
 
-    /// A sender got a signal that ends it.
+    /// A sender got a signal that ends it in a while, and will be started again.
+    pub fn told_to_end(&self, sender: usize) {
+        self.pages().restarts.entry(sender).or_default().push((Instant::now(), None));
+    }
+
+    /// A sender got a signal that ends it, or has ended.
     pub fn down(&self, sender: usize) {
-        let mut pages = self.pages();
-        pages.downs.entry(sender).or_default().push((Instant::now(), None));
+        let (mut pages, now) = (self.pages(), Instant::now());
+        pages.downs.entry(sender).or_default().push((now, None));
+        pages.restarts.entry(sender).or_default().push((now, None));
         // A wait ends with the process that was told.
         pages.waits.retain(|(told, _), _| *told != sender);
     }
 
     /// It is ready again.
     pub fn up(&self, sender: usize) {
-        if let Some(last) = self.pages().downs.entry(sender).or_default().last_mut() {
-            last.1 = Some(Instant::now());
+        let (mut pages, now) = (self.pages(), Instant::now());
+        let Pages { downs, restarts, .. } = &mut *pages;
+        for spans in [downs, restarts] {
+            spans.entry(sender).or_default().iter_mut().for_each(|span| _ = span.1.get_or_insert(now));
         }
     }
 
@@ -318,11 +390,12 @@
 
     /// All broken rules, once nothing can come any more.
     pub fn violations(&self, slow_start: impl Fn(usize) -> SlowStart) -> Vec<Violation> {
+        let machine = self.machine();
         let pages = self.pages();
         let mut found = pages.violations.clone();
         found.extend(pages.pushed_over(slow_start));
         for (&id, entry) in pages.messages.iter().filter(|(_, e)| e.promised && !e.delivered) {
-            let due = pages.due(entry.sender, entry.deadline + OVERDUE) + MACHINE;
+            let due = pages.due(entry.sender, entry.deadline + OVERDUE) + machine;
             match entry.ended {
                 Some(at) if at <= due => {}
                 Some(at) => {
@@ -390,14 +463,14 @@
     }
 
     /// Whether a sender was down, or had just been told to end.
-    fn was_down(&self, sender: usize, at: Instant) -> bool {
+    fn was_down(&self, sender: usize, at: Instant, slack: Duration) -> bool {
         let downs = self.downs.get(&sender).map(Vec::as_slice).unwrap_or_default();
-        downs.iter().any(|(from, to)| *from <= at && to.is_none_or(|to| at <= to + MACHINE))
+        downs.iter().any(|(from, to)| *from <= at && to.is_none_or(|to| at <= to + slack))
     }
 
     /// When something that is due then is overdue: not while its sender is down, nor just after.
     fn due(&self, sender: usize, mut due: Instant) -> Instant {
-        for (from, to) in self.downs.get(&sender).map(Vec::as_slice).unwrap_or_default() {
+        for (from, to) in self.restarts.get(&sender).map(Vec::as_slice).unwrap_or_default() {
             let Some(back) = to.map(|to| to + AFTER_START) else { continue };
             if *from <= due && due < back {
                 due = back;
--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -1,9 +1,10 @@
-//! Clients of one sender: they keep a connection, and open another when that has ended.
+//! Clients of one sender: they keep some connections, and open others when those have ended.
 
 use crate::book::{Book, Effect};
 use crate::http::Message;
 use crate::sender::Sender;
-use std::io::{BufReader, Write};
+use fastrand::Rng;
+use std::io::{self, BufReader, Write};
 use std::net::TcpStream;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread;
@@ -13,9 +14,13 @@
 const PATIENCE: Duration = Duration::from_millis(400 + 200);
 /// How much time messages have.
 pub const TIME: Duration = Duration::from_secs(6);
+/// Connections that a client keeps.
+const CONNECTIONS: usize = 3;
 
 static NEXT_ID: AtomicU64 = AtomicU64::new(1);
 
+type Connection = BufReader<TcpStream>;
+
 /// What became of a request.
 enum Came {
     Answer(Message),
@@ -25,67 +30,102 @@
     Silence,
 }
 
-/// Hands in messages at random moments until the time is over.
-pub fn run(sender: &Sender, dests: usize, every: Duration, until: Instant, book: &Book, seed: u64) {
-    let mut random = fastrand::Rng::with_seed(seed);
-    let mut kept: Option<BufReader<TcpStream>> = None;
-    while Instant::now() < until {
-        thread::sleep(every.mul_f64(2.0 * random.f64()));
-        let dest = random.usize(..dests);
-        let effect = if random.bool() { Effect::Once } else { Effect::Repeatable };
-        let request = |id: u64| {
-            let class = if effect == Effect::Once { "payment" } else { "update" };
-            format!(
-                "POST /{class} HTTP/1.1\r\nHost: api.internal\r\nX-Request-ID: {id:016x}\r\n\
-                 X-Priority-Class: {class}\r\nX-Tenant-Id: acme\r\nX-Timeout-Ms: {}\r\n\
-                 Content-Length: 5\r\nX-Envelope: dest={dest}\r\n\r\nhello",
-                TIME.as_millis()
-            )
-        };
-        let id = NEXT_ID.fetch_add(1, Ordering::Relaxed);
-        book.handed_in(id, sender.number, effect, TIME);
-        if let Some(mut connection) = kept.take() {
-            match ask(&mut connection, &request(id)) {
-                Came::Answer(answer) => {
-                    if heard(book, id, &answer) {
-                        kept = Some(connection);
+/// One client.
+pub struct Client<'a> {
+    /// Whose client it is.
+    pub sender: &'a Sender,
+    /// Destinations that there are.
+    pub dests: usize,
+    /// Where it enters what it sees.
+    pub book: &'a Book,
+    /// What it draws from.
+    pub random: Rng,
+}
+
+impl Client<'_> {
+    /// Hands in messages at random moments until the time is over.
+    pub fn run(mut self, every: Duration, until: Instant) {
+        let mut kept: Vec<Connection> = Vec::new();
+        while Instant::now() < until {
+            thread::sleep(every.mul_f64(2.0 * self.random.f64()));
+            let (id, request) = self.message();
+            if !kept.is_empty() && (kept.len() == CONNECTIONS || self.random.bool()) {
+                let mut connection = kept.swap_remove(self.random.usize(..kept.len()));
+                match ask(&mut connection, &request) {
+                    Came::Answer(answer) => {
+                        kept.extend(self.heard(id, &answer).then_some(connection));
+                        continue;
                     }
-                    continue;
+                    Came::Silence => continue,
+                    // It may have ended between two requests: this one goes once more, on a new connection.
+                    Came::Ended => self.book.handed_in_again(id),
                 }
-                Came::Silence => continue,
-                // It may have ended between two requests: this one goes once more, on a new connection.
-                Came::Ended => book.handed_in_again(id),
             }
+            kept.extend(self.on_a_new_connection(id, &request));
         }
-        if !sender.accepts() {
-            continue;
+    }
+
+    /// A message of any class and destination: its id and request.
+    fn message(&mut self) -> (u64, String) {
+        let dest = self.random.usize(..self.dests);
+        let (class, effect) = match self.random.u8(..4) {
+            0..=1 => ("payment", Effect::Once),
+            2 => ("keyed", Effect::Keyed),
+            _ => ("update", Effect::Repeatable),
+        };
+        let id = NEXT_ID.fetch_add(1, Ordering::Relaxed);
+        self.book.handed_in(id, self.sender.number, effect, TIME);
+        let request = format!(
+            "POST /{class} HTTP/1.1\r\nHost: api.internal\r\nX-Request-ID: {id:016x}\r\n\
+             X-Priority-Class: {class}\r\nX-Tenant-Id: acme\r\nX-Timeout-Ms: {}\r\n\
+             Content-Length: 5\r\nX-Envelope: dest={dest}\r\n\r\nhello",
+            TIME.as_millis()
+        );
+        (id, request)
+    }
+
+    /// Gives the connection if it goes on.
+    fn on_a_new_connection(&self, id: u64, request: &str) -> Option<Connection> {
+        if !self.sender.accepts() {
+            return None;
         }
-        let Ok(stream) = TcpStream::connect(sender.address) else { continue };
+        let stream = match TcpStream::connect(self.sender.address()) {
+            Ok(stream) => stream,
+            Err(why) => {
+                if why.kind() == io::ErrorKind::ConnectionRefused {
+                    self.book.turned_away(self.sender.number);
+                }
+                return None;
+            }
+        };
         let _ = stream.set_nodelay(true);
         let _ = stream.set_read_timeout(Some(PATIENCE));
         let mut connection = BufReader::new(stream);
-        match ask(&mut connection, &request(id)) {
-            Came::Answer(answer) => {
-                if heard(book, id, &answer) {
-                    kept = Some(connection);
-                }
+        self.book.sent(id, TIME);
+        match ask(&mut connection, request) {
+            Came::Answer(answer) => self.heard(id, &answer).then_some(connection),
+            Came::Ended => {
+                self.book.unanswered(id);
+                None
             }
-            Came::Ended => book.unanswered(id),
-            Came::Silence => {}
+            Came::Silence => None,
         }
     }
-}
 
-/// Enters an answer. Whether its connection goes on.
-fn heard(book: &Book, id: u64, answer: &Message) -> bool {
-    match answer.status() {
-        Some(200 | 202) => book.promised(id),
-        status => book.answered(id, status.unwrap_or(0)),
+    /// Enters an answer. Whether its connection goes on.
+    fn heard(&self, id: u64, answer: &Message) -> bool {
+        match answer.status() {
+            Some(200 | 202) => {
+                self.book.promised(id);
+                self.sender.has_promised();
+            }
+            status => self.book.answered(id, status.unwrap_or(0)),
+        }
+        !answer.closes()
     }
-    !answer.closes()
 }
 
-fn ask(connection: &mut BufReader<TcpStream>, request: &str) -> Came {
+fn ask(connection: &mut Connection, request: &str) -> Came {
     let begun = Instant::now();
     if connection.get_mut().write_all(request.as_bytes()).is_err() {
         return Came::Ended;
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -4,12 +4,16 @@
 
 pub mod book;
 mod client;
+mod configuration;
+mod crowd;
 mod http;
+mod lag;
 mod notes;
 mod partners;
 pub mod plan;
 mod play;
+mod process;
 mod sender;
 mod topology;
 
-pub use play::{Outcome, play};
+pub use play::{Counts, Outcome, play};
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -2,10 +2,10 @@
 
 use clap::Parser;
 use notchpoint_soak::plan::{Size, Trouble, draw};
-use notchpoint_soak::{Outcome, play};
+use notchpoint_soak::{Counts, Outcome, play};
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
-use std::process::ExitCode;
+use std::process::{Child, Command, ExitCode};
 use std::time::Duration;
 
 /// Real senders under overlapping faults, judged from outside.
@@ -29,6 +29,15 @@
     /// Troubles in that time.
     #[arg(long, default_value_t = 18)]
     troubles: usize,
+    /// Hand-overs in place of half of the troubles.
+    #[arg(long)]
+    hand_overs: bool,
+    /// Busy processes beside the play.
+    #[arg(long, default_value_t = 0)]
+    busy: usize,
+    /// Go on with the next seed where a rule is broken, and tell at the end which seeds broke one.
+    #[arg(long)]
+    go_on: bool,
     /// Do not look for a smaller plan that breaks a rule.
     #[arg(long)]
     no_shrink: bool,
@@ -42,26 +51,62 @@
     let beside = || Ok::<_, io::Error>(std::env::current_exe()?.with_file_name("notchpoint"));
     let program = arguments.program.clone().map_or_else(beside, Ok)?;
     let span = Duration::from_secs(arguments.seconds);
-    let size =
-        Size { senders: arguments.senders, dests: arguments.dests, span, troubles: arguments.troubles };
+    let size = Size {
+        senders: arguments.senders,
+        dests: arguments.dests,
+        span,
+        troubles: arguments.troubles,
+        many_hand_overs: arguments.hand_overs,
+    };
+    let _busy: Vec<Busy> = (0..arguments.busy).map(|_| Busy::start()).collect::<io::Result<_>>()?;
     let mut out = io::stdout();
+    let mut broken = Vec::new();
     for seed in arguments.from..arguments.from + arguments.seeds {
         let plan = draw(seed, &size);
         let outcome = play(&program, seed, &size, &plan)?;
-        let (promised, delivered, ended) = outcome.counts;
-        writeln!(out, "seed {seed}: {promised} promised, {delivered} delivered, {ended} ended by notices")?;
+        let Counts { promised, delivered, ended, hand_overs, lag } = outcome.counts;
+        writeln!(
+            out,
+            "seed {seed}: {promised} promised, {delivered} delivered, {ended} ended by notices, \
+             {hand_overs} hand-overs, threads woken {} ms late at most",
+            lag.as_millis()
+        )?;
         if outcome.violations.is_empty() {
             continue;
         }
         tell(&mut out, &plan, &outcome)?;
+        broken.push(seed);
+        if arguments.go_on {
+            continue;
+        }
         if !arguments.no_shrink {
             let (smaller, outcome) = shrink(&program, seed, &size, plan, outcome)?;
             writeln!(out, "the smallest plan found:")?;
             tell(&mut out, &smaller, &outcome)?;
         }
-        return Ok(ExitCode::FAILURE);
+        break;
+    }
+    if broken.is_empty() {
+        return Ok(ExitCode::SUCCESS);
+    }
+    writeln!(out, "rules were broken on seeds {broken:?}")?;
+    Ok(ExitCode::FAILURE)
+}
+
+/// A process that does nothing and takes a core for it.
+struct Busy(Child);
+
+impl Busy {
+    fn start() -> io::Result<Self> {
+        Command::new("sh").args(["-c", "while :; do :; done"]).spawn().map(Self)
+    }
+}
+
+impl Drop for Busy {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
     }
-    Ok(ExitCode::SUCCESS)
 }
 
 fn tell(out: &mut impl Write, plan: &[Trouble], outcome: &Outcome) -> io::Result<()> {
--- a/crates/soak/src/partners.rs
+++ b/crates/soak/src/partners.rs
@@ -37,11 +37,26 @@
     Slow = 4,
     /// It is not there: connections end, and new ones are refused.
     Down = 5,
+    /// It is cut off: nothing comes, and its connections are reset when it is back.
+    Cut = 6,
+    /// It carries calls out and ends the connection within the first line of its answer.
+    CutAnswers = 7,
 }
 
+const MANNERS: [Manner; 8] = [
+    Manner::Sound,
+    Manner::Hangs,
+    Manner::Resets,
+    Manner::Full,
+    Manner::Slow,
+    Manner::Down,
+    Manner::Cut,
+    Manner::CutAnswers,
+];
+
 impl Manner {
     fn of(number: u8) -> Self {
-        [Self::Sound, Self::Hangs, Self::Resets, Self::Full, Self::Slow, Self::Down][usize::from(number) % 6]
+        MANNERS[usize::from(number) % MANNERS.len()]
     }
 }
 
@@ -84,6 +99,15 @@
         Manner::of(self.manner.load(Ordering::Relaxed))
     }
 
+    /// Whether it is cut off; then it waits until it is not.
+    fn was_cut(&self) -> bool {
+        let cut = self.manner() == Manner::Cut;
+        while self.manner() == Manner::Cut {
+            thread::sleep(LISTEN_LOOK);
+        }
+        cut
+    }
+
     fn connections(&self) -> MutexGuard<'_, Vec<TcpStream>> {
         self.open.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -113,7 +137,11 @@
             connections.extend(stream.try_clone());
             drop(connections);
             let (shared, book) = (self.clone(), book.clone());
-            thread::spawn(move || shared.serve(&stream, number, &book));
+            thread::spawn(move || {
+                shared.serve(&stream, number, &book);
+                // The other handle of it, by which it is ended from outside, would keep it open.
+                let _ = stream.shutdown(Shutdown::Both);
+            });
         }
     }
 
@@ -125,6 +153,9 @@
                 return;
             }
             let began = Instant::now();
+            if self.was_cut() {
+                return;
+            }
             let Some(call) = Message::read(&mut reader) else { return };
             let ids = call.ids();
             let Some(&first) = ids.first() else { return };
@@ -142,10 +173,17 @@
             ids.iter().for_each(|id| book.ran(*id, number));
             match manner {
                 Manner::Hangs => continue,
+                Manner::CutAnswers => {
+                    let _ = stream.write_all(b"HTTP/1.1 20");
+                    return;
+                }
                 Manner::Resets | Manner::Down => return,
                 Manner::Slow => thread::sleep(Duration::from_secs(1)),
                 _ => thread::sleep(LATENCY),
             }
+            if self.was_cut() {
+                return;
+            }
             let done: String = match call.is_batch() {
                 true => ids.iter().map(|id| format!("{id:016x} done\r\n")).collect(),
                 false => String::new(),
@@ -177,6 +215,7 @@
 pub struct List {
     members: Mutex<BTreeMap<usize, Member>>,
     down: AtomicBool,
+    silent: AtomicBool,
 }
 
 /// Where a list begins.
@@ -205,6 +244,11 @@
         self.down.store(down, Ordering::Relaxed);
     }
 
+    /// Says nothing, also on open watches, or begins again.
+    pub fn set_silent(&self, silent: bool) {
+        self.silent.store(silent, Ordering::Relaxed);
+    }
+
     /// The members that changed after a revision, and the list's revision.
     pub fn since(&self, revision: u64) -> (Vec<Member>, u64) {
         let members = self.lock();
@@ -212,6 +256,10 @@
         (members.values().filter(|m| m.revision > revision).cloned().collect(), newest)
     }
 
+    fn is_silent(&self) -> bool {
+        self.silent.load(Ordering::Relaxed)
+    }
+
     fn is_down(&self) -> bool {
         self.down.load(Ordering::Relaxed)
     }
@@ -275,10 +323,17 @@
         let _ = stream.write_all(answer("503 Down", "", "").as_bytes());
         return;
     }
+    while list.is_silent() {
+        thread::sleep(WATCH_LOOK);
+    }
     let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
     let mut sound = stream.write_all(head.as_bytes()).is_ok();
     let mut said = Instant::now();
     while sound && !list.is_down() {
+        if list.is_silent() {
+            thread::sleep(WATCH_LOOK);
+            continue;
+        }
         let (changed, newest) = list.since(revision);
         if changed.is_empty() {
             if said.elapsed() >= HEARTBEAT {
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -1,5 +1,7 @@
 //! The troubles of one play, drawn from its seed: two or three at once.
 
+use crate::sender::Side;
+use crate::topology::platform_held;
 use std::fmt;
 use std::time::Duration;
 
@@ -10,6 +12,22 @@
     Kill,
     /// A sender is told to end, and started again.
     Restart,
+    /// A sender is told to end by several signals within milliseconds.
+    Signals(Series),
+    /// A sender is killed, and told to end and to reload so many milliseconds after its next start.
+    SignalsAtStart(u64),
+    /// A sender is killed right behind a 202.
+    KillBehindPromise,
+    /// A new process takes over from the one that serves.
+    HandOver,
+    /// The same, and one of them is killed so many milliseconds after the new one was begun.
+    HandOverKill(Side, u64),
+    /// Operators drain a sender, and have it take clients again.
+    Standby,
+    /// Operators take an endpoint out of service at a sender, and put it back.
+    OutOfService,
+    /// Idle clients come, more than a sender has descriptors; some stop within a request.
+    Crowd,
     /// A sender is held up for 0.15 s, again and again.
     HeldUp,
     /// A sender reads its configuration anew, several times in a row.
@@ -24,6 +42,8 @@
     SocketIo,
     /// A sender's accepts fail with this error number.
     Accept(i32),
+    /// Each write of a sender to a file takes so many milliseconds more.
+    SlowDisk(u64),
     /// A sender can read no file: this error number.
     FileRead(i32),
     /// A sender's calls on sockets lack memory now and then.
@@ -36,6 +56,10 @@
     Outage,
     /// An endpoint says nothing.
     Hangs,
+    /// An endpoint is cut off: nothing that is sent comes, and its connections are reset when it is back.
+    Cut,
+    /// An endpoint carries calls out and ends the connection within its answer.
+    CutAnswers,
     /// An endpoint resets connections after it has carried calls out.
     Resets,
     /// An endpoint turns calls away.
@@ -46,12 +70,41 @@
     Drain,
     /// The list service is down.
     ListDown,
+    /// The list service says nothing, also on open watches.
+    ListSilent,
+}
+
+/// Signals in a row.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Series {
+    /// Reloads round one to end.
+    ReloadsAndEnd,
+    /// To end, twice.
+    EndTwice,
+    /// To end, and a reload behind it.
+    EndAndReload,
 }
 
 impl Kind {
     /// Whether a sender's process gets a signal: two of these wait for each other.
     pub const fn is_signal(self) -> bool {
-        matches!(self, Self::Kill | Self::Restart | Self::HeldUp | Self::Reload)
+        matches!(
+            self,
+            Self::Kill
+                | Self::Restart
+                | Self::Signals(_)
+                | Self::SignalsAtStart(_)
+                | Self::KillBehindPromise
+                | Self::HandOver
+                | Self::HandOverKill(..)
+                | Self::HeldUp
+                | Self::Reload
+        )
+    }
+
+    /// Whether a new process takes over.
+    pub const fn is_hand_over(self) -> bool {
+        matches!(self, Self::HandOver | Self::HandOverKill(..))
     }
 }
 
@@ -87,6 +140,8 @@
     pub span: Duration,
     /// Troubles.
     pub troubles: usize,
+    /// Hand-overs in place of half of the signals.
+    pub many_hand_overs: bool,
 }
 
 const HOUR_MICROS: i64 = 3_600_000_000;
@@ -106,37 +161,71 @@
                 moment = QUIET + room.mul_f64(random.f64());
                 concerned = random.usize(..all);
             }
-            let kind = kind(&mut random);
+            let hand_over = size.many_hand_overs && random.bool();
+            let kind = if hand_over { hand_over_kind(&mut random) } else { kind(&mut random) };
             // Half of the others meet the same sender or endpoint: what goes wrong together is looked for.
             let which = if random.bool() { concerned } else { random.usize(..all) };
+            let which = if kind.is_hand_over() { platform_held(which % size.senders) } else { which };
             let from = moment + Duration::from_millis(random.u64(..400));
             Trouble { kind, which, from, span: Duration::from_millis(random.u64(300..3_000)) }
         })
         .collect()
 }
 
+/// A hand-over takes some tens of milliseconds; kills come at any step of it, and a little behind it.
+const HAND_OVER_MILLIS: u64 = 150;
+/// A start takes as long.
+const START_MILLIS: u64 = 100;
+
+/// Beyond this the disk carries less than comes in.
+const SLOW_DISK_MILLIS: std::ops::Range<u64> = 5..25;
+
+fn hand_over_kind(random: &mut fastrand::Rng) -> Kind {
+    let after = random.u64(..HAND_OVER_MILLIS);
+    match random.u8(..4) {
+        0..=1 => Kind::HandOver,
+        2 => Kind::HandOverKill(Side::Old, after),
+        _ => Kind::HandOverKill(Side::New, after),
+    }
+}
+
 fn kind(random: &mut fastrand::Rng) -> Kind {
-    match random.u8(..24) {
-        0..=1 => Kind::Kill,
-        2..=3 => Kind::Restart,
-        4 => Kind::HeldUp,
-        5 => Kind::Reload,
-        6 => Kind::Clock(if random.bool() { HOUR_MICROS } else { -HOUR_MICROS }),
-        7 => Kind::Clock(random.i64(-5_000_000..5_000_000)),
-        8 => Kind::Connect(if random.bool() { libc::EADDRNOTAVAIL } else { libc::ENFILE }),
-        9 => Kind::FileWrite(if random.bool() { libc::ENOSPC } else { libc::EIO }),
-        10 => Kind::SocketIo,
-        11 => Kind::Accept(if random.bool() { libc::ECONNABORTED } else { libc::ENFILE }),
-        12 => Kind::Hangs,
-        13 => Kind::Resets,
-        14 => Kind::Full,
-        15 => Kind::Slow,
-        16 => Kind::Drain,
-        17 => Kind::FileRead(if random.bool() { libc::ENFILE } else { libc::EIO }),
-        18 => Kind::Memory(if random.bool() { libc::ENOMEM } else { libc::ENOBUFS }),
-        19 => Kind::Socket(if random.bool() { libc::ENFILE } else { libc::ENOBUFS }),
-        20 => Kind::NotesLost(random.u32(300..1_000)),
-        21..=22 => Kind::Outage,
-        _ => Kind::ListDown,
+    match random.u8(..36) {
+        0 => Kind::Kill,
+        1 => Kind::KillBehindPromise,
+        2 => Kind::Restart,
+        3 => Kind::Signals(match random.u8(..3) {
+            0 => Series::ReloadsAndEnd,
+            1 => Series::EndTwice,
+            _ => Series::EndAndReload,
+        }),
+        4 => Kind::SignalsAtStart(random.u64(..START_MILLIS)),
+        5..=7 => hand_over_kind(random),
+        8 => Kind::Standby,
+        9 => Kind::OutOfService,
+        10 => Kind::Crowd,
+        11 => Kind::HeldUp,
+        12..=13 => Kind::Reload,
+        14 => Kind::Clock(if random.bool() { HOUR_MICROS } else { -HOUR_MICROS }),
+        15 => Kind::Clock(random.i64(-5_000_000..5_000_000)),
+        16 => Kind::Connect(if random.bool() { libc::EADDRNOTAVAIL } else { libc::ENFILE }),
+        17 => Kind::FileWrite(if random.bool() { libc::ENOSPC } else { libc::EIO }),
+        18 => Kind::SlowDisk(random.u64(SLOW_DISK_MILLIS)),
+        19 => Kind::SocketIo,
+        20 => Kind::Accept(if random.bool() { libc::ECONNABORTED } else { libc::ENFILE }),
+        21 => Kind::Hangs,
+        22 => Kind::Cut,
+        23 => Kind::CutAnswers,
+        24 => Kind::Resets,
+        25 => Kind::Full,
+        26 => Kind::Slow,
+        27 => Kind::Drain,
+        28 => Kind::FileRead(if random.bool() { libc::ENFILE } else { libc::EIO }),
+        29 => Kind::Memory(if random.bool() { libc::ENOMEM } else { libc::ENOBUFS }),
+        30 => Kind::Socket(if random.bool() { libc::ENFILE } else { libc::ENOBUFS }),
+        31 => Kind::NotesLost(random.u32(300..1_000)),
+        32..=33 => Kind::Outage,
+        34 => Kind::ListDown,
+        _ => Kind::ListSilent,
     }
 }
--- a/crates/soak/src/play.rs
+++ b/crates/soak/src/play.rs
@@ -1,13 +1,17 @@
 //! One play: senders, their partners and clients, and the troubles of a plan.
 
-use crate::book::{Book, SlowStart, Violation};
-use crate::client;
+use crate::book::{Book, Violation};
+use crate::client::{self, Client};
+use crate::configuration::{self, DESCRIPTORS, MEMORY_MB, Place};
+use crate::crowd;
 use crate::notes::Notes;
-use crate::partners::{Endpoint, FIRST_REVISION, List, Manner, Member, list_service, shown};
-use crate::plan::{Kind, Size, Trouble};
-use crate::sender::Sender;
-use crate::topology::{is_apart, route};
+use crate::partners::{Endpoint, List, Manner, Member, list_service, shown};
+use crate::plan::{Kind, Series, Size, Trouble};
+use crate::sender::{Configure, Sender, Setting};
+use crate::topology::{is_held, route};
+use fastrand::Rng;
 use notchpoint_faults::Word;
+use rustix::process::Signal;
 use std::io;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -21,6 +25,15 @@
 const CLIENTS_EACH: u64 = 2;
 /// After the last message's time: notices, and restarts that are still under way.
 const AFTERWARDS: Duration = Duration::from_secs(3);
+/// Idle connections end within this.
+const SETTLED: Duration = Duration::from_secs(12);
+/// Connections to the list service, for notices and for operators that may stand then and did not before.
+const STANDING: usize = 6;
+/// A sender that is drained tells the front so within this; the platform's page allows four seconds.
+const DRAINED: Duration = Duration::from_secs(1);
+/// Operators try a word again for so long where it was not heeded.
+const OPERATORS: Duration = Duration::from_secs(6);
+const OPERATORS_AGAIN: Duration = Duration::from_millis(200);
 const HALF: u32 = 500;
 const MOST: u32 = 950;
 const RELOADS: usize = 4;
@@ -31,66 +44,38 @@
 const FIRST_ENDPOINT: usize = 100;
 /// How often it is looked what senders hold.
 const LIMITS_LOOK: Duration = Duration::from_millis(200);
-const MEMORY_MB: u64 = 192;
-const DESCRIPTORS: usize = 256;
-/// What destinations bear: so many times what comes in for them, and see `safety` in the configuration.
-const HEADROOM: f64 = 10.0 / 7.0;
-const COLD: Duration = Duration::from_millis(9_200);
-const START_SHARE: f64 = 0.17;
-const OVERLOAD_FACTOR: f64 = 2.0;
-const TIP_AFTER: Duration = Duration::from_secs(2);
 /// An outage that leaves a destination cold lasts so long beyond the trouble's span.
 const OUTAGE: Duration = Duration::from_secs(3);
 
 /// Plays of this process so far.
 static PLAYS: AtomicU32 = AtomicU32::new(0);
 
+/// What a play saw.
+#[derive(Clone, Copy, Debug)]
+pub struct Counts {
+    /// Messages that clients were promised.
+    pub promised: usize,
+    /// Messages that were delivered.
+    pub delivered: usize,
+    /// Messages that were ended by a notice.
+    pub ended: usize,
+    /// Hand-overs that were begun.
+    pub hand_overs: usize,
+    /// How late this machine woke its threads at the worst.
+    pub lag: Duration,
+}
+
 /// What a play came to.
 #[derive(Debug)]
 pub struct Outcome {
-    /// Messages that were promised, delivered, and ended by a notice.
-    pub counts: (usize, usize, usize),
+    /// What it saw.
+    pub counts: Counts,
     /// Broken rules.
     pub violations: Vec<Violation>,
     /// What was seen of the first message that is concerned, and the end of its sender's log.
     pub timeline: String,
 }
 
-/// Where a sender finds its neighbours.
-struct Place {
-    listen: SocketAddr,
-    notes: SocketAddr,
-    discovery: SocketAddr,
-}
-
-/// The configuration of a sender.
-fn config(number: usize, seed: u64, place: &Place, notes: &Notes, members: &str) -> String {
-    let Place { listen, notes: own, discovery } = place;
-    let peers: Vec<String> = notes.peers[number].iter().map(|peer| format!("\"{peer}\"")).collect();
-    let (peers, siblings, to_all) = (peers.join(","), peers.len(), notes.to_all[number]);
-    let (cold, tip) = (COLD.as_secs_f64(), TIP_AFTER.as_secs_f64());
-    format!(
-        r#"{{"name": "n{number}", "listen": "{listen}", "discovery": "{discovery}", "seed": "{seed:016x}",
- "limits": {{"cores": 1.0, "memory_mb": {MEMORY_MB}, "sockets": {DESCRIPTORS}, "disk_mb": 3}},
- "peer_listen": "{own}", "peers": [{peers}], "peers_all": "{to_all}",
- "known": {{"revision": {FIRST_REVISION}, "complete": true, "members": [{members}]}},
- "settings": {{
-  "bounds": {{"cancelling": true, "connIdleS": 5.0, "connectTimeoutS": 1.5, "maxAttempts": 8,
-    "maxRetryAfterS": 2.0, "mostHeld": 230, "multiplex": 1, "parallelTries": true, "peerMessages": true,
-    "retryAfter": true}},
-  "classes": [
-    {{"name": "update", "effect": "idempotent", "sloS": 1.0, "deadlineS": 6.0, "worth": 1.0}},
-    {{"name": "payment", "effect": "at_most_once", "sloS": 2.0, "deadlineS": 6.0, "worth": 3.0}}],
-  "clients": {{"marksRetry": true}}, "discovery": "ask",
-  "familyInfo": {{"bundleMax": [1, 20], "fades": "by_half", "kindApart": [false, true], "slots": 7}},
-  "kinds": ["shop", "chain"], "locality": "a", "me": {number}, "overShareWorth": 0.2,
-  "parties": [{{"allowancePerS": 24.0, "name": "acme", "share": 1.0}}],
-  "safety": {{"coldS": {cold}, "startCapacity": {START_SHARE}, "overloadFactor": {OVERLOAD_FACTOR},
-    "tipAfterS": {tip}}},
-  "siblings": {siblings}, "tickS": 0.005, "zones": ["a"]}}}}"#
-    )
-}
-
 /// Where a sender or an endpoint is reached. Its address is nobody else's on the loopback network, so that
 /// while it is down no other socket can get its port: another play's messages would come in there.
 fn address(play_number: u32, number: usize, port: u16) -> SocketAddr {
@@ -99,19 +84,6 @@
     SocketAddr::from(([127, 64 + high % 64, low, number as u8 + 1], port))
 }
 
-/// What a route bears after an outage: all senders' messages come in for its destination in the mean.
-fn slow_start(size: &Size, route: usize) -> SlowStart {
-    let comes = size.senders as f64 * CLIENTS_EACH as f64 / EVERY.as_secs_f64() / size.dests as f64;
-    let endpoints = if is_apart(route / 2) { 2.0 } else { 1.0 };
-    SlowStart {
-        capacity: comes * HEADROOM / endpoints,
-        start_share: START_SHARE,
-        cold: COLD,
-        factor: OVERLOAD_FACTOR,
-        window: TIP_AFTER,
-    }
-}
-
 struct World {
     senders: Vec<Arc<Sender>>,
     endpoints: Vec<Arc<Endpoint>>,
@@ -139,19 +111,22 @@
     }
     let senders: Vec<_> = (0..size.senders)
         .map(|number| {
-            let discovery = list_service(number, &list, &book)?;
-            let listen = address(play_number, number, PORT);
-            let place = Place { listen, notes: readers[number], discovery };
+            let discovery = [list_service(number, &list, &book)?, list_service(number, &list, &book)?];
+            let address = address(play_number, number, PORT);
+            let place = Place { listen: address, notes: readers[number], discovery };
             let (list, told, notes) = (list.clone(), book.clone(), notes.clone());
-            let configure = move || {
+            let configure: Configure = Box::new(move |reloads| {
                 let known = |mut member: Member| {
                     member.drains = told.knows_drain(number, member.endpoint);
                     shown(&member)
                 };
                 let members: Vec<String> = list.since(0).0.into_iter().map(known).collect();
-                config(number, seed ^ number as u64, &place, &notes, &members.join(","))
-            };
-            Sender::new(number, program, folder.path(), listen, Box::new(configure), &book)
+                let seed = seed ^ number as u64;
+                configuration::text(number, seed, &place, &notes, &members.join(","), reloads)
+            });
+            let (program, held) = (program.to_owned(), is_held(number));
+            let setting = Setting { program, address, held, configure };
+            Sender::new(number, folder.path(), setting, &book)
         })
         .collect::<io::Result<_>>()?;
     thread::scope(|scope| {
@@ -159,6 +134,7 @@
             scope.spawn(|| started(&book, sender.start()));
         }
     });
+    let before: Vec<usize> = senders.iter().map(|sender| sender.descriptors()).collect();
     let turns = endpoints.iter().map(|_| Mutex::default()).collect();
     let world = Arc::new(World { senders, endpoints, list, notes, turns });
     let begun = Instant::now();
@@ -166,14 +142,15 @@
     thread::scope(|scope| {
         for sender in &world.senders {
             for n in 0..CLIENTS_EACH {
-                let (book, dests) = (&*book, size.dests);
                 let own = seed.wrapping_mul(31).wrapping_add(sender.number as u64 * CLIENTS_EACH + n);
-                scope.spawn(move || client::run(sender, dests, EVERY, until, book, own));
+                let random = Rng::with_seed(own);
+                let client = Client { sender, dests: size.dests, book: &book, random };
+                scope.spawn(move || client.run(EVERY, until));
             }
         }
         scope.spawn(|| {
             while Instant::now() < until {
-                world.senders.iter().for_each(|sender| sender.check_limits(DESCRIPTORS, MEMORY_MB));
+                world.senders.iter().for_each(|sender| check_limits(sender, &book));
                 thread::sleep(LIMITS_LOOK);
             }
         });
@@ -195,7 +172,9 @@
         }
     });
     thread::sleep((until + client::TIME + AFTERWARDS).saturating_duration_since(Instant::now()));
-    let violations = book.violations(|route| slow_start(size, route));
+    check_leaks(&world.senders, &before, &book);
+    let comes = size.senders as f64 * CLIENTS_EACH as f64 / EVERY.as_secs_f64() / size.dests as f64;
+    let violations = book.violations(|route| configuration::slow_start(comes, route));
     let first = violations.iter().find_map(|violation| violation.message);
     let timeline = first.map(|id| book.timeline(id)).unwrap_or_default();
     world.senders.iter().for_each(|sender| sender.end());
@@ -207,7 +186,37 @@
         let named = |sender: &&Arc<Sender>| timeline.contains(&format!("to sender {}\n", sender.number));
         world.senders.iter().filter(named).map(log).collect()
     };
-    Ok(Outcome { counts: book.counts(), violations, timeline: timeline + &logs })
+    let (promised, delivered, ended) = book.counts();
+    let hand_overs = world.senders.iter().map(|sender| sender.hand_overs()).sum();
+    let counts = Counts { promised, delivered, ended, hand_overs, lag: book.worst_lag() };
+    Ok(Outcome { counts, violations, timeline: timeline + &logs })
+}
+
+/// What a sender's processes hold is within what it may hold.
+fn check_limits(sender: &Sender, book: &Book) {
+    let (number, open, kilobytes) = (sender.number, sender.descriptors(), sender.kilobytes());
+    if open > DESCRIPTORS {
+        book.broken("descriptors", format!("sender {number} holds {open} descriptors"));
+    }
+    if kilobytes > MEMORY_MB * 1_024 {
+        book.broken("memory", format!("sender {number} takes {kilobytes} kB"));
+    }
+}
+
+/// After a play, with no client and nothing to send, senders hold no more than before it.
+fn check_leaks(senders: &[Arc<Sender>], before: &[usize], book: &Book) {
+    let begun = Instant::now();
+    let leaks = || {
+        let held = senders.iter().zip(before).map(|(sender, before)| (sender, *before, sender.descriptors()));
+        held.filter(|(_, before, now)| *now > before + STANDING).collect::<Vec<_>>()
+    };
+    while begun.elapsed() < SETTLED && !leaks().is_empty() {
+        thread::sleep(LIMITS_LOOK);
+    }
+    for (sender, before, now) in leaks() {
+        let what = format!("sender {} holds {now} descriptors at rest for {before} before", sender.number);
+        book.broken("leak", what);
+    }
 }
 
 fn started(book: &Book, result: io::Result<()>) {
@@ -251,7 +260,20 @@
         };
         match trouble.kind {
             Kind::Kill => started(book, sender.kill_and_start()),
-            Kind::Restart => started(book, sender.restart()),
+            Kind::Restart => started(book, sender.restart(&[Signal::TERM])),
+            Kind::Signals(series) => started(book, sender.restart(signals(series))),
+            Kind::SignalsAtStart(millis) => {
+                let signals = [Signal::TERM, Signal::HUP];
+                started(book, sender.signals_at_start(&signals, Duration::from_millis(millis)));
+            }
+            Kind::KillBehindPromise => started(book, sender.kill_behind_a_promise()),
+            Kind::HandOver => started(book, sender.hand_over(None)),
+            Kind::HandOverKill(side, millis) => {
+                started(book, sender.hand_over(Some((side, Duration::from_millis(millis)))));
+            }
+            Kind::Standby => stand_by(sender, trouble.span),
+            Kind::OutOfService => take_out(sender, number, trouble.span, book),
+            Kind::Crowd => crowd::come(sender.address(), trouble.span),
             Kind::HeldUp => {
                 let begun = Instant::now();
                 while begun.elapsed() < trouble.span {
@@ -267,6 +289,11 @@
             }
             Kind::SocketIo => fails(&[(Word::SocketIo, libc::EINTR, HALF / 2), (Word::ShortIo, 0, HALF)]),
             Kind::Accept(errno) => fails(&[(Word::Accept, errno, HALF)]),
+            Kind::SlowDisk(millis) => {
+                let _ = sender.faults.slow_writes(Duration::from_millis(millis));
+                thread::sleep(trouble.span);
+                let _ = sender.faults.slow_writes(Duration::ZERO);
+            }
             Kind::FileRead(errno) => fails(&[(Word::FileRead, errno, MOST)]),
             Kind::Memory(errno) => fails(&[(Word::SocketIo, errno, HALF / 2)]),
             Kind::Socket(errno) => fails(&[(Word::Socket, errno, HALF)]),
@@ -277,6 +304,8 @@
             }
             Kind::Outage => self.outage(number, trouble.span + OUTAGE, book),
             Kind::Hangs => misbehaves(Manner::Hangs),
+            Kind::Cut => misbehaves(Manner::Cut),
+            Kind::CutAnswers => misbehaves(Manner::CutAnswers),
             Kind::Resets => misbehaves(Manner::Resets),
             Kind::Full => misbehaves(Manner::Full),
             Kind::Slow => misbehaves(Manner::Slow),
@@ -290,6 +319,48 @@
                 thread::sleep(trouble.span);
                 self.list.set_down(false);
             }
+            Kind::ListSilent => {
+                self.list.set_silent(true);
+                thread::sleep(trouble.span);
+                self.list.set_silent(false);
+            }
         }
     }
 }
+
+const fn signals(series: Series) -> &'static [Signal] {
+    match series {
+        Series::ReloadsAndEnd => &[Signal::HUP, Signal::HUP, Signal::TERM, Signal::HUP],
+        Series::EndTwice => &[Signal::TERM, Signal::TERM],
+        Series::EndAndReload => &[Signal::TERM, Signal::HUP],
+    }
+}
+
+/// An operator's word, again until it is heeded. Whether it was in time.
+fn heeded(sender: &Sender, line: &str) -> bool {
+    let begun = Instant::now();
+    while begun.elapsed() < OPERATORS {
+        if sender.ask(line) == Some(200) {
+            return true;
+        }
+        thread::sleep(OPERATORS_AGAIN);
+    }
+    false
+}
+
+fn stand_by(sender: &Sender, span: Duration) {
+    if heeded(sender, "POST /standby") {
+        thread::sleep(DRAINED + span);
+        heeded(sender, "POST /active");
+    }
+}
+
+/// From the yes on nothing may be sent there, until it is put back.
+fn take_out(sender: &Sender, endpoint: usize, span: Duration, book: &Book) {
+    if heeded(sender, &format!("POST /maintenance/enter?name=e-{endpoint}")) {
+        book.out_of_service(sender.number, endpoint, true);
+        thread::sleep(span);
+        book.out_of_service(sender.number, endpoint, false);
+        heeded(sender, &format!("POST /maintenance/exit?name=e-{endpoint}"));
+    }
+}
--- a/crates/soak/src/sender.rs
+++ b/crates/soak/src/sender.rs
@@ -1,14 +1,17 @@
-//! One real process of the sender, its folder and what it is told from outside.
+//! One sender: its folder, its processes one after another, and what is done to them from outside.
 
 use crate::book::Book;
+use crate::process::Process;
 use notchpoint_faults::Faults;
+use rustix::process::Signal;
 use std::fs;
-use std::io::{self, BufRead, BufReader};
-use std::net::SocketAddr;
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::process::{Command, Stdio};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -22,67 +25,134 @@
 const REST: Duration = Duration::from_millis(600);
 /// It is held up for this between two of its steps.
 const HELD_UP: Duration = Duration::from_millis(150);
+/// Between two signals of a series.
+const BETWEEN_SIGNALS: Duration = Duration::from_millis(2);
+/// A kill that is to come behind a promise comes after this at the latest.
+const PROMISE: Duration = Duration::from_secs(1);
 const LOOK: Duration = Duration::from_millis(5);
 
-/// Gives a sender's configuration as it is at a start: with the list as this sender last had it.
-pub type Configure = Box<dyn Fn() -> String + Send + Sync>;
+/// Gives a sender's configuration as it is at a start or reload: with the list as this sender last had it.
+/// Every second one differs from the ones between.
+pub type Configure = Box<dyn Fn(usize) -> String + Send + Sync>;
+
+/// One of the two processes of a hand-over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Side {
+    /// The one that serves.
+    Old,
+    /// The one that takes over.
+    New,
+}
+
+/// What is the same for all processes of a sender.
+pub struct Setting {
+    /// The program.
+    pub program: PathBuf,
+    /// Where clients connect, which stays over restarts.
+    pub address: SocketAddr,
+    /// The platform holds the clients' socket, and processes may take over from one another.
+    pub held: bool,
+    /// Makes its configuration.
+    pub configure: Configure,
+}
 
 /// One sender.
 pub struct Sender {
     /// Its number in the book.
     pub number: usize,
-    /// Where clients connect, which stays over restarts.
-    pub address: SocketAddr,
     /// What makes its system calls fail.
     pub faults: Faults,
+    setting: Setting,
     folder: PathBuf,
-    program: PathBuf,
-    config: Configure,
-    child: Mutex<Option<Child>>,
+    held: Option<TcpListener>,
+    process: Mutex<Option<Process>>,
+    /// The one before it, while both are there.
+    before: Mutex<Option<Process>>,
     accepts: AtomicBool,
+    /// It is to be killed as soon as a client hears a promise.
+    dies_at_promise: AtomicBool,
+    reloads: AtomicUsize,
+    hand_overs: AtomicUsize,
     book: Arc<Book>,
 }
 
-/// Sends a signal to a process.
-fn signal(child: &Child, name: &str) {
-    let _ = Command::new("kill").args([name, &child.id().to_string()]).status();
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Waits until something holds. Whether it did in time.
+fn within(time: Duration, mut holds: impl FnMut() -> bool) -> bool {
+    let begun = Instant::now();
+    while !holds() {
+        if begun.elapsed() > time {
+            return false;
+        }
+        thread::sleep(LOOK);
+    }
+    true
 }
 
 impl Sender {
-    /// Prepares a sender that clients reach at this address, with a configuration made anew for each start.
+    /// Prepares a sender, with a configuration made anew for each start.
     ///
     /// # Errors
-    /// Its folder cannot be made.
-    pub fn new(
-        number: usize,
-        program: &Path,
-        within: &Path,
-        address: SocketAddr,
-        config: Configure,
-        book: &Arc<Book>,
-    ) -> io::Result<Arc<Self>> {
+    /// Its folder cannot be made, or its address cannot be had.
+    pub fn new(number: usize, within: &Path, setting: Setting, book: &Arc<Book>) -> io::Result<Arc<Self>> {
         let folder = within.join(format!("n{number}"));
         fs::create_dir_all(folder.join("state"))?;
+        let held = setting.held.then(|| TcpListener::bind(setting.address)).transpose()?;
         Ok(Arc::new(Self {
             number,
-            address,
             faults: Faults::create(&folder.join("faults"))?,
+            setting,
             folder,
-            program: program.to_owned(),
-            config,
-            child: Mutex::default(),
+            held,
+            process: Mutex::default(),
+            before: Mutex::default(),
             accepts: AtomicBool::new(false),
+            dies_at_promise: AtomicBool::new(false),
+            reloads: AtomicUsize::new(0),
+            hand_overs: AtomicUsize::new(0),
             book: book.clone(),
         }))
     }
 
+    /// Where clients connect.
+    pub fn address(&self) -> SocketAddr {
+        self.setting.address
+    }
+
     /// Whether clients may open connections to it.
     pub fn accepts(&self) -> bool {
         self.accepts.load(Ordering::Relaxed)
     }
 
-    fn child(&self) -> std::sync::MutexGuard<'_, Option<Child>> {
-        self.child.lock().unwrap_or_else(PoisonError::into_inner)
+    /// Hand-overs that were begun.
+    pub fn hand_overs(&self) -> usize {
+        self.hand_overs.load(Ordering::Relaxed)
+    }
+
+    fn write_configuration(&self) -> io::Result<()> {
+        let text = (self.setting.configure)(self.reloads.load(Ordering::Relaxed));
+        // Whole or not at all: it is read at any moment.
+        let next = self.folder.join("config.next");
+        fs::write(&next, text)?;
+        fs::rename(next, self.folder.join("config.json"))
+    }
+
+    fn spawn(&self) -> io::Result<Process> {
+        self.write_configuration()?;
+        let mut command = Command::new(&self.setting.program);
+        notchpoint_faults::preload(&self.folder.join("faults"), &mut command)?;
+        if let Some(held) = &self.held {
+            let socket: OwnedFd = held.try_clone()?.into();
+            command.stdin(Stdio::from(socket)).env("BALANCER_ACCEPT_FD", "0");
+        }
+        command
+            .env("TMPDIR", &self.folder)
+            .env("BALANCER_CONFIG", self.folder.join("config.json"))
+            .env("BALANCER_STATE", self.folder.join("state"));
+        Process::start(command, self.folder.join("log"), self.number, &self.book)
     }
 
     /// Starts its process, and waits until that is ready.
@@ -90,54 +160,28 @@
     /// # Errors
     /// It cannot be started.
     pub fn start(&self) -> io::Result<()> {
-        let begun = Instant::now();
-        fs::write(self.folder.join("config.json"), (self.config)())?;
-        let mut command = Command::new(&self.program);
-        notchpoint_faults::preload(&self.folder.join("faults"), &mut command)?;
-        command
-            .env("TMPDIR", &self.folder)
-            .env("BALANCER_CONFIG", self.folder.join("config.json"))
-            .env("BALANCER_STATE", self.folder.join("state"))
-            .stdout(Stdio::piped())
-            .stderr(Stdio::piped());
-        let mut child = command.spawn()?;
-        let (out, err) = (child.stdout.take(), child.stderr.take());
-        let ready = Arc::new(AtomicBool::new(false));
-        let (told, log) = (ready.clone(), self.folder.join("log"));
-        thread::spawn(move || {
-            let mut kept = String::new();
-            for line in out.into_iter().flat_map(|out| BufReader::new(out).lines().map_while(Result::ok)) {
-                told.fetch_or(line.contains("listening on "), Ordering::Relaxed);
-                kept += &line;
-                kept.push('\n');
-            }
-            let _ = fs::OpenOptions::new()
-                .create(true)
-                .append(true)
-                .open(log)
-                .and_then(|mut file| io::Write::write_all(&mut file, kept.as_bytes()));
-        });
-        let (book, number) = (self.book.clone(), self.number);
-        thread::spawn(move || {
-            for line in err.into_iter().flat_map(|err| BufReader::new(err).lines().map_while(Result::ok)) {
-                book.broken("crash", format!("sender {number} said: {line}"));
-            }
+        let process = self.spawn()?;
+        self.serve(process);
+        Ok(())
+    }
+
+    /// Waits until a process is ready; from then on it is the one that serves.
+    fn serve(&self, mut process: Process) {
+        let mut ended = None;
+        let ready = within(READY, || {
+            ended = process.ended();
+            ended.is_some() || process.is_ready()
         });
-        while !ready.load(Ordering::Relaxed) {
-            if let Ok(Some(status)) = child.try_wait() {
-                self.book.broken("start", format!("sender {number} ended at its start: {status}"));
-                return Ok(());
-            }
-            if begun.elapsed() > READY {
-                self.book.broken("start", format!("sender {number} was not ready in {READY:?}"));
-                break;
-            }
-            thread::sleep(LOOK);
+        if let Some(status) = ended {
+            self.book.broken("start", format!("sender {} ended at its start: {status}", self.number));
+            return;
+        }
+        if !ready {
+            self.book.broken("start", format!("sender {} was not ready in {READY:?}", self.number));
         }
-        *self.child() = Some(child);
+        *lock(&self.process) = Some(process);
         self.book.up(self.number);
         self.accepts.store(true, Ordering::Relaxed);
-        Ok(())
     }
 
     /// Ends it as SIGKILL does, and starts it again after a moment.
@@ -145,80 +189,208 @@
     /// # Errors
     /// It cannot be started again.
     pub fn kill_and_start(&self) -> io::Result<()> {
-        self.book.down(self.number);
+        self.kill();
         self.accepts.store(false, Ordering::Relaxed);
-        self.end();
         thread::sleep(REST);
         self.start()
     }
 
-    /// Ends it as a planned restart does, and starts it again.
+    fn kill(&self) {
+        self.book.down(self.number);
+        self.end();
+    }
+
+    /// The same, right behind the next 202 that a client hears.
+    ///
+    /// # Errors
+    /// It cannot be started again.
+    pub fn kill_behind_a_promise(&self) -> io::Result<()> {
+        self.dies_at_promise.store(true, Ordering::Relaxed);
+        within(PROMISE, || !self.dies_at_promise.load(Ordering::Relaxed));
+        self.dies_at_promise.store(false, Ordering::Relaxed);
+        self.kill_and_start()
+    }
+
+    /// A client has heard a promise.
+    pub fn has_promised(&self) {
+        if self.dies_at_promise.swap(false, Ordering::Relaxed) {
+            self.book.down(self.number);
+            if let Some(process) = &*lock(&self.process) {
+                process.signal(Signal::KILL);
+            }
+        }
+    }
+
+    /// Ends it as a planned restart does, by these signals in a row, and starts it again.
     ///
     /// # Errors
     /// It cannot be started again.
-    pub fn restart(&self) -> io::Result<()> {
+    pub fn restart(&self, signals: &[Signal]) -> io::Result<()> {
         let told = Instant::now();
-        if let Some(child) = &*self.child() {
-            signal(child, "-TERM");
+        self.book.told_to_end(self.number);
+        for signal in signals {
+            self.signal(*signal);
+            thread::sleep(BETWEEN_SIGNALS);
         }
         thread::sleep(COMING);
         self.accepts.store(false, Ordering::Relaxed);
-        while told.elapsed() < KILL_AFTER && !self.has_ended() {
-            thread::sleep(LOOK);
-        }
+        within(KILL_AFTER.saturating_sub(told.elapsed()), || self.has_ended());
         self.book.down(self.number);
         self.end();
         thread::sleep(REST);
         self.start()
     }
 
+    /// Sends signals while it starts, so long after it was begun. It may end by them; then it is started anew.
+    ///
+    /// # Errors
+    /// It cannot be started again.
+    pub fn signals_at_start(&self, signals: &[Signal], after: Duration) -> io::Result<()> {
+        self.kill();
+        self.accepts.store(false, Ordering::Relaxed);
+        thread::sleep(REST);
+        let mut process = self.spawn()?;
+        thread::sleep(after);
+        signals.iter().for_each(|signal| process.signal(*signal));
+        if within(KILL_AFTER, || process.ended().is_some()) {
+            // Before it heeds signals they end it as the system does, with no code.
+            let code = process.ended().and_then(|status| status.code());
+            if code.is_some_and(|code| code != 0) {
+                self.book.broken("crash", format!("sender {} ended at its start: {code:?}", self.number));
+            }
+        }
+        drop(process);
+        thread::sleep(REST);
+        self.start()
+    }
+
     fn has_ended(&self) -> bool {
-        let mut child = self.child();
-        let Some(Ok(Some(status))) = child.as_mut().map(Child::try_wait) else { return false };
+        let mut process = lock(&self.process);
+        let Some(status) = process.as_mut().and_then(Process::ended) else { return false };
         if !status.success() {
             self.book.broken("crash", format!("sender {} ended: {status}", self.number));
         }
         true
     }
 
-    /// Has its configuration read anew, as it is.
-    pub fn reload(&self) {
-        if let Some(child) = &*self.child() {
-            signal(child, "-HUP");
+    fn signal(&self, signal: Signal) {
+        if let Some(process) = &*lock(&self.process) {
+            process.signal(signal);
+        }
+    }
+
+    /// A new process takes over from the one that serves. One of the two may be killed so long after the new
+    /// one was begun.
+    ///
+    /// # Errors
+    /// It cannot be started.
+    pub fn hand_over(&self, killed: Option<(Side, Duration)>) -> io::Result<()> {
+        if self.held.is_none() || lock(&self.process).is_none() {
+            return Ok(());
+        }
+        self.hand_overs.fetch_add(1, Ordering::Relaxed);
+        let begun = Instant::now();
+        let mut new = self.spawn()?;
+        if let Some((side, after)) = killed {
+            thread::sleep(after.saturating_sub(begun.elapsed()));
+            if side == Side::New {
+                self.book.down(self.number);
+                new.kill();
+                return self.goes_on();
+            }
+            self.kill();
+        }
+        let mut ended = None;
+        let ready = within(READY, || {
+            ended = new.ended();
+            ended.is_some() || new.is_ready() && new.says_yes()
+        });
+        if !ready || ended.is_some() {
+            let what = format!("sender {}: no hand-over in {READY:?}, ended: {ended:?}", self.number);
+            self.book.broken("hand-over", what);
+        }
+        let old = lock(&self.process).replace(new);
+        *lock(&self.before) = old;
+        if killed.is_some() {
+            self.book.up(self.number);
+        }
+        self.retire();
+        Ok(())
+    }
+
+    /// The process before the one that serves is told to end, and killed where it does not in time.
+    fn retire(&self) {
+        if let Some(before) = &*lock(&self.before) {
+            before.signal(Signal::TERM);
         }
+        within(KILL_AFTER, || {
+            let mut before = lock(&self.before);
+            let Some(status) = before.as_mut().map(Process::ended) else { return true };
+            if let Some(status) = status.filter(|status| !status.success()) {
+                self.book.broken("crash", format!("sender {}: handed over, ended: {status}", self.number));
+            }
+            status.is_some()
+        });
+        lock(&self.before).take();
     }
 
-    /// Looks at what its process holds.
-    pub fn check_limits(&self, descriptors: usize, memory_mb: u64) {
-        let Some(pid) = self.child().as_ref().map(Child::id) else { return };
-        let open = fs::read_dir(format!("/proc/{pid}/fd")).map_or(0, Iterator::count);
-        if open > descriptors {
-            self.book.broken("descriptors", format!("sender {} holds {open} descriptors", self.number));
+    /// The new process of a hand-over is gone: the old one serves, or has left already and is started.
+    fn goes_on(&self) -> io::Result<()> {
+        let mut left = false;
+        let serves = within(READY, || {
+            let mut process = lock(&self.process);
+            left = process.as_mut().is_none_or(|process| process.ended().is_some());
+            left || process.as_ref().is_some_and(Process::says_yes)
+        });
+        if left {
+            return self.start();
         }
-        let status = fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
-        let resident = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-        let kilobytes: u64 =
-            resident.and_then(|text| text.split_whitespace().next()?.parse().ok()).unwrap_or_default();
-        if kilobytes > memory_mb * 1_024 {
-            self.book.broken("memory", format!("sender {} takes {kilobytes} kB", self.number));
+        if !serves {
+            let what = format!("sender {}: the old process does not serve in {READY:?}", self.number);
+            self.book.broken("hand-over", what);
         }
+        self.book.up(self.number);
+        Ok(())
+    }
+
+    /// Has its configuration read anew, changed.
+    pub fn reload(&self) {
+        self.reloads.fetch_add(1, Ordering::Relaxed);
+        if self.write_configuration().is_ok() {
+            self.signal(Signal::HUP);
+        }
+    }
+
+    /// An operator's call, by its first line: the status of the answer, if there is one in time.
+    pub fn ask(&self, line: &str) -> Option<u16> {
+        lock(&self.process).as_ref()?.ask(line)
+    }
+
+    /// Descriptors that its processes hold.
+    pub fn descriptors(&self) -> usize {
+        self.sum(Process::descriptors)
+    }
+
+    /// Memory that its processes hold, in kilobytes.
+    pub fn kilobytes(&self) -> u64 {
+        self.sum(Process::kilobytes)
+    }
+
+    fn sum<T: std::iter::Sum>(&self, of: impl Fn(&Process) -> T) -> T {
+        let (process, before) = (lock(&self.process), lock(&self.before));
+        process.iter().chain(before.iter()).map(of).sum()
     }
 
     /// Holds it up for a moment.
     pub fn hold_up(&self) {
-        if let Some(child) = &*self.child() {
-            signal(child, "-STOP");
-            thread::sleep(HELD_UP);
-            signal(child, "-CONT");
-        }
+        self.signal(Signal::STOP);
+        thread::sleep(HELD_UP);
+        self.signal(Signal::CONT);
     }
 
     /// Ends it for good.
     pub fn end(&self) {
-        if let Some(mut child) = self.child().take() {
-            let _ = child.kill();
-            let _ = child.wait();
-        }
+        lock(&self.process).take();
     }
 
     /// The end of its log.
@@ -228,9 +400,3 @@
         all[all.len().saturating_sub(lines)..].join("\n")
     }
 }
-
-impl Drop for Sender {
-    fn drop(&mut self) {
-        self.end();
-    }
-}
