--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -11,7 +11,6 @@
 use crate::state::*;
 use notchpoint_limits::Says;
 use std::collections::{BTreeMap, BTreeSet};
-use unproven::UNHEARD_MOST;
 
 mod guard;
 mod notes;
@@ -547,7 +546,7 @@
         let (route, sent) = (route_id, now);
         let mut fresh = Call { route, endpoint, sent, overdue, late, idle, open, unheard, ..Call::default() };
         self.passed.insert(dest);
-        let mut unproven = UNHEARD_MOST;
+        let mut unproven = self.unheard_most(endpoint);
         for &id in &load {
             let timeout = self.timeout(&self.held[&id], &self.routes[&route_id]);
             fresh.until = fresh.until.max(now.saturating_add(timeout));
--- a/crates/policy/src/choice/unproven.rs
+++ b/crates/policy/src/choice/unproven.rs
@@ -7,8 +7,9 @@
 use super::*;
 
 /// So many messages that must not be repeated may be out on new connections of an endpoint that has not
-/// answered since.
-pub(super) const UNHEARD_MOST: u32 = 1;
+/// answered since: of one that answered lately, and of any other.
+const UNHEARD_KNOWN: u32 = 4;
+const UNHEARD_OTHER: u32 = 1;
 
 impl Sender {
     /// Whether a call there would try whether its route, or zone, serves again.
@@ -40,7 +41,14 @@
         if proven || self.is_trial(id) {
             return usize::MAX;
         }
-        UNHEARD_MOST.saturating_sub(e.unheard) as usize
+        self.unheard_most(id).saturating_sub(e.unheard) as usize
+    }
+
+    /// How many such messages may be out on new connections of an endpoint.
+    pub(super) fn unheard_most(&self, id: EndpointId) -> u32 {
+        let e = &self.endpoints[&id];
+        let lately = e.answered > 0 && self.now < e.answered + self.set.conn_idle;
+        if lately { UNHEARD_KNOWN } else { UNHEARD_OTHER }
     }
 
     pub(super) fn is_unsafe(&self, h: &Held) -> bool {
