What is out in an earlier life goes along with a hand-over, and is ended in time

Cause: a hand-over gave away what the present life knew; calls of an earlier life were known to nobody, and the next process took their messages for ones whose clients had not heard. Mend: those messages go along in the state, ends of such calls are told through all lives, a process stays until its earlier lives have ended, and whoever waits for another's word ends the message 50 ms behind its time. It holds since a message is always someone's from its deadline on.

--- a/crates/daemon/src/calls.rs
+++ b/crates/daemon/src/calls.rs
@@ -435,10 +435,7 @@
             if journal.get(id).is_some_and(|m| m.verdict.is_none()) {
                 journal.end(id);
             }
-        } else if matches!(
-            outcome,
-            Outcome::Full { .. } | Outcome::ConnectFailed | Outcome::Moot | Outcome::NotSent
-        ) {
+        } else if outcome.never_ran() {
             journal.never_ran(id, attempt);
         }
         if let (Outcome::Full { wait: Some(wait) }, Some(t)) = (outcome, self.targets.borrow().get(&endpoint))
--- a/crates/daemon/src/calls/passing.rs
+++ b/crates/daemon/src/calls/passing.rs
@@ -32,22 +32,24 @@
         *self.before.borrow_mut() = Some(before);
     }
 
-    /// An attempt that was taken over has ended. Of one that is not known, since this process began from the
-    /// folder, only that its message is delivered means something.
+    /// An attempt that was taken over has ended, or one that is not known here, since this life began from the
+    /// folder: what that means is for whoever owns the message by now.
     pub fn adopted_ended(&self, id: MessageId, attempt: u32, end: End) {
         let known = self.adopted.borrow_mut().remove(&(id, attempt));
         match known {
             Some(endpoint) => self.ended(endpoint, (id, attempt), end),
             None => {
-                if end.over || end.outcome == Outcome::Served {
-                    self.journal.borrow_mut().end(id);
-                    let _ = self.inputs.send(Input::Event(Event::Withdrawn(id)));
-                }
-                let _ = self.inputs.send(Input::Home(id));
+                let End { outcome, over, .. } = end;
+                let _ = self.inputs.send(Input::EndedElsewhere { id, attempt, outcome, over });
             }
         }
     }
 
+    /// Whether a process, or an earlier life of this one, may still tell of what is out there.
+    pub fn has_before(&self) -> bool {
+        self.before.borrow().is_some()
+    }
+
     /// The process that had them out has ended, and their connections with it.
     pub fn orphan(&self) {
         self.before.borrow_mut().take();
--- a/crates/daemon/src/input.rs
+++ b/crates/daemon/src/input.rs
@@ -3,7 +3,7 @@
 use crate::listing::Listing;
 use crate::operations::{No, Word};
 use crate::settings::config::Config;
-use notchpoint_policy::{DestinationId, Event, Message, MessageId, Micros};
+use notchpoint_policy::{DestinationId, Event, Message, MessageId, Micros, Outcome};
 use notchpoint_store::Mark;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
@@ -49,8 +49,14 @@
     RetryConfiguration,
     /// The client of a message that was recorded did not hear of it; the record is gone.
     Unheard(MessageId),
-    /// A call of this message that was out in an earlier life has ended.
-    Home(MessageId),
+    /// An attempt that was out in an earlier life has ended.
+    EndedElsewhere {
+        id: MessageId,
+        attempt: u32,
+        outcome: Outcome,
+        /// Nothing is owed for the message any more.
+        over: bool,
+    },
     /// The process before this one has ended: what it had recorded and not told of is taken up.
     Orphaned(BTreeSet<MessageId>),
     /// A message that another sender had promised is this one's, and stands in the journal.
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -32,6 +32,9 @@
 const REST_MOST: u32 = 6;
 /// It is given to the module again so long before its time is up, to be ended by it.
 const LAST_WORD: Duration = Duration::from_millis(60);
+/// What an earlier process has out ends with its time, and its word takes a moment: so long behind it the
+/// message is ended here all the same.
+const WORD_OF_ANOTHER: Duration = Duration::from_millis(50);
 
 /// A configuration that the store did not take is tried again after this.
 const CONFIGURE_AGAIN: Duration = Duration::from_millis(200);
@@ -151,10 +154,11 @@
         node.events.push(Event::Wake);
         node.wake = given.wake;
         node.attempts = given.attempts.iter().map(|&(id, made, out)| (id, Attempts { made, out })).collect();
+        node.elsewhere = given.elsewhere.into_iter().collect();
         for (id, open) in node.journal.clone().borrow().iter() {
             if let Some(verdict) = open.verdict {
                 node.reports.push(id, verdict);
-            } else if !node.attempts.contains_key(&id) {
+            } else if !node.attempts.contains_key(&id) && !node.elsewhere.contains(&id) {
                 node.unheard.insert(id);
             }
         }
@@ -180,6 +184,7 @@
             wake: self.wake,
             attempts: self.attempts.iter().map(|(&id, a)| (id, a.made, a.out)).collect(),
             out,
+            elsewhere: self.elsewhere.iter().copied().collect(),
             waits,
             members: self.members.values().cloned().collect(),
             revision: self.discovery.revision(),
@@ -296,12 +301,20 @@
                     None => pending().await,
                 }
             };
+            let unattended = self.unattended_until();
+            let unattended = async {
+                match unattended {
+                    Some(at) => sleep_until(at).await,
+                    None => pending().await,
+                }
+            };
             if self.events.is_empty() && self.replies.is_empty() {
                 // The order is fixed, here as wherever this program waits for several things: what decides
                 // between two that are ready must not be chance, or no run could be played again.
                 tokio::select! {
                     biased;
                     () = alarm => self.events.push(Event::Wake),
+                    () = unattended => self.attend(),
                     input = self.inputs.recv() => {
                         let Some(input) = input else { return };
                         self.note(input);
@@ -319,6 +332,47 @@
         }
     }
 
+    /// Messages that an earlier process, or life, has to tell of.
+    fn unattended(&self) -> impl Iterator<Item = MessageId> {
+        self.elsewhere.iter().chain(&self.unheard).copied()
+    }
+
+    /// Until when the first of them is waited for.
+    fn unattended_until(&self) -> Option<Instant> {
+        let left = self.unattended().map(|id| Duration::from_micros(self.left(id))).min()?;
+        Some(Instant::now() + left + WORD_OF_ANOTHER)
+    }
+
+    /// Takes up those whose time is over: nobody else may, however long the earlier process stays.
+    fn attend(&mut self) {
+        let over: BTreeSet<MessageId> = self.unattended().filter(|id| self.left(*id) == 0).collect();
+        self.elsewhere.retain(|id| !over.contains(id));
+        self.unheard.retain(|id| !over.contains(id));
+        self.resume(Some(&over));
+    }
+
+    /// An attempt of an earlier life has ended: its message is delivered, or is taken up here.
+    fn ended_elsewhere(
+        &mut self,
+        id: MessageId,
+        attempt: u32,
+        outcome: Outcome,
+        over: bool,
+    ) -> Option<Event> {
+        let waited_for = self.elsewhere.remove(&id);
+        if over || outcome == Outcome::Served {
+            self.journal.borrow_mut().end(id);
+            return Some(self.withdraw(id));
+        }
+        if outcome.never_ran() {
+            self.journal.borrow_mut().never_ran(id, attempt);
+        }
+        if waited_for {
+            self.resume(Some(&BTreeSet::from([id])));
+        }
+        None
+    }
+
     /// Takes the newest configuration. Where the list service is holds at once; all else holds as one step,
     /// once the store has the classes that messages name.
     fn configure(&mut self) -> Option<Event> {
@@ -418,9 +472,11 @@
                 }
                 self.withdraw(id)
             }
-            Input::Home(id) => {
-                let home = self.elsewhere.remove(&id);
-                return self.resume(Some(&home.then_some(id).into_iter().collect()));
+            Input::EndedElsewhere { id, attempt, outcome, over } => {
+                match self.ended_elsewhere(id, attempt, outcome, over) {
+                    Some(event) => event,
+                    None => return,
+                }
             }
             Input::Orphaned(mut taken) => {
                 taken.append(&mut self.elsewhere);
--- a/crates/daemon/src/sender.rs
+++ b/crates/daemon/src/sender.rs
@@ -365,6 +365,7 @@
                 Node::continued(&config, *state, parts)
             }
             Before::Rest(ends, left) => {
+                calls.adopt(&[], &[], ends.to.clone());
                 tokio::task::spawn_local(inherit(inbound.clone(), ends, left.unheard.clone()));
                 Node::new(&config, &text, (left.out, left.unheard), parts)?
             }
@@ -535,7 +536,8 @@
         let calls = &self.inbound.calls;
         // A request whose client has gone meanwhile is recorded over there, and withdrawn by a word from here.
         let waits = self.inbound.successor.borrow().as_ref().is_some_and(|s| s.is_asked());
-        calls.out() == 0 && calls.attempts_out() == 0 && self.inbound.door.inside.get() == 0 && !waits
+        let open = calls.out() > 0 || calls.attempts_out() > 0 || self.inbound.door.inside.get() > 0;
+        !open && !waits && !calls.has_before()
     }
 
     /// Tells the new process how things end here. Gives who served before for a next life, where the new
--- a/crates/daemon/src/upgrade/handover.rs
+++ b/crates/daemon/src/upgrade/handover.rs
@@ -42,6 +42,8 @@
     pub attempts: Vec<(MessageId, u32, u32)>,
     /// Attempts that are out.
     pub out: Vec<Out>,
+    /// Messages with an attempt out that is known to an earlier life only.
+    pub elsewhere: Vec<MessageId>,
     /// Waits in force: what is left of each.
     pub waits: Vec<Wait>,
     pub members: Vec<Member>,
@@ -146,6 +148,9 @@
         Input::Event(Event::Ended { id, attempt, outcome, over, allowance }) => {
             Some(Frame::Ended { id, attempt, outcome, over, allowance })
         }
+        Input::EndedElsewhere { id, attempt, outcome, over } => {
+            Some(Frame::Ended { id, attempt, outcome, over, allowance: None })
+        }
         Input::Taken(accepted) => Some(Frame::Heard(accepted)),
         Input::Unheard(id) => Some(Frame::Unheard(id)),
         Input::Operator(_, reply) => {
--- a/crates/daemon/tests/sockets/upgrade.rs
+++ b/crates/daemon/tests/sockets/upgrade.rs
@@ -341,7 +341,8 @@
 
 #[test]
 fn a_call_of_an_earlier_life_ends_at_its_process_over_the_next_hand_over() {
-    // What callers see: a payment that is answered in time is ended by a notice.
+    // What callers see: a payment that is answered in time is ended by a notice. Why: only its earlier life knew of
+    // the call, and the process left without it once its present life had nothing out.
     let (_endpoint, mut node, say) = serving_again(Duration::from_millis(LONG));
     let mut old = node.upgrade();
     thread::sleep(Duration::from_millis(300));
@@ -355,7 +356,10 @@
 
 #[test]
 fn a_message_of_an_earlier_life_is_ended_in_time_over_the_next_hand_over() {
-    // What callers see: its end is told seconds too late, once the old process has ended.
+    // What callers see: its end is told seconds too late, once the old process has ended. Why: the next process
+    // found its record without an attempt and took it for one whose client had not heard yet. The soak saw it
+    // (seed 1303, 60 troubles with hand-overs): promised at 2.1 s with 6 s left, never called, ended at 10.2 s, in
+    // the moment of "the process before has ended".
     const TIME: Duration = Duration::from_millis(2_000);
     let begun = Instant::now();
     let (endpoint, mut node, _say) = serving_again(TIME);
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -224,6 +224,13 @@
     NotSent,
 }
 
+impl Outcome {
+    /// Whether it proves that the attempt did not run.
+    pub fn never_ran(self) -> bool {
+        matches!(self, Self::Full { .. } | Self::ConnectFailed | Self::Moot | Self::NotSent)
+    }
+}
+
 /// What a destination told of its limit.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Allowance {
