A witness that goes before it knows of an epoch is replaced by one that stands

What callers saw, with copies on: with one machine of three away its partners refused everything until it was back, where one loss is to be borne. Cause: an epoch's witnesses followed from the operators' files alone; it stands once as many as grant a claim know of it, and nothing replaced one that had gone. Ruled out: promising with fewer who know (a claim could not be granted then). Mend: the epoch names its witnesses, in the number that homes carry already, so rows and frames of earlier builds mean what they meant; one that goes before the epoch stands is replaced by choosing among the senders that stand.

--- a/crates/copies/src/copies.rs
+++ b/crates/copies/src/copies.rs
@@ -11,7 +11,7 @@
 use crate::frame::{Frame, MOST, ago};
 use crate::keeper::{Came, Held, Keeper};
 use crate::ledger::{Change, Ledger, Lives, Me, Place, Row, gone, put, read, read_copy};
-use crate::names::{FIRST, Holder, Home, Id, Key, Micros, Peer, Reign, Term};
+use crate::names::{Epoch, FIRST, Holder, Home, Id, Key, Micros, Peer, Reign, Term};
 use crate::owner::{Asked, Consent, Owed, Own, Owner, free_attempts};
 use crate::record::{CLOSED, DOUBT, Record, Tried, Verdict};
 use crate::silence::Silence;
@@ -217,6 +217,8 @@
     Old(Holder),
     /// A witness has lost its memory: a new epoch begins.
     Forgot(Peer),
+    /// A witness went before it had heard of the epoch: a new one begins, with others as witnesses.
+    Replaced(Peer),
     /// What was to be written could not be.
     Unwritten,
 }
@@ -323,9 +325,10 @@
         ledger: &mut dyn Ledger,
     ) -> Result<Self, String> {
         let holder = Holder { peer: view.me(), reign };
-        let witnesses = view.witnesses(view.me());
+        let epoch = Epoch::FIRST;
+        let witnesses = view.witnesses(Home { holder, epoch });
         let (registered, known) = (BTreeMap::new(), BTreeSet::new());
-        let me = Me { holder, epoch: 0, registered, witnesses, known };
+        let me = Me { holder, epoch, registered, witnesses, known };
         let (keep, seats) = (set.keep, set.seats);
         let mut all = Self {
             set,
@@ -412,8 +415,8 @@
 
     /// What would be lost with as many more machines as copies are for, as far as can be told from here.
     pub fn stake(&self) -> Stake {
-        let (me, home) = (self.view.me(), self.home());
-        let all = self.view.witnesses(me);
+        let home = self.home();
+        let all = self.view.witnesses(home);
         let stands =
             |w: &&Peer| self.me.known.contains(w) && self.links.get(w).is_some_and(|l| l.up.is_some());
         // What nobody could be granted in its time, and for long after, is the operators' matter (`FORLORN`).
@@ -439,7 +442,7 @@
 
     /// Whether each witness has said what of this sender's was claimed while it was away.
     pub fn is_back(&self) -> bool {
-        let grants = |own: &Own| self.view.grants(own.home.holder.peer);
+        let grants = |own: &Own| self.view.grants(own.home);
         self.owner.own.is_empty()
             || self.returns.is_empty() && self.owner.own.values().all(|o| o.told.len() < grants(o))
     }
@@ -447,7 +450,7 @@
     /// Whether all witnesses know of this sender, and as many keepers as are wanted can be asked.
     pub fn may_begin(&self) -> bool {
         let up = self.links.values().filter(|l| l.up.is_some()).count();
-        let witnesses = self.view.witnesses(self.view.me());
+        let witnesses = self.view.witnesses(self.home());
         up >= self.view.count() && witnesses.iter().all(|w| self.me.known.contains(w))
     }
 
--- a/crates/copies/src/copies/linking.rs
+++ b/crates/copies/src/copies/linking.rs
@@ -89,7 +89,7 @@
         self.register(peer, reign, ledger, out);
         if self.returns.contains(&peer) {
             let homes: BTreeSet<Home> = self.owner.own.values().map(|o| o.home).collect();
-            for home in homes.into_iter().filter(|h| self.view.witnesses(h.holder.peer).contains(&peer)) {
+            for home in homes.into_iter().filter(|h| self.view.witnesses(*h).contains(&peer)) {
                 out.push(Output::Ask(peer, Frame::Return { home }));
             }
         }
@@ -122,7 +122,7 @@
         ledger: &mut dyn Ledger,
         out: &mut Vec<Output>,
     ) {
-        if !self.view.witnesses(self.view.me()).contains(&peer) {
+        if !self.view.witnesses(self.home()).contains(&peer) {
             return;
         }
         match self.me.registered.get(&peer) {
--- a/crates/copies/src/copies/looking.rs
+++ b/crates/copies/src/copies/looking.rs
@@ -45,7 +45,7 @@
         let mut wanted: BTreeSet<Peer> = self.view.partners(me).into_iter().collect();
         wanted.extend(self.keeper.owners().iter().map(|o| o.peer));
         for home in self.keeper.homes().into_iter().chain(self.owner.own.values().map(|o| o.home)) {
-            wanted.extend(self.view.witnesses(home.holder.peer));
+            wanted.extend(self.view.witnesses(home));
         }
         wanted.into_iter().for_each(|peer| self.dial(peer, out));
         let mute =
@@ -54,7 +54,7 @@
         let up: Vec<Peer> = self.links.iter().filter(|(_, l)| l.up.is_some()).map(|(&p, _)| p).collect();
         up.into_iter().for_each(|peer| self.send_beat(peer, out));
         // A witness whose disk took nothing, or which was away when the epoch began.
-        for peer in self.view.witnesses(me) {
+        for peer in self.view.witnesses(self.home()) {
             let link = self.links.get(&peer).filter(|_| !self.me.known.contains(&peer));
             if let Some((reign, _)) = link.and_then(|l| l.up) {
                 self.register(peer, reign, ledger, out);
@@ -75,9 +75,10 @@
         }
         // The operators' files name other senders than before: counts of one set of witnesses say nothing of
         // another. What is open moves.
-        if self.me.witnesses != self.view.witnesses(me) {
+        if self.me.witnesses != self.view.witnesses(self.home()) {
             self.next_epoch(ledger, out);
         }
+        self.replace_witnesses(ledger, out);
         self.claim(ledger, out);
         self.move_home(ledger, out);
         self.place_anew(out);
--- a/crates/copies/src/copies/moving.rs
+++ b/crates/copies/src/copies/moving.rs
@@ -7,13 +7,12 @@
     /// What is taken on from now on is at home in another epoch: a witness has lost its memory of this one,
     /// or given it up. Nothing that any of them forgot concerns the new one.
     pub(super) fn next_epoch(&mut self, ledger: &mut dyn Ledger, out: &mut Vec<Output>) {
-        let me = Me {
-            holder: self.me.holder,
-            epoch: self.me.epoch + 1,
-            registered: BTreeMap::new(),
-            witnesses: self.view.witnesses(self.view.me()),
-            known: BTreeSet::new(),
+        let Some(epoch) = self.view.next_epoch(self.home(), |peer| self.stands(peer)) else {
+            return;
         };
+        let holder = self.me.holder;
+        let witnesses = self.view.witnesses(Home { holder, epoch });
+        let me = Me { holder, epoch, registered: BTreeMap::new(), witnesses, known: BTreeSet::new() };
         // Those of the epoch before are told apart from now on.
         let mut rows = vec![put(Row::Me, &me)];
         let mut places = Vec::new();
@@ -39,6 +38,42 @@
         }
     }
 
+    /// Whether a sender can be asked now.
+    pub(super) fn stands(&self, peer: Peer) -> bool {
+        self.links.get(&peer).is_some_and(|l| l.up.is_some())
+    }
+
+    /// Whether a sender has been away for longer than a link takes to come up again, or to come up at all.
+    fn is_away(&self, peer: Peer) -> bool {
+        let Some(link) = self.links.get(&peer) else { return false };
+        let (since, patience) =
+            if link.life.is_some() { (link.down, AWAY) } else { (self.begun, self.set.silence) };
+        link.up.is_none() && self.at.now.saturating_sub(since) > patience
+    }
+
+    /// An epoch stands once enough of its witnesses know of it. One that goes before it does is replaced: a new
+    /// epoch begins, whose witnesses are chosen among the senders that stand. Nothing was promised in the one
+    /// that never stood, and what is open from before moves from where it is at home, by the witnesses there.
+    pub(super) fn replace_witnesses(&mut self, ledger: &mut dyn Ledger, out: &mut Vec<Output>) {
+        let home = self.home();
+        let witnesses = self.view.witnesses(home);
+        let known = witnesses.iter().filter(|w| self.me.known.contains(w)).count();
+        if known >= self.view.grants(home) {
+            return;
+        }
+        let gone = witnesses.iter().copied().find(|&w| !self.me.known.contains(&w) && self.is_away(w));
+        let Some(gone) = gone else { return };
+        let Some(epoch) = self.view.next_epoch(home, |peer| self.stands(peer)) else { return };
+        let next = Home { epoch, ..home };
+        let others = self.view.witnesses(next);
+        let standing = others.iter().filter(|w| self.stands(**w)).count();
+        // Else it would stand no sooner.
+        if others != witnesses && standing >= self.view.grants(next) {
+            out.push(Output::Say(Event::Replaced(gone)));
+            self.next_epoch(ledger, out);
+        }
+    }
+
     pub(super) fn move_home(&mut self, ledger: &mut dyn Ledger, out: &mut Vec<Output>) {
         let (now, home) = (self.at.now, self.home());
         if !self.may_promise(home) {
@@ -89,7 +124,7 @@
     ) -> Option<Peer> {
         let unix = self.at.unix;
         let told: Vec<Tried> = tried.iter().map(|&t| ago(t, unix)).take(MOST).collect();
-        let witnesses = self.view.witnesses(key.home.holder.peer);
+        let witnesses = self.view.witnesses(key.home);
         for &peer in witnesses.iter().filter(|&&p| p != self.view.me()) {
             self.ask(peer, Frame::Move { key, term, to, tried: told.clone() }, out);
         }
--- a/crates/copies/src/copies/owning.rs
+++ b/crates/copies/src/copies/owning.rs
@@ -71,11 +71,10 @@
     /// One that is there and was not told yet is waited for: else there would be fewer losses to bear than
     /// are promised. One that is away is a loss already.
     pub(super) fn may_promise(&self, home: Home) -> bool {
-        let me = self.view.me();
         let there = |w: &Peer| self.links.get(w).is_some_and(|l| l.up.is_some());
         let known = |w: &Peer| self.me.known.contains(w);
-        let witnesses = self.view.witnesses(me);
-        let enough = witnesses.iter().filter(|w| known(w)).count() >= self.view.grants(me);
+        let witnesses = self.view.witnesses(home);
+        let enough = witnesses.iter().filter(|w| known(w)).count() >= self.view.grants(home);
         home == self.home() && enough && witnesses.iter().all(|w| known(w) || !there(w))
     }
 
@@ -107,7 +106,7 @@
         let mut own = Own::new(place.home, place.term, record);
         (own.promised, own.recovered) = (true, true);
         own.intended = own.record.tried.iter().any(|t| own.needs_consent(t.number, self.set.attempts));
-        self.returns.extend(self.view.witnesses(place.home.holder.peer));
+        self.returns.extend(self.view.witnesses(place.home));
         self.returns.remove(&self.view.me());
         self.owner.own.insert(id, own);
     }
@@ -138,7 +137,7 @@
             return;
         }
         consent.refused.clear();
-        let (witnesses, home) = (self.view.witnesses(key.home.holder.peer), self.home());
+        let (witnesses, home) = (self.view.witnesses(key.home), self.home());
         let mut able = 0;
         for peer in witnesses {
             if peer == self.view.me() {
@@ -171,8 +170,7 @@
 
     pub(super) fn consented(&mut self, id: Id, number: u32, out: &mut Vec<Output>) {
         let Some(own) = self.owner.own.get(&id) else { return };
-        let (needed, all) =
-            (Consent::needed(&self.view, own), self.view.witnesses(own.home.holder.peer).len());
+        let (needed, all) = (Consent::needed(&self.view, own), self.view.witnesses(own.home).len());
         let Some(consent) = self.owner.consents.get_mut(&(id, number)).filter(|c| !c.granted) else { return };
         if consent.by.len() >= needed {
             consent.granted = true;
@@ -235,7 +233,7 @@
         let frame = self.progress(id, own);
         let mut to: BTreeSet<Peer> = own.asked.keys().copied().collect();
         if own.intended {
-            to.extend(self.view.witnesses(own.home.holder.peer));
+            to.extend(self.view.witnesses(own.home));
         }
         to.remove(&self.view.me());
         to.into_iter().for_each(|peer| self.ask(peer, frame.clone(), out));
@@ -249,7 +247,7 @@
         self.let_old_copies_go(id);
         let Some(own) = self.owner.own.get(&id) else { return };
         let (key, term, me) = (own.key(id), own.term, self.view.me());
-        let witnesses = self.view.witnesses(key.home.holder.peer);
+        let witnesses = self.view.witnesses(key.home);
         let told = self.owner.end(id, &witnesses);
         self.witness.over(key, term, self.me.holder, ledger);
         let Some((key, told)) = told else { return };
@@ -269,12 +267,12 @@
     }
 
     pub(super) fn forget(&self, keys: Vec<Key>, out: &mut Vec<Output>) {
-        if keys.is_empty() {
-            return;
-        }
-        let me = self.view.me();
-        for peer in self.view.witnesses(me) {
-            self.ask(peer, Frame::Forget { keys: keys.clone() }, out);
+        let mut by_home: BTreeMap<Home, Vec<Key>> = BTreeMap::new();
+        keys.into_iter().for_each(|key| by_home.entry(key.home).or_default().push(key));
+        for (home, keys) in by_home {
+            for peer in self.view.witnesses(home) {
+                self.ask(peer, Frame::Forget { keys: keys.clone() }, out);
+            }
         }
     }
 
--- a/crates/copies/src/copies/taking.rs
+++ b/crates/copies/src/copies/taking.rs
@@ -34,7 +34,7 @@
         ledger: &mut dyn Ledger,
         out: &mut Vec<Output>,
     ) {
-        for peer in self.view.witnesses(key.home.holder.peer) {
+        for peer in self.view.witnesses(key.home) {
             if peer == self.view.me() {
                 self.witness.release((key, term, round), self.me.holder, ledger);
             } else {
@@ -115,7 +115,7 @@
         for (key, term, round) in due {
             let came = self.keeper.standing(&self.view, key);
             self.came(key, came, ledger, out);
-            for peer in self.view.witnesses(key.home.holder.peer) {
+            for peer in self.view.witnesses(key.home) {
                 if self.keeper.has(&key, peer) {
                     continue;
                 }
--- a/crates/copies/src/frame.rs
+++ b/crates/copies/src/frame.rs
@@ -240,6 +240,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::names::Epoch;
     use bytes::Bytes;
 
     fn hello() -> Hello {
@@ -262,7 +263,7 @@
     }
 
     fn keep() -> Frame {
-        let home = Home { holder: hello().from, epoch: 0 };
+        let home = Home { holder: hello().from, epoch: Epoch(0) };
         let tried = Tried { number: 0, endpoint: 9, at: 5, never_ran: false };
         let record = Record {
             class: "payment".into(),
@@ -307,7 +308,7 @@
         more.push(0);
         more[0] += 1;
         assert!(read(&more).is_err_and(|e| e.0.contains("behind a frame")));
-        let key = Key { home: Home { holder: hello().from, epoch: 0 }, id: Id(1) };
+        let key = Key { home: Home { holder: hello().from, epoch: Epoch(0) }, id: Id(1) };
         let many = write(&Frame::Check { keys: vec![key; MOST + 1] });
         assert!(read(&many).is_err_and(|e| e.0.contains("entries")));
     }
--- a/crates/copies/src/keeper.rs
+++ b/crates/copies/src/keeper.rs
@@ -287,7 +287,7 @@
 
     fn decided(&self, view: &View, key: Key) -> Came {
         let Some(claim) = self.claims.get(&key) else { return Came::Waits };
-        if claim.granted.len() + claim.closed.len() < view.grants(key.home.holder.peer) {
+        if claim.granted.len() + claim.closed.len() < view.grants(key.home) {
             return Came::Waits;
         }
         let mut all = Attempts::new();
@@ -321,7 +321,7 @@
             *known = (to, BTreeSet::new());
         }
         known.1.insert(by);
-        if known.1.len() < view.grants(key.home.holder.peer) {
+        if known.1.len() < view.grants(key.home) {
             return;
         }
         let Some(held) = self.held.get(&key) else { return };
--- a/crates/copies/src/ledger.rs
+++ b/crates/copies/src/ledger.rs
@@ -1,6 +1,6 @@
 //! What has to outlast the process, as rows of bytes. Whoever owns the folder keeps them.
 
-use crate::names::{Holder, Home, Id, Key, Peer, Reign, Term};
+use crate::names::{Epoch, Holder, Home, Id, Key, Peer, Reign, Term};
 use crate::record::{Record, Tried};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use std::collections::{BTreeMap, BTreeSet};
@@ -47,7 +47,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Me {
     pub holder: Holder,
-    pub epoch: u32,
+    pub epoch: Epoch,
     /// Where the epoch was made known, and to which life of each.
     pub registered: BTreeMap<Peer, Reign>,
     /// Who the witnesses are in this epoch.
--- a/crates/copies/src/lib.rs
+++ b/crates/copies/src/lib.rs
@@ -20,6 +20,8 @@
 mod frame;
 mod keeper;
 mod ledger;
+#[cfg(test)]
+mod model;
 mod names;
 mod owner;
 mod record;
@@ -31,7 +33,7 @@
 pub use copies::{At, Copies, Event, Input, Output, Set, Stake};
 pub use frame::{Bad, Frame, HELLO, Hello, LONGEST, VERSION, read, write};
 pub use ledger::{Change, Ledger};
-pub use names::{FIRST, Holder, Home, Id, Key, Micros, Peer, Reign, Term};
+pub use names::{Epoch, FIRST, Holder, Home, Id, Key, Micros, Peer, Reign, Term};
 pub use record::{CLOSED, Record, Tried, Verdict};
 pub use shown::shown;
 pub use view::{PARTNERS, Sender, View, Wrong};
--- a/crates/copies/src/owner.rs
+++ b/crates/copies/src/owner.rs
@@ -98,7 +98,7 @@
     /// How many it takes.
     /// The same count closes a home: whoever claims there meets one of them.
     pub fn needed(view: &View, own: &Own) -> usize {
-        if own.term == FIRST { view.consents() } else { view.grants(own.home.holder.peer) }
+        if own.term == FIRST { view.consents() } else { view.grants(own.home) }
     }
 }
 
--- a/crates/copies/src/record.rs
+++ b/crates/copies/src/record.rs
@@ -9,7 +9,7 @@
 pub const CLOSED: u32 = u32::MAX;
 
 /// An attempt whose first byte may have been written.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Tried {
     /// Its number, from 0, over all owners.
     pub number: u32,
--- a/crates/copies/src/shown.rs
+++ b/crates/copies/src/shown.rs
@@ -80,12 +80,12 @@
 mod tests {
     use super::*;
     use crate::ledger::put;
-    use crate::names::{FIRST, Id, Peer, Reign};
+    use crate::names::{Epoch, FIRST, Id, Peer, Reign};
 
     #[test]
     fn rows_say_whose_and_in_which_term_and_what_was_tried() {
         let by = Holder { peer: Peer::named("n1"), reign: Reign(7) };
-        let key = Key { home: Home { holder: by, epoch: 2 }, id: Id(10) };
+        let key = Key { home: Home { holder: by, epoch: Epoch(2) }, id: Id(10) };
         let tried = vec![Tried { number: 0, endpoint: 1, at: 5, never_ran: false }];
         let seat = Seat { term: FIRST, holder: by, prior: vec![], round: 0, tried, moved: None, over: true };
         let row = put(Row::Seat(key), &seat);
--- a/crates/copies/src/view.rs
+++ b/crates/copies/src/view.rs
@@ -1,7 +1,7 @@
 //! The senders there are, and who stands where for whom. All of it follows from the operators' files alone,
 //! so that any two senders with the same view agree without a word.
 
-use crate::names::{Id, Peer};
+use crate::names::{Epoch, Home, Id, Peer};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use xxhash_rust::xxh3::xxh3_64;
@@ -147,9 +147,39 @@
         all.into_iter().map(|(_, _, p)| p).collect()
     }
 
-    /// Who witnesses for a sender: twice as many as copies are wanted, fewer where there are no more.
-    pub fn witnesses(&self, of: Peer) -> Vec<Peer> {
-        self.first_partners(of, 2 * self.count)
+    /// Who witnesses for a home: those that its epoch names, or the first partners, twice as many as copies are
+    /// wanted, fewer where there are no more.
+    pub fn witnesses(&self, home: Home) -> Vec<Peer> {
+        let of = home.holder.peer;
+        let Some(chosen) = home.epoch.chosen() else { return self.first_partners(of, 2 * self.count) };
+        let partners = self.first_partners(of, Epoch::CHOICES);
+        chosen.filter_map(|place| partners.get(place).copied()).collect()
+    }
+
+    /// The epoch behind this one, with witnesses among the senders that stand, as far as there are enough: the
+    /// first partners where all of them do.
+    ///
+    /// Any number of witnesses from `2 * count - 1` to `2 * count` does: any two sets of grants meet, and each meets
+    /// any set of consents, within the one epoch whose witnesses they are. Sets of two epochs need not meet: a
+    /// message is at home in one of them, and leaves it only by a record at so many witnesses there as no claim
+    /// there can pass by.
+    pub fn next_epoch(&self, home: Home, stands: impl Fn(Peer) -> bool) -> Option<Epoch> {
+        let of = home.holder.peer;
+        let first = self.first_partners(of, 2 * self.count);
+        let partners = self.first_partners(of, Epoch::CHOICES);
+        let (mut chosen, mut others) = (Vec::new(), Vec::new());
+        for (place, peer) in partners.iter().enumerate() {
+            if stands(*peer) { chosen.push(place) } else { others.push(place) }
+        }
+        let least = (2 * self.count).saturating_sub(1);
+        let too_few = chosen.len() < self.count || partners.len() < least;
+        if too_few || first.iter().all(|peer| stands(*peer)) {
+            return home.epoch.next(&[]);
+        }
+        chosen.truncate(2 * self.count);
+        let lacking = least.saturating_sub(chosen.len());
+        chosen.extend(others.into_iter().take(lacking));
+        home.epoch.next(&chosen)
     }
 
     /// Consents that an attempt needs while its owner is the one that took the message on.
@@ -159,8 +189,8 @@
 
     /// Grants that a claim needs, and consents that an attempt needs after one. Any two sets of grants meet,
     /// and each meets any set of consents.
-    pub fn grants(&self, of: Peer) -> usize {
-        self.witnesses(of).len().saturating_sub(self.count) + 1
+    pub fn grants(&self, home: Home) -> usize {
+        self.witnesses(home).len().saturating_sub(self.count) + 1
     }
 
     /// A sender's place in the order for a message, of two that could have it the lower one. Room weighs in,
@@ -184,6 +214,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::names::{Holder, Reign};
 
     fn view(n: usize, zones: usize, count: usize) -> View {
         let all = (0..n).map(|i| Sender { name: format!("n{i}"), zone: Some(format!("z{}", i % zones)) });
@@ -192,24 +223,72 @@
         View::new(me, all, count).expect("sound")
     }
 
+    fn first_home(peer: Peer) -> Home {
+        Home { holder: Holder { peer, reign: Reign(1) }, epoch: Epoch::FIRST }
+    }
+
+    /// The counts of a home's witnesses keep what they are for.
+    fn counts_hold(view: &View, home: Home, count: usize) {
+        let witnesses = view.witnesses(home).len();
+        let (consents, grants) = (view.consents(), view.grants(home));
+        assert!(consents + grants > witnesses, "an attempt and a claim: {home:?}, {count}");
+        assert!(2 * grants > witnesses, "two claims: {home:?}, {count}");
+        // The owner and count - 1 witnesses lost: a claim is still granted.
+        assert!(grants <= witnesses + 1 - count, "{home:?}, {count}");
+        assert!(consents <= witnesses, "{home:?}, {count}");
+    }
+
     #[test]
     fn whoever_grants_a_claim_meets_whoever_consented_and_whoever_granted_another() {
         for count in 1..=3 {
             for n in (2 * count).max(2)..=40 {
                 let view = view(n, 3, count);
                 for (peer, _) in view.senders() {
-                    let witnesses = view.witnesses(peer).len();
-                    let (consents, grants) = (view.consents(), view.grants(peer));
-                    assert!(consents + grants > witnesses, "an attempt and a claim: {n}, {count}");
-                    assert!(2 * grants > witnesses, "two claims: {n}, {count}");
-                    // The owner and count - 1 witnesses lost: a claim is still granted.
-                    assert!(grants <= witnesses + 1 - count, "{n}, {count}");
-                    assert!(consents <= witnesses, "{n}, {count}");
+                    counts_hold(&view, first_home(peer), count);
                 }
             }
         }
     }
 
+    #[test]
+    fn the_same_holds_for_the_next_epoch_whoever_stands_and_it_can_be_promised_where_as_many_do_as_copies() {
+        for count in 1..=3 {
+            for n in (2 * count).max(2)..=9 {
+                let view = view(n, 3, count);
+                let me = view.me();
+                let partners = view.partners(me);
+                for away in 0..1_u32 << partners.len() {
+                    let stands = |peer: Peer| {
+                        partners.iter().position(|p| *p == peer).is_some_and(|n| away & 1 << n == 0)
+                    };
+                    let epoch = view.next_epoch(first_home(me), stands).expect("few epochs");
+                    let home = Home { epoch, ..first_home(me) };
+                    counts_hold(&view, home, count);
+                    let witnesses = view.witnesses(home);
+                    let standing = witnesses.iter().filter(|w| stands(**w)).count();
+                    let all = partners.iter().filter(|w| stands(**w)).count();
+                    assert!(!witnesses.contains(&me), "{home:?}");
+                    assert!(all < count || standing >= view.grants(home), "{home:?} of {all} that stand");
+                    if away == 0 {
+                        assert_eq!(witnesses, partners[..witnesses.len()], "the first ones where all stand");
+                    }
+                }
+            }
+        }
+    }
+
+    #[test]
+    fn epochs_follow_one_another_and_say_who_their_witnesses_are() {
+        let mut epoch = Epoch::FIRST;
+        for (number, chosen) in [(1, vec![]), (2, vec![0, 11]), (3, vec![4])] {
+            epoch = epoch.next(&chosen).expect("few epochs");
+            assert_eq!(epoch.number(), number);
+            assert_eq!(epoch.chosen().map(Iterator::collect::<Vec<_>>).unwrap_or_default(), chosen);
+        }
+        assert_eq!(epoch.to_string(), "3 (witnesses: partners 5)");
+        assert_eq!(Epoch((1 << 20) - 1).next(&[]), None, "no number is used twice");
+    }
+
     #[test]
     fn partners_stand_in_other_zones_first_and_are_the_same_for_all_and_spread() {
         let (one, many) = (view(300, 3, 1), view(300, 3, 1));
@@ -233,7 +312,7 @@
             let mut all: Vec<Peer> = view.senders().map(|(p, _)| p).filter(|&p| p != of).collect();
             all.sort_by_key(|&p| (view.together(of, p), weight(of.0, p.0), p));
             assert_eq!(view.partners(of), all[..PARTNERS]);
-            assert_eq!(view.witnesses(of), all[..2]);
+            assert_eq!(view.witnesses(first_home(of)), all[..2]);
         }
     }
 
--- a/crates/copies/src/witness.rs
+++ b/crates/copies/src/witness.rs
@@ -44,7 +44,7 @@
 }
 
 /// What is known of one message: nothing is, until an attempt or a claim.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub(crate) struct Seat {
     pub term: Term,
     pub holder: Holder,
@@ -62,7 +62,7 @@
 /// What a claimant is shown: attempts, and where the message may be at home by now.
 pub(crate) type Shown = (Attempts, Option<(Term, Home)>);
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub(crate) struct Witness {
     seats: BTreeMap<Key, Seat>,
     /// In the order in which they are forgotten.
@@ -339,7 +339,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::names::{Peer, Reign};
+    use crate::names::{Epoch, Peer, Reign};
     use crate::record::Record;
 
     #[derive(Default)]
@@ -362,7 +362,7 @@
     }
 
     fn key(id: u64) -> Key {
-        Key { home: Home { holder: holder(1), epoch: 0 }, id: Id(id) }
+        Key { home: Home { holder: holder(1), epoch: Epoch(0) }, id: Id(id) }
     }
 
     fn attempt(number: u32) -> Tried {
@@ -428,7 +428,8 @@
     #[test]
     fn what_was_moved_is_attempted_there_no_more_and_who_claims_is_shown_where_it_went() {
         let (mut w, mut paper) = witness(10);
-        let (to, other) = (Home { holder: holder(1), epoch: 1 }, Home { holder: holder(1), epoch: 2 });
+        let (to, other) =
+            (Home { holder: holder(1), epoch: Epoch(1) }, Home { holder: holder(1), epoch: Epoch(2) });
         let own = (FIRST, holder(1));
         w.move_on(key(1), own, to, &[attempt(0)], &mut paper).expect("the owner's");
         assert_eq!(w.intend(key(1), FIRST, holder(1), attempt(1), &mut paper), Err(Why::Moved(to)));
--- a/crates/daemon/src/copies/copying.rs
+++ b/crates/daemon/src/copies/copying.rs
@@ -310,6 +310,12 @@
             Event::Forgot(peer) => {
                 tracing::warn!("copies: {} has lost its folder; a new epoch begins", self.name(*peer));
             }
+            Event::Replaced(peer) => {
+                let name = self.name(*peer);
+                tracing::warn!(
+                    "copies: {name} went before it knew of the epoch; a new one begins without it"
+                );
+            }
             Event::Unwritten => self.say_once("copies: the folder takes nothing just now".to_owned()),
         }
     }
--- a/crates/daemon/tests/fleet/main.rs
+++ b/crates/daemon/tests/fleet/main.rs
@@ -1,6 +1,7 @@
 //! Several processes of the program that keep copies for one another, and what fails between them.
 
 mod cost;
+mod epochs;
 mod fleet;
 #[allow(dead_code)]
 #[path = "../sockets/world.rs"]
