A test: with room for all nothing is given back while every connect fails for two seconds

The entry 'given back in a short outage': 1,200 messages, 20 destinations, a fifth of the calls answered after 5 s, every connect failing from second 2 to 4.

--- a/crates/daemon/tests/sockets/main.rs
+++ b/crates/daemon/tests/sockets/main.rs
@@ -8,6 +8,7 @@
 mod growth;
 mod keys;
 mod operations;
+mod outage;
 mod restart;
 mod store;
 mod unproven;
--- a/crates/daemon/tests/sockets/world.rs
+++ b/crates/daemon/tests/sockets/world.rs
@@ -79,6 +79,8 @@
     Say(String),
     /// Says it and ends the connection.
     Last(String),
+    /// Says it after a while.
+    After(Duration, String),
     /// Says one thing, and another a little later.
     Twice(String, String),
     /// Keeps silent, with the connection open.
@@ -154,6 +156,10 @@
                         let reply = (does.lock().expect("sound"))(&request);
                         let said = match &reply {
                             Reply::Say(text) | Reply::Last(text) => (&stream).write_all(text.as_bytes()),
+                            Reply::After(span, text) => {
+                                thread::sleep(*span);
+                                (&stream).write_all(text.as_bytes())
+                            }
                             Reply::Twice(first, later) => {
                                 let said = (&stream).write_all(first.as_bytes());
                                 thread::sleep(Duration::from_millis(50));
