A moment of silence within a slow start does not end it

Cause: a silent call opened the breaker, which overwrote the ramp; the next served call took the route for sound. Ruled out: hand-overs, lost notes (the callers were senders that had lived through the outage, 10 to 15 calls each, in the moment in which the endpoint was quick again). Mend: a breaker that opens in a ramp keeps it, and the ramp goes on where it was. It holds since only a ramp's own end, or a longer outage, takes its place.

--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -119,20 +119,21 @@
                 let gap = (now - self.failed_at).min((SEC as f64 / trials) as Micros);
                 self.health = Health::Ramp { since: now, gap };
             }
-            Health::Open { .. } => self.health = Health::Closed,
+            Health::Open { .. } => self.health = self.health.resumed(),
             _ => {}
         }
     }
 
     /// Opens the breaker, or pushes out the next trial of an open one.
     fn open(&mut self, now: Micros, failed_now: bool, wait: Micros) {
-        let (since, failed) = match self.health {
-            Health::Open { since, failed, .. } => (since, failed || failed_now),
-            _ => (now, failed_now),
+        let (since, failed, ramp) = match self.health {
+            Health::Open { since, failed, ramp, .. } => (since, failed || failed_now, ramp),
+            Health::Ramp { since, gap } => (now, failed_now, Some((since, gap))),
+            Health::Closed => (now, failed_now, None),
         };
         self.credit_at = if self.metered() { self.credit_at } else { now };
         self.failed_at = now;
-        self.health = Health::Open { since, until: now + wait, failed, trial: None };
+        self.health = Health::Open { since, until: now + wait, failed, trial: None, ramp };
     }
 
     /// Calls that the window lets go. One whose answer is lost holds no place in it.
--- a/crates/policy/src/choice/notes.rs
+++ b/crates/policy/src/choice/notes.rs
@@ -37,7 +37,7 @@
                 (r.heard, r.fails, r.told) = (None, 0, now);
                 if let Some(begun) = begun {
                     let long = now >= begun + OUTAGE_LEAST;
-                    r.health = if long { Health::Ramp { since: now, gap: 0 } } else { Health::Closed };
+                    r.health = if long { Health::Ramp { since: now, gap: 0 } } else { r.health.resumed() };
                     // What turned connections away was the outage.
                     let of = |id, e: &Endpoint| e.dest == route.0 && route.1.is_none_or(|only| only == id);
                     let ends = self.endpoints.iter_mut().filter(|(id, e)| of(**id, e));
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -73,12 +73,24 @@
         until: Micros,
         failed: bool,
         trial: Option<u64>,
+        /// The ramp that it came in between: since when, and its gap.
+        ramp: Option<(Micros, Micros)>,
     },
     /// It serves again since then, after it had last failed so long before, and is cold.
-    Ramp {
-        since: Micros,
-        gap: Micros,
-    },
+    Ramp { since: Micros, gap: Micros },
+}
+
+impl Health {
+    /// What it is once calls are served again that were held back for a moment: a destination that was cold
+    /// before that is no warmer by it, and goes on where its ramp was.
+    pub fn resumed(&self) -> Self {
+        match *self {
+            Self::Open { ramp: Some((since, gap)), .. } | Self::Ramp { since, gap } => {
+                Self::Ramp { since, gap }
+            }
+            _ => Self::Closed,
+        }
+    }
 }
 
 #[derive(Clone, Default, Serialize, Deserialize)]
--- a/crates/soak/src/book.rs
+++ b/crates/soak/src/book.rs
@@ -3,6 +3,7 @@
 use crate::configuration::KEY_WINDOW;
 use crate::lag::Lag;
 use crate::topology::route;
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::fmt;
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -22,6 +23,9 @@
 /// Each limit of time is so much longer on sockets.
 const SOCKETS: Duration = Duration::from_millis(50);
 
+/// Senders that are named where a destination is pushed over.
+const MOST_NAMED: usize = 8;
+
 /// Whether a message may run more than once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Effect {
@@ -432,7 +436,7 @@
             for outage in outages {
                 let Some(back) = outage.to else { continue };
                 let knew = |sender: usize, at: Instant| !self.began_within(sender, outage.from, at);
-                let mut worst: Option<(f64, usize, f64, Duration)> = None;
+                let mut worst: Option<(f64, usize, f64, Instant)> = None;
                 for (n, (at, _)) in outage.calls.iter().enumerate() {
                     let begins = at.checked_sub(limits.window).unwrap_or(back);
                     let window = outage.calls[..=n].iter().filter(|call| call.0 > begins);
@@ -442,12 +446,21 @@
                     let budget = limits.budget(*at - back);
                     let excess = all as f64 / budget;
                     if told * 3 > all * 2 && worst.is_none_or(|worst| excess > worst.0) {
-                        worst = Some((excess, all, budget, *at - back));
+                        worst = Some((excess, all, budget, *at));
                     }
                 }
-                if let Some((_, calls, budget, after)) = worst.filter(|worst| worst.0 > 1.0) {
+                if let Some((_, calls, budget, at)) = worst.filter(|worst| worst.0 > 1.0) {
+                    let begins = at.checked_sub(limits.window).unwrap_or(back);
+                    let window = outage.calls.iter().filter(|call| call.0 > begins && call.0 <= at);
+                    let mut by_sender: BTreeMap<usize, usize> = BTreeMap::new();
+                    window.for_each(|call| *by_sender.entry(call.1).or_default() += 1);
+                    let mut most: Vec<(usize, usize)> = by_sender.into_iter().collect();
+                    most.sort_by_key(|(_, calls)| Reverse(*calls));
+                    most.truncate(MOST_NAMED);
                     let what = format!(
-                        "route {route} got {calls} calls for {budget:.0}, {after:?} after its return"
+                        "route {route} got {calls} calls for {budget:.0}, {:?} after its return, most of them \
+                         by senders (number, calls) {most:?}",
+                        at - back
                     );
                     found.push(Violation { rule: "slow start", message: None, what });
                 }
