The check and the start say how descriptors are shared out, and warn of few places

What operators saw: 200 slots of 256 descriptors left three places for clients, and nothing said so. Now the check prints who may hold how many, and both warn where clients have less than an eighth.

--- a/crates/daemon/src/cli.rs
+++ b/crates/daemon/src/cli.rs
@@ -2,6 +2,7 @@
 
 use crate::out::say;
 use crate::sender::{self, Failure};
+use crate::settings::descriptors::Descriptors;
 use crate::settings::operator::{self, Format, Log};
 use crate::state::storage;
 use clap::{Parser, Subcommand};
@@ -151,6 +152,12 @@
     let wrong = crate::settings::check::mistakes(&text);
     if wrong.is_empty() {
         say(&format!("{name}: sound\n"))?;
+        let config = crate::settings::config::read(&text)?;
+        let descriptors = Descriptors::new(&config);
+        say(&format!("{name}: {}\n", descriptors.shares(&config)))?;
+        if let Some(doubt) = descriptors.doubt(&config) {
+            say(&format!("{name}: warning: {doubt}\n"))?;
+        }
         return Ok(ExitCode::SUCCESS);
     }
     let lines: Vec<String> = wrong.iter().map(|w| format!("{name}: {w}")).collect();
--- a/crates/daemon/src/sender.rs
+++ b/crates/daemon/src/sender.rs
@@ -283,8 +283,8 @@
             (config, text) = (crate::settings::config::read(&state.text)?, state.text.clone());
         }
         let descriptors = Descriptors::new(&config);
-        if !descriptors.fit {
-            tracing::warn!("limits.sockets: {} is too few for all parts to work", config.sockets);
+        if let Some(doubt) = descriptors.doubt(&config) {
+            tracing::warn!("{doubt}: {}", descriptors.shares(&config));
         }
         self.operators.limit(descriptors.operators);
         let journal = Rc::new(RefCell::new(journal));
--- a/crates/daemon/src/settings/descriptors.rs
+++ b/crates/daemon/src/settings/descriptors.rs
@@ -14,6 +14,8 @@
 /// Operators' connections: a few of them and their tools. They are one of the second at most.
 pub const OPERATORS: usize = 24;
 const OPERATORS_PART: usize = 16;
+/// With less than this part of all, clients' connections give way to one another all the time.
+const CLIENTS_PART: usize = 8;
 
 /// What connections that others open, or that may wait, are held to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -41,6 +43,26 @@
         let idle = (all / 4).min(left.saturating_sub(clients));
         Self { clients, idle, operators, fit: left > 0 }
     }
+
+    /// Who may hold how many, in words.
+    pub fn shares(&self, config: &Config) -> String {
+        let Self { clients, idle, operators, .. } = self;
+        let own = OWN + WATCHES + POSTS + HAND_OVER;
+        format!(
+            "limits.sockets {}: {clients} for clients' connections, {} for calls, {idle} for idle connections to \
+             endpoints, {operators} for operators, {own} for the process itself",
+            config.sockets, config.settings.slots
+        )
+    }
+
+    /// What is too few, where anything is.
+    pub fn doubt(&self, config: &Config) -> Option<String> {
+        if !self.fit {
+            return Some("too few for all parts to work".into());
+        }
+        let few = self.clients * CLIENTS_PART < config.sockets;
+        few.then(|| "calls (familyInfo.slots) leave clients few places".into())
+    }
 }
 
 #[cfg(test)]
