A failing test: who waited at the platform's socket counts as just come

What clients see: a message that waited while a process started has up to 0.4 s more than it had, and is ended as much too late (0.35 s is a message lost).

--- a/crates/daemon/src/clients/inbound/tests.rs
+++ b/crates/daemon/src/clients/inbound/tests.rs
@@ -209,3 +209,43 @@
         }
     });
 }
+
+/// Hands a message in that has so many milliseconds, and gives the status.
+async fn hand_in(client: &mut TcpStream, id: &str, milliseconds: u64) -> String {
+    let request = format!(
+        "POST /update HTTP/1.1\r\nX-Request-ID: {id}\r\nX-Priority-Class: update\r\nX-Tenant-Id: acme\r\n\
+         X-Timeout-Ms: {milliseconds}\r\nX-Envelope: dest=3\r\nContent-Length: 1\r\n\r\nb"
+    );
+    client.write_all(request.as_bytes()).await.expect("written");
+    let mut status = [0; 12];
+    client.read_exact(&mut status).await.expect("an answer");
+    String::from_utf8_lossy(&status[9..]).into_owned()
+}
+
+#[test]
+fn who_waited_at_the_platforms_socket_before_the_process_came_is_not_taken_for_just_come() {
+    // What clients saw: a message that waited while a process started was ended up to 0.4 s too late.
+    let local = tokio::task::LocalSet::new();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    local.block_on(&runtime, async {
+        let folder = tempfile::tempdir().expect("a folder");
+        let (inbound, _received) = behind(folder.path());
+        let address = "127.0.0.1:4".parse().expect("an address");
+        let target = Target { address, dest: DestinationId(3), live: true, apart: false, bundle: 1 };
+        inbound.calls.list(EndpointId(1), Some(target));
+        // The platform's socket: it was there before this process.
+        let held = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+        let place = held.local_addr().expect("its address");
+        let waited = std::net::TcpStream::connect(place).expect("a connection");
+        waited.set_nonblocking(true).expect("an option");
+        held.set_nonblocking(true).expect("an option");
+        let listener = TcpListener::from_std(held).expect("it listens");
+        tokio::task::spawn_local(serve(inbound.clone(), Rc::new(listener)));
+        let mut waited = TcpStream::from_std(waited).expect("a connection");
+        // It may have waited for as long as a client waits.
+        assert_eq!(hand_in(&mut waited, "00000000000000a1", 350).await, "503");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        let mut fresh = TcpStream::connect(place).await.expect("a connection");
+        assert_eq!(hand_in(&mut fresh, "00000000000000a2", 350).await, "202", "it has just come");
+    });
+}
