Who waited at the platform's socket before a process looked is not taken for just come

What clients saw: a message that waited with its connection while a process started was ended up to 0.4 s too late. Cause: the runtime says that nobody waits until its event loop has looked at a socket, and that was taken for an empty queue. Mend: one look before the start says that it listens; a socket that the platform held before was never seen empty, unless the process before tells when. It holds since emptiness is only entered behind a look. Ruled out: taking each first connection for old (a client that comes right behind the word 'listening' lost its 1 ms; two tests of upgrades showed that, and pass).

--- a/crates/daemon/src/clients/inbound.rs
+++ b/crates/daemon/src/clients/inbound.rs
@@ -24,7 +24,7 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use notchpoint_policy::*;
-use notchpoint_seam::Listener;
+use notchpoint_seam::{Listener, Stream};
 use notchpoint_store::Mark;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
@@ -34,7 +34,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::mpsc::UnboundedSender;
-use tokio::time::{Instant, sleep_until, timeout_at};
+use tokio::time::{Instant, sleep_until, timeout, timeout_at};
 
 const BODY: usize = 64 << 10;
 /// The longest idempotency key: it is kept with each message.
@@ -50,6 +50,8 @@
 const BODIES_SHARE: u64 = 8;
 /// A record that is not safe by then is taken back, and the client told to come again: it waits 400 ms.
 const SAFE_WITHIN: Duration = Duration::from_millis(300);
+/// Until the event loop has looked at the socket, that nobody waits there is not known.
+const FIRST_LOOK: Duration = Duration::from_millis(1);
 /// How long `accept` rests where this machine lacks what a connection takes.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(10);
 /// Advice to clients that find no room.
@@ -69,6 +71,12 @@
     pub door: Rc<Door>,
     /// Once another process owns the store.
     pub successor: RefCell<Option<Rc<Successor>>>,
+    /// What is known of the queue at the clients' socket, by the time since connections are taken.
+    pub queue: RefCell<Queue>,
+    pub taking_since: Instant,
+    /// The event loop has looked at the clients' socket, and who was there then.
+    pub looked: Cell<bool>,
+    pub came_first: RefCell<Option<Rc<dyn Stream>>>,
     /// Messages whose 202 is not written yet.
     pub answering: RefCell<BTreeSet<MessageId>>,
     /// Connections at once.
@@ -79,6 +87,16 @@
 }
 
 impl Inbound {
+    /// The moment by which the queue counts.
+    fn queue_time(&self) -> Duration {
+        Queue::BEGINS + self.taking_since.elapsed()
+    }
+
+    /// How long ago nobody waited at the clients' socket, if that is known.
+    pub fn queue_seen_empty(&self) -> Option<Duration> {
+        self.queue.borrow().seen_empty(self.queue_time())
+    }
+
     /// Messages that may be recorded, and whose clients have not heard yet.
     pub fn unheard(&self) -> BTreeSet<MessageId> {
         let mut all = self.answering.borrow().clone();
@@ -154,21 +172,39 @@
     }
 }
 
+/// Gives the event loop the time to look at the clients' socket: before that it says that nobody waits there,
+/// whoever does.
+pub async fn look_first(inbound: &Inbound, listener: &dyn Listener) {
+    let came = timeout(FIRST_LOOK, poll_fn(|cx| listener.poll_accept(cx))).await;
+    match came {
+        Ok(stream) => *inbound.came_first.borrow_mut() = stream.ok(),
+        Err(_) => inbound.queue.borrow_mut().is_empty(inbound.queue_time()),
+    }
+    inbound.looked.set(true);
+}
+
 /// Accepts connections, so many at once. Those that find no place wait in the system's queue.
 pub async fn serve(inbound: Rc<Inbound>, listener: Rc<dyn Listener>) {
     let seats = Rc::new(Seats::default());
-    let (mut queue, begun) = (Queue::default(), Instant::now());
     let trouble = RareWarning::default();
+    if !inbound.looked.get() {
+        look_first(&inbound, &*listener).await;
+    }
     loop {
         seats.free(inbound.places).await;
         let next = poll_fn(|cx| {
             let polled = listener.poll_accept(cx);
             if polled.is_pending() {
-                queue.is_empty(begun.elapsed());
+                inbound.queue.borrow_mut().is_empty(inbound.queue_time());
             }
             polled
         });
-        let stream = match next.await {
+        let first = inbound.came_first.take();
+        let stream = match first {
+            Some(stream) => Ok(stream),
+            None => next.await,
+        };
+        let stream = match stream {
             Ok(stream) => stream,
             // One client's connection: the next may wait behind it.
             Err(why) if is_of_one_connection(&why) => {
@@ -182,7 +218,8 @@
                 continue;
             }
         };
-        let seat = Rc::new(Seat::new(stream, queue.taken(begun.elapsed())));
+        let waited = inbound.queue.borrow_mut().taken(inbound.queue_time());
+        let seat = Rc::new(Seat::new(stream, waited));
         let (inbound, seats) = (inbound.clone(), seats.clone());
         let number = seats.take(&seat);
         tokio::task::spawn_local(async move {
--- a/crates/daemon/src/clients/inbound/tests.rs
+++ b/crates/daemon/src/clients/inbound/tests.rs
@@ -29,6 +29,10 @@
         door: Rc::default(),
         successor: RefCell::default(),
         answering: RefCell::default(),
+        queue: RefCell::new(Queue::new(None)),
+        taking_since: Instant::now(),
+        looked: Cell::new(false),
+        came_first: RefCell::default(),
     };
     (Rc::new(inbound), received)
 }
@@ -224,7 +228,8 @@
 
 #[test]
 fn who_waited_at_the_platforms_socket_before_the_process_came_is_not_taken_for_just_come() {
-    // What clients saw: a message that waited while a process started was ended up to 0.4 s too late.
+    // What clients saw: a message that waited while a process started was ended up to 0.4 s too late. Why: the
+    // runtime answers "nobody" until its event loop has looked at a socket, and that was taken for an empty queue.
     let local = tokio::task::LocalSet::new();
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
     local.block_on(&runtime, async {
--- a/crates/daemon/src/clients/queue.rs
+++ b/crates/daemon/src/clients/queue.rs
@@ -6,7 +6,8 @@
 /// A client waits so long for its answer: one that has waited longer is not there any more.
 const PATIENCE: Duration = Duration::from_millis(400);
 
-/// What is known of the queue. Moments are counted from one that the owner chooses.
+/// What is known of the queue. Moments are counted from one that lies so long before its owner began to take
+/// connections: what came earlier is not waited for any more.
 #[derive(Debug, Default)]
 pub struct Queue {
     /// Who is in it came after this; nothing is known of a queue that was never seen empty.
@@ -16,6 +17,20 @@
 }
 
 impl Queue {
+    /// The moment at which its owner begins to take connections.
+    pub const BEGINS: Duration = PATIENCE;
+
+    /// A queue that was seen empty so long before its owner begins, if it was.
+    pub fn new(seen_empty: Option<Duration>) -> Self {
+        Self { empty: seen_empty.and_then(|ago| Self::BEGINS.checked_sub(ago)), watched: false }
+    }
+
+    /// How long ago it was seen empty, if it was.
+    pub fn seen_empty(&self, now: Duration) -> Option<Duration> {
+        let empty = if self.watched { Some(now) } else { self.empty };
+        empty.map(|at| now.saturating_sub(at))
+    }
+
     /// Nobody is in it, and the next who comes is told of.
     pub fn is_empty(&mut self, now: Duration) {
         self.empty = Some(now);
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -185,6 +185,7 @@
             attempts: self.attempts.iter().map(|(&id, a)| (id, a.made, a.out)).collect(),
             out,
             elsewhere: self.elsewhere.iter().copied().collect(),
+            queue_seen_empty: None,
             waits,
             members: self.members.values().cloned().collect(),
             revision: self.discovery.revision(),
--- a/crates/daemon/src/sender.rs
+++ b/crates/daemon/src/sender.rs
@@ -3,6 +3,7 @@
 use crate::calls::{Calls, End};
 use crate::clients::door::{COMING, Door};
 use crate::clients::inbound::Inbound;
+use crate::clients::queue::Queue;
 use crate::copies::copying::Copying;
 use crate::input::Input;
 use crate::node::{Node, Parts};
@@ -25,7 +26,7 @@
 use crate::upgrade::handover::{Frame, Next, State, Taken, after_silence, told};
 use crate::upgrade::passage::{self, Ends, Found};
 use crate::upgrade::successor::Successor;
-use notchpoint_policy::MessageId;
+use notchpoint_policy::{MessageId, Micros};
 use notchpoint_seam::{Clock, ConfigSource, Disk, Listener, Network, Signal, World};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
@@ -266,6 +267,19 @@
         Ok(Some(copies))
     }
 
+    /// How long ago nobody waited at the clients' socket. One that is opened here has nobody yet; of one that
+    /// the platform holds only the process that served before may know.
+    fn queue_seen_empty(&self, before: &Before, journal: &Journal) -> Option<Duration> {
+        match before {
+            _ if self.accept.is_none() => Some(Duration::ZERO),
+            Before::Given(state, _) => {
+                let gap = journal.unix_now().saturating_sub(state.unix);
+                state.queue_seen_empty.map(|ago| Duration::from_micros(ago + gap))
+            }
+            Before::Nobody | Before::Rest(..) => None,
+        }
+    }
+
     /// One life: from the store's opening until the end, or until another process that had taken over falls
     /// silent.
     async fn live(
@@ -353,6 +367,10 @@
             door: door.clone(),
             successor: RefCell::default(),
             answering: RefCell::default(),
+            queue: RefCell::new(Queue::new(self.queue_seen_empty(&before, &journal.borrow()))),
+            taking_since: Instant::now(),
+            looked: Cell::new(false),
+            came_first: RefCell::default(),
         });
         let mut node = match before {
             Before::Given(mut state, ends) => {
@@ -382,6 +400,7 @@
                 }
             }
         };
+        crate::clients::inbound::look_first(&inbound, &*listener).await;
         tracing::info!("listening on {}", listener.local_addr()?);
         let accepting = tokio::task::spawn_local(crate::clients::inbound::serve(inbound.clone(), listener));
         let watched = door.clone();
@@ -424,7 +443,8 @@
             copies.iter().for_each(|c| c.stop());
             zoning.iter().for_each(|z| z.stop());
             door.given.set(true);
-            let (state, received) = node.give();
+            let (mut state, received) = node.give();
+            state.queue_seen_empty = inbound.queue_seen_empty().map(|ago| ago.as_micros() as Micros);
             let (ends, written) = passage::give(stream, state.clone());
             *inbound.successor.borrow_mut() = Some(Rc::new(Successor::new(ends.to.clone())));
             door.close.say();
--- a/crates/daemon/src/upgrade/handover.rs
+++ b/crates/daemon/src/upgrade/handover.rs
@@ -44,6 +44,8 @@
     pub out: Vec<Out>,
     /// Messages with an attempt out that is known to an earlier life only.
     pub elsewhere: Vec<MessageId>,
+    /// How long ago nobody waited at the clients' socket, if that is known.
+    pub queue_seen_empty: Option<Micros>,
     /// Waits in force: what is left of each.
     pub waits: Vec<Wait>,
     pub members: Vec<Member>,
