--- a/crates/soak/src/book.rs
+++ b/crates/soak/src/book.rs
@@ -1,6 +1,5 @@
 //! What clients, endpoints and the list service saw, and what that says of the rules.
 
-use crate::configuration::KEY_WINDOW;
 use crate::lag::Lag;
 use crate::topology::route;
 use std::cmp::Reverse;
@@ -9,6 +8,8 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
+/// So long a keyed message's repeat is known.
+pub const KEY_WINDOW: Duration = Duration::from_secs(1);
 /// A message that has neither been delivered nor ended so long after its time is lost.
 const OVERDUE: Duration = Duration::from_millis(350);
 /// After a start no notice is overdue for this long.
--- a/crates/soak/src/configuration.rs
+++ b/crates/soak/src/configuration.rs
@@ -1,6 +1,6 @@
 //! The configuration that senders are given, and what its figures say of partners.
 
-use crate::book::SlowStart;
+use crate::book::{KEY_WINDOW, SlowStart};
 use crate::notes::Notes;
 use crate::partners::FIRST_REVISION;
 use crate::topology::is_apart;
@@ -11,8 +11,6 @@
 pub const DESCRIPTORS: usize = 256;
 /// Memory that a sender may hold, in megabytes.
 pub const MEMORY_MB: u64 = 192;
-/// So long a keyed message's repeat is known.
-pub const KEY_WINDOW: Duration = Duration::from_secs(1);
 /// What destinations bear: so many times what comes in for them, and see `safety` in the configuration.
 const HEADROOM: f64 = 10.0 / 7.0;
 const COLD: Duration = Duration::from_millis(9_200);
