--- a/crates/copies/src/copies/moving.rs
+++ b/crates/copies/src/copies/moving.rs
@@ -51,9 +51,10 @@
         link.up.is_none() && self.at.now.saturating_sub(since) > patience
     }
 
-    /// An epoch stands once enough of its witnesses know of it. One that goes before it does is replaced: a new
-    /// epoch begins, whose witnesses are chosen among the senders that stand. Nothing was promised in the one
-    /// that never stood, and what is open from before moves from where it is at home, by the witnesses there.
+    /// An epoch stands once enough of its witnesses know of it. One that goes before it does is replaced: a
+    /// new epoch begins, whose witnesses are chosen among the senders that stand. Nothing was promised in the
+    /// one that never stood, and what is open from before moves from where it is at home, by the witnesses
+    /// there.
     pub(super) fn replace_witnesses(&mut self, ledger: &mut dyn Ledger, out: &mut Vec<Output>) {
         let home = self.home();
         let witnesses = self.view.witnesses(home);
--- a/crates/copies/src/model.rs
+++ b/crates/copies/src/model.rs
@@ -1,8 +1,8 @@
-//! All states of three senders with one copy of each message: an owner, and two others that keep and witness. One
-//! message that must not be repeated goes through epochs, moves, attempts and claims, while words are lost,
-//! doubled and late, witnesses go and come back, with their folder or without, and the owner is lost for good.
-//! Witnesses and the choice of the next ones are the real ones; nobody is ever heard, so that claims come at any
-//! moment.
+//! All states of three senders with one copy of each message: an owner, and two others that keep and witness.
+//! One message that must not be repeated goes through epochs, moves, attempts and claims, while words are
+//! lost, doubled and late, witnesses go and come back, with their folder or without, and the owner is lost
+//! for good. Witnesses and the choice of the next ones are the real ones; nobody is ever heard, so that
+//! claims come at any moment.
 
 use crate::ledger::{Change, Ledger};
 use crate::names::{Epoch, FIRST, Holder, Home, Id, Key, Peer, Reign, Term};
--- a/crates/copies/src/names.rs
+++ b/crates/copies/src/names.rs
@@ -32,8 +32,8 @@
     pub reign: Reign,
 }
 
-/// Where a message was first taken on. Its witnesses follow from that for good ([`Epoch`]). The epoch moves on
-/// when one of them has lost its memory, or was lost before it knew of the epoch: what it forgot, or never
+/// Where a message was first taken on. Its witnesses follow from that for good ([`Epoch`]). The epoch moves
+/// on when one of them has lost its memory, or was lost before it knew of the epoch: what it forgot, or never
 /// heard, then concerns earlier epochs alone.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Home {
@@ -43,9 +43,9 @@
     pub epoch: Epoch,
 }
 
-/// A configuration of witnesses: its number, and who they are among the partners of its holder. Both stand in one
-/// number, so that whoever hears of a home knows its witnesses without a word, and rows and frames from before
-/// witnesses were chosen mean what they meant.
+/// A configuration of witnesses: its number, and who they are among the partners of its holder. Both stand in
+/// one number, so that whoever hears of a home knows its witnesses without a word, and rows and frames from
+/// before witnesses were chosen mean what they meant.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Epoch(pub u32);
 
--- a/crates/copies/src/view.rs
+++ b/crates/copies/src/view.rs
@@ -147,8 +147,8 @@
         all.into_iter().map(|(_, _, p)| p).collect()
     }
 
-    /// Who witnesses for a home: those that its epoch names, or the first partners, twice as many as copies are
-    /// wanted, fewer where there are no more.
+    /// Who witnesses for a home: those that its epoch names, or the first partners, twice as many as copies
+    /// are wanted, fewer where there are no more.
     pub fn witnesses(&self, home: Home) -> Vec<Peer> {
         let of = home.holder.peer;
         let Some(chosen) = home.epoch.chosen() else { return self.first_partners(of, 2 * self.count) };
@@ -156,13 +156,13 @@
         chosen.filter_map(|place| partners.get(place).copied()).collect()
     }
 
-    /// The epoch behind this one, with witnesses among the senders that stand, as far as there are enough: the
-    /// first partners where all of them do.
+    /// The epoch behind this one, with witnesses among the senders that stand, as far as there are enough:
+    /// the first partners where all of them do.
     ///
-    /// Any number of witnesses from `2 * count - 1` to `2 * count` does: any two sets of grants meet, and each meets
-    /// any set of consents, within the one epoch whose witnesses they are. Sets of two epochs need not meet: a
-    /// message is at home in one of them, and leaves it only by a record at so many witnesses there as no claim
-    /// there can pass by.
+    /// Any number of witnesses from `2 * count - 1` to `2 * count` does: any two sets of grants meet, and
+    /// each meets any set of consents, within the one epoch whose witnesses they are. Sets of two epochs need
+    /// not meet: a message is at home in one of them, and leaves it only by a record at so many witnesses
+    /// there as no claim there can pass by.
     pub fn next_epoch(&self, home: Home, stands: impl Fn(Peer) -> bool) -> Option<Epoch> {
         let of = home.holder.peer;
         let first = self.first_partners(of, 2 * self.count);
--- a/crates/daemon/src/calls/passing.rs
+++ b/crates/daemon/src/calls/passing.rs
@@ -32,8 +32,8 @@
         *self.before.borrow_mut() = Some(before);
     }
 
-    /// An attempt that was taken over has ended, or one that is not known here, since this life began from the
-    /// folder: what that means is for whoever owns the message by now.
+    /// An attempt that was taken over has ended, or one that is not known here, since this life began from
+    /// the folder: what that means is for whoever owns the message by now.
     pub fn adopted_ended(&self, id: MessageId, attempt: u32, end: End) {
         let known = self.adopted.borrow_mut().remove(&(id, attempt));
         match known {
--- a/crates/daemon/src/clients/inbound.rs
+++ b/crates/daemon/src/clients/inbound.rs
@@ -440,8 +440,8 @@
     Ok(plain(StatusCode::ACCEPTED))
 }
 
-/// Records what the process before this one has read, under the same conditions. A process in between may have
-/// done that (`before`) and died with its answer: the record is the same request's then.
+/// Records what the process before this one has read, under the same conditions. A process in between may
+/// have done that (`before`) and died with its answer: the record is the same request's then.
 pub async fn take_over(inbound: &Inbound, passed: Passed, before: bool) -> Taken {
     let place = inbound.terms.borrow().classes.place(&passed.tag);
     let Some(class) = place.filter(|_| inbound.calls.knows(passed.dest)) else { return Taken::ComeBack };
--- a/crates/daemon/src/clients/inbound/tests.rs
+++ b/crates/daemon/src/clients/inbound/tests.rs
@@ -228,8 +228,9 @@
 
 #[test]
 fn who_waited_at_the_platforms_socket_before_the_process_came_is_not_taken_for_just_come() {
-    // What clients saw: a message that waited while a process started was ended up to 0.4 s too late. Why: the
-    // runtime answers "nobody" until its event loop has looked at a socket, and that was taken for an empty queue.
+    // What clients saw: a message that waited while a process started was ended up to 0.4 s too late. Why:
+    // the runtime answers "nobody" until its event loop has looked at a socket, and that was taken for an
+    // empty queue.
     let local = tokio::task::LocalSet::new();
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
     local.block_on(&runtime, async {
--- a/crates/daemon/src/sender.rs
+++ b/crates/daemon/src/sender.rs
@@ -497,8 +497,8 @@
     terms
 }
 
-/// Hears what the process before this one still tells, until it has ended. `unheard` may have been recorded by
-/// one in between, which did not live to say so.
+/// Hears what the process before this one still tells, until it has ended. `unheard` may have been recorded
+/// by one in between, which did not live to say so.
 async fn inherit(inbound: Rc<Inbound>, ends: Ends, unheard: BTreeSet<MessageId>) {
     let Ends { to, mut from } = ends;
     // What was recorded for clients that have not heard yet; none once nobody can tell them any more.
@@ -554,7 +554,8 @@
     /// Nothing is open here any more, nor at a process before this one, whose word passes through here.
     fn is_done(&self) -> bool {
         let calls = &self.inbound.calls;
-        // A request whose client has gone meanwhile is recorded over there, and withdrawn by a word from here.
+        // A request whose client has gone meanwhile is recorded over there, and withdrawn by a word from
+        // here.
         let waits = self.inbound.successor.borrow().as_ref().is_some_and(|s| s.is_asked());
         let open = calls.out() > 0 || calls.attempts_out() > 0 || self.inbound.door.inside.get() > 0;
         !open && !waits && !calls.has_before()
--- a/crates/daemon/tests/fleet/epochs.rs
+++ b/crates/daemon/tests/fleet/epochs.rs
@@ -1,5 +1,5 @@
-//! Witnesses that go before they have answered a new epoch, and what becomes of promises then: one loss is to be
-//! borne for each copy, whoever it is.
+//! Witnesses that go before they have answered a new epoch, and what becomes of promises then: one loss is to
+//! be borne for each copy, whoever it is.
 
 use crate::fleet::{Does, Fleet};
 use crate::world::until;
@@ -8,8 +8,8 @@
 const LONG: u64 = 50_000;
 const REPLACED: &str = "a new one begins without it";
 
-/// A fleet of three in which a new epoch of n1 waits for n0, which comes back with an empty folder and answers
-/// late.
+/// A fleet of three in which a new epoch of n1 waits for n0, which comes back with an empty folder and
+/// answers late.
 fn undecided() -> Fleet {
     let mut fleet = Fleet::new(3, 1);
     fleet.lose(0);
--- a/crates/daemon/tests/sockets/delays.rs
+++ b/crates/daemon/tests/sockets/delays.rs
@@ -2,13 +2,13 @@
 //! from when they were recorded, and not from when the next step comes.
 //!
 //! What callers see: a message's end is told as much too late as the process was, up to 0.4 s behind a slow
-//! disk or a hand-over, and by seconds where a start waits for its address; more than 0.35 s is a message lost.
-//! A keyed message is repeated by as much beyond its window.
+//! disk or a hand-over, and by seconds where a start waits for its address; more than 0.35 s is a message
+//! lost. A keyed message is repeated by as much beyond its window.
 //!
 //! Why: what was left of a message's time was worked out when it was read (or taken up from the folder), and
-//! counted by the decisions from the turn in which they heard of it: behind the record's write, the way to the
-//! other process and back, or the wait for an address. The journal had the true deadline all the time. With
-//! spans read from the journal in the turn itself all four pass, and nothing else was changed.
+//! counted by the decisions from the turn in which they heard of it: behind the record's write, the way to
+//! the other process and back, or the wait for an address. The journal had the true deadline all the time.
+//! With spans read from the journal in the turn itself all four pass, and nothing else was changed.
 
 use crate::world::*;
 use std::net::{SocketAddr, TcpListener};
--- a/crates/daemon/tests/sockets/outage.rs
+++ b/crates/daemon/tests/sockets/outage.rs
@@ -1,5 +1,5 @@
-//! Every connect of a sender fails for two seconds, while a fifth of its calls are answered after five: what is
-//! given back meanwhile, and why.
+//! Every connect of a sender fails for two seconds, while a fifth of its calls are answered after five: what
+//! is given back meanwhile, and why.
 
 use crate::world::*;
 use notchpoint_faults::{ALWAYS, Word};
@@ -67,9 +67,10 @@
 
 #[test]
 fn with_room_for_all_nothing_is_given_back_while_every_connect_fails_for_a_moment() {
-    // What callers saw: 28 to 118 of 1,200 messages given back with time left. Why: with room for 230 messages, as
-    // in the settings of that run, what comes in during the two seconds and what is out at slow partners fill it
-    // (280 bounced here, none with room). So it is the room that the settings bound, and no guard on attempts.
+    // What callers saw: 28 to 118 of 1,200 messages given back with time left. Why: with room for 230
+    // messages, as in the settings of that run, what comes in during the two seconds and what is out at slow
+    // partners fill it (280 bounced here, none with room). So it is the room that the settings bound, and no
+    // guard on attempts.
     let plays = [libc::ENETUNREACH, libc::ECONNREFUSED].map(|errno| thread::spawn(move || play(errno)));
     for played in plays {
         let ends = played.join().expect("played");
--- a/crates/daemon/tests/sockets/unproven.rs
+++ b/crates/daemon/tests/sockets/unproven.rs
@@ -1,10 +1,10 @@
-//! A connection that has not carried an answer yet may be silent for good, and what may not be repeated is lost
-//! to its client with it once it has been written.
+//! A connection that has not carried an answer yet may be silent for good, and what may not be repeated is
+//! lost to its client with it once it has been written.
 //!
-//! What callers see: up to twenty payments go in one call on a new connection that says nothing; the sender is
-//! killed, and each of them is ended as one that may have run. Why: the decisions filled a call with no regard to
-//! its connection; on brink seeds 901 and 937 the trace had six and ten payments in one such call, 0.6 s before
-//! the kill.
+//! What callers see: up to twenty payments go in one call on a new connection that says nothing; the sender
+//! is killed, and each of them is ended as one that may have run. Why: the decisions filled a call with no
+//! regard to its connection; on brink seeds 901 and 937 the trace had six and ten payments in one such call,
+//! 0.6 s before the kill.
 
 use crate::world::*;
 use std::sync::Arc;
@@ -14,15 +14,15 @@
 
 const LONG: u64 = 50_000;
 const PAYMENTS: u64 = 20;
-/// What is stated: one payment at first, and one with each trial. A call is overdue after half a second at the
-/// earliest, so that one trial may have come in the first second.
+/// What is stated: one payment at first, and one with each trial. A call is overdue after half a second at
+/// the earliest, so that one trial may have come in the first second.
 const FIRST: usize = 1;
 const TRIALS: usize = 1;
 const STEP: Duration = Duration::from_millis(100);
 const STEPS: u32 = 10;
 
-/// Hands payments in, has all of them go out to an endpoint that accepts and stays silent, and kills the sender
-/// so long after its call. Gives how many were ended as may have run.
+/// Hands payments in, has all of them go out to an endpoint that accepts and stays silent, and kills the
+/// sender so long after its call. Gives how many were ended as may have run.
 fn ended_unheard(kind: &str, after: Duration) -> usize {
     let silent = Arc::new(AtomicBool::new(true));
     let says = silent.clone();
--- a/crates/daemon/tests/sockets/upgrade.rs
+++ b/crates/daemon/tests/sockets/upgrade.rs
@@ -293,8 +293,8 @@
 #[test]
 fn a_request_that_the_new_process_recorded_before_it_died_is_not_refused_and_sent() {
     // What callers see: a payment is refused with 503, which says that handing it in again is harmless, and
-    // is sent all the same. Why: the old process took the other's silence for "not recorded", refused, and then
-    // read the folder, where the record was ("this one serves again (FromFolder)" in its log).
+    // is sent all the same. Why: the old process took the other's silence for "not recorded", refused, and
+    // then read the folder, where the record was ("this one serves again (FromFolder)" in its log).
     let (endpoint, mut node, faults, mut client, _old) = handing_on(Duration::from_secs(2));
     node.kill();
     faults.slow_writes(Duration::ZERO).expect("set");
@@ -310,9 +310,9 @@
 
 #[test]
 fn a_request_whose_client_left_while_it_was_handed_on_is_not_sent() {
-    // What callers see: a payment that had no answer in 0.4 s, and was handed in anew, is sent as well. Why: the
-    // old process dropped the request with its connection and told nobody, or had left already; at its end the
-    // new one took the record for promised.
+    // What callers see: a payment that had no answer in 0.4 s, and was handed in anew, is sent as well. Why:
+    // the old process dropped the request with its connection and told nobody, or had left already; at its
+    // end the new one took the record for promised.
     let (endpoint, node, faults, client, mut old) = handing_on(Duration::from_secs(1));
     drop(client);
     thread::sleep(Duration::from_millis(200));
@@ -341,8 +341,8 @@
 
 #[test]
 fn a_call_of_an_earlier_life_ends_at_its_process_over_the_next_hand_over() {
-    // What callers see: a payment that is answered in time is ended by a notice. Why: only its earlier life knew of
-    // the call, and the process left without it once its present life had nothing out.
+    // What callers see: a payment that is answered in time is ended by a notice. Why: only its earlier life
+    // knew of the call, and the process left without it once its present life had nothing out.
     let (_endpoint, mut node, say) = serving_again(Duration::from_millis(LONG));
     let mut old = node.upgrade();
     thread::sleep(Duration::from_millis(300));
@@ -356,10 +356,10 @@
 
 #[test]
 fn a_message_of_an_earlier_life_is_ended_in_time_over_the_next_hand_over() {
-    // What callers see: its end is told seconds too late, once the old process has ended. Why: the next process
-    // found its record without an attempt and took it for one whose client had not heard yet. The soak saw it
-    // (seed 1303, 60 troubles with hand-overs): promised at 2.1 s with 6 s left, never called, ended at 10.2 s, in
-    // the moment of "the process before has ended".
+    // What callers see: its end is told seconds too late, once the old process has ended. Why: the next
+    // process found its record without an attempt and took it for one whose client had not heard yet. The
+    // soak saw it (seed 1303, 60 troubles with hand-overs): promised at 2.1 s with 6 s left, never called,
+    // ended at 10.2 s, in the moment of "the process before has ended".
     const TIME: Duration = Duration::from_millis(2_000);
     let begun = Instant::now();
     let (endpoint, mut node, _say) = serving_again(TIME);
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -58,7 +58,8 @@
     /// Its connection broke as connections do now and then: no sign of load.
     pub chance: bool,
     pub called_off: bool,
-    /// Messages in it that must not be repeated, while its connection is new and its endpoint has not answered.
+    /// Messages in it that must not be repeated, while its connection is new and its endpoint has not
+    /// answered.
     pub unheard: u32,
     /// Overdue, and overtaken by calls sent later: its connection is to blame.
     pub lost: bool,
--- a/crates/policy/tests/fleet.rs
+++ b/crates/policy/tests/fleet.rs
@@ -307,10 +307,10 @@
 fn a_moment_of_silence_does_not_end_a_slow_start() {
     // What partners see: a destination that came back cold answers slowly for a moment, and 2.7 s after its
     // return it gets 164 calls for 96 that it bears, from all senders alike. Seen by the soak (seed 2111 with
-    // hand-overs and 60 troubles, in each of five plays; endpoint 4 is back at 9.0 s and slow from 9.7 to 11.3 s).
-    // Why: a silent call held the route back, and the next one that was served ended what held it back and the
-    // ramp before that with it. The rig's list of callers showed all senders with 10 to 15 calls each at the
-    // moment in which the endpoint was quick again.
+    // hand-overs and 60 troubles, in each of five plays; endpoint 4 is back at 9.0 s and slow from 9.7 to
+    // 11.3 s). Why: a silent call held the route back, and the next one that was served ended what held it
+    // back and the ramp before that with it. The rig's list of callers showed all senders with 10 to 15 calls
+    // each at the moment in which the endpoint was quick again.
     let [_, up] = words();
     for by_note in [false, true] {
         let mut rig = Rig::new(Settings { may_note: true, ..thin(9) }, 0, 1);
--- a/crates/soak/src/book.rs
+++ b/crates/soak/src/book.rs
@@ -459,8 +459,8 @@
                     most.sort_by_key(|(_, calls)| Reverse(*calls));
                     most.truncate(MOST_NAMED);
                     let what = format!(
-                        "route {route} got {calls} calls for {budget:.0}, {:?} after its return, most of them \
-                         by senders (number, calls) {most:?}",
+                        "route {route} got {calls} calls for {budget:.0}, {:?} after its return, most of \
+                         them by senders (number, calls) {most:?}",
                         at - back
                     );
                     found.push(Violation { rule: "slow start", message: None, what });
--- a/crates/soak/src/sender.rs
+++ b/crates/soak/src/sender.rs
@@ -241,7 +241,8 @@
         self.start()
     }
 
-    /// Sends signals while it starts, so long after it was begun. It may end by them; then it is started anew.
+    /// Sends signals while it starts, so long after it was begun. It may end by them; then it is started
+    /// anew.
     ///
     /// # Errors
     /// It cannot be started again.
--- a/crates/soak/src/topology.rs
+++ b/crates/soak/src/topology.rs
@@ -10,7 +10,8 @@
     if is_apart(endpoint / 2) { endpoint } else { endpoint / 2 * 2 }
 }
 
-/// Whether the platform holds the clients' socket of a sender, so that processes may take over from one another.
+/// Whether the platform holds the clients' socket of a sender, so that processes may take over from one
+/// another.
 pub const fn is_held(sender: usize) -> bool {
     sender.is_multiple_of(2)
 }
