--- a/crates/daemon/src/settings/descriptors.rs
+++ b/crates/daemon/src/settings/descriptors.rs
@@ -49,8 +49,8 @@
         let Self { clients, idle, operators, .. } = self;
         let own = OWN + WATCHES + POSTS + HAND_OVER;
         format!(
-            "limits.sockets {}: {clients} for clients' connections, {} for calls, {idle} for idle connections \
-             to endpoints, {operators} for operators, {own} for the process itself",
+            "limits.sockets {}: {clients} for clients' connections, {} for calls, {idle} for idle \
+             connections to endpoints, {operators} for operators, {own} for the process itself",
             config.sockets, config.settings.slots
         )
     }
