--- a/crates/rehearsal/tests/world/main.rs
+++ b/crates/rehearsal/tests/world/main.rs
@@ -6,6 +6,7 @@
 mod fidelity;
 mod hard;
 mod limits;
+mod live;
 mod mutants;
 mod shown;
 mod zones;
