A message whose id another one had just before is delivered, and no message is forgotten

What callers saw: a request under the id of a message that had just ended was answered 202 and never sent or ended; the id was answered 409 for as long as the process lived.

They change at different turns: the record of a new message came before the loop had processed the end of the old one, whose entry made `Input::Acknowledged` take the new message for known. The same class of fault stood in posts of notices (the answer to a repeated post ended whoever had the id by then), copies (the end of the old message was processed behind the submission of the new one and deleted its copies), forwarded requests of an aborted hand-over (an earlier message's record passed for theirs), timers of paused messages, verdicts that wait for a write.

Evidence: debug check "left: [], right: [MessageId(0)]".

Change: each part that may still act by an id keeps an `IdHold`, and a record is accepted only under an id with no record and no hold; else 503 (`IdInUse`), since nothing was recorded. With copies the id also stays in use until the earlier end is acknowledged. A message is adopted only under a free id. Every 100 ms the loop checks up to 256 open messages: one that nothing holds, or that the policy does not have, is logged, counted in /status (`forgotten_messages`) and resumed; the soak reports the log line as a lost message. An entry of a message given up with a call out, whose verdict waits for witnesses, is removed with the call's end; it stayed for good.

Ruled out: a number of the record that everything said about a message carries (frames, rows and recordings would change form); refusing an id for a time.

--- a/crates/copies/src/replicator.rs
+++ b/crates/copies/src/replicator.rs
@@ -428,6 +428,12 @@
         (self.links.values().filter(|l| l.up.is_some()).count(), self.links.len())
     }
 
+    /// Whether a message with this id has ended in the current group and some senders have not acknowledged
+    /// that. A new message with the id could be taken for that one.
+    pub fn is_end_pending(&self, id: Id) -> bool {
+        self.owned.pending_ends.contains_key(&Key { group: self.current_group(), id })
+    }
+
     /// Returns the number of committed messages of this sender that have too few copies.
     pub fn missing_copies(&self) -> usize {
         let has_too_few = |message: &&OwnedMessage| {
--- a/crates/daemon/src/calls.rs
+++ b/crates/daemon/src/calls.rs
@@ -198,13 +198,6 @@
         self.active_calls.get()
     }
 
-    /// Whether any attempt of this message is in flight.
-    pub fn has_attempt_in_flight(&self, id: MessageId) -> bool {
-        let all = (id, 0)..=(id, u32::MAX);
-        let has_own = self.cancels.borrow().range(all.clone()).next().is_some();
-        has_own || self.adopted_attempts.borrow().range(all).next().is_some()
-    }
-
     /// Updates an endpoint from the list; `None` removes it. Idle connections to an endpoint that changed its
     /// address or phase are closed.
     pub fn update_endpoint(&self, id: EndpointId, target: Option<Target>) {
@@ -397,8 +390,9 @@
             }
             if is_uncertain {
                 // Recorded before the end: a verdict stays in the journal until the notice is delivered.
-                self.journal.borrow_mut().record_verdict(item.id, Verdict::Dead);
-                let _ = self.inputs.send(Input::DeliveryUncertain(item.id));
+                let mut journal = self.journal.borrow_mut();
+                journal.record_verdict(item.id, Verdict::Dead);
+                let _ = self.inputs.send(Input::DeliveryUncertain(journal.hold(item.id)));
             }
             self.report_end(endpoint, &item, end);
         }
--- a/crates/daemon/src/clients/inbound.rs
+++ b/crates/daemon/src/clients/inbound.rs
@@ -9,6 +9,7 @@
 use crate::copies::service::ReplicationService;
 use crate::handover::protocol::{ForwardResult, ForwardedRequest};
 use crate::handover::successor::Successor;
+use crate::id_holds::IdHold;
 use crate::input::{AcceptedMessage, Input};
 use crate::io::{ObservedStream, Observer};
 use crate::rate_limited_warning::RateLimitedWarning;
@@ -100,13 +101,6 @@
     pub fn queue_seen_empty(&self) -> Option<Duration> {
         self.accept_queue.borrow().seen_empty(self.queue_time())
     }
-
-    /// Returns the messages that may be recorded and whose clients have not received an answer yet.
-    pub fn unacknowledged(&self) -> BTreeSet<MessageId> {
-        let mut all = self.unanswered.borrow().clone();
-        all.extend(self.successor.borrow().iter().flat_map(|successor| successor.pending()));
-        all
-    }
 }
 
 /// Returns how many connections descriptors and memory allow.
@@ -134,13 +128,16 @@
 struct PendingAck {
     accepted: AcceptedMessage,
     is_begun: bool,
+    /// If the answer is lost, the record with this id is withdrawn.
+    _hold: IdHold,
 }
 
 impl AckTracker {
     /// Expects the next answer that is written to acknowledge this message.
     fn expect(&self, accepted: AcceptedMessage) {
         self.inbound.unanswered.borrow_mut().insert(accepted.id);
-        self.pending.borrow_mut().push(PendingAck { accepted, is_begun: false });
+        let hold = self.inbound.journal.borrow().hold(accepted.id);
+        self.pending.borrow_mut().push(PendingAck { accepted, is_begun: false, _hold: hold });
     }
 
     fn record_answered(&self, id: MessageId) {
@@ -414,11 +411,12 @@
         body,
     );
     open.idempotency_key.clone_from(&headers.idempotency_key);
-    if !record_message(inbound, headers.id, open)? {
-        return Ok(refuse(inbound, Refusal::NoRoom));
-    }
-    let (position, mut record) =
-        (inbound.durability.log_end(), UnacknowledgedRecord { inbound, id: Some(headers.id) });
+    let mut record = match record_message(inbound, headers.id, open) {
+        Ok(record) => record,
+        Err(RecordError::Conflict) => return Err(StatusCode::CONFLICT),
+        Err(RecordError::Refused(reason)) => return Ok(refuse(inbound, reason)),
+    };
+    let position = inbound.durability.log_end();
     if !wait_until_safe(inbound, headers.id, &position).await {
         return if record.withdraw() {
             Ok(refuse(inbound, Refusal::NotDurable))
@@ -427,9 +425,9 @@
             Err(StatusCode::INTERNAL_SERVER_ERROR)
         };
     }
-    record.id = None;
     // There is no await between here and the return, so the next flush on this connection is this answer's.
     tracker.expect(headers.accepted(class as u32));
+    record.keep();
     Ok(empty_response(StatusCode::ACCEPTED))
 }
 
@@ -463,7 +461,7 @@
 
 /// Records a message that the predecessor process has read, under the same conditions as one that this
 /// process reads. If `may_be_recorded` is set, a process in between may have recorded it and died before its
-/// answer; an existing record then belongs to the same request.
+/// answer; an existing record with the same content then belongs to the same request.
 pub async fn record_forwarded(
     inbound: &Inbound,
     request: ForwardedRequest,
@@ -473,23 +471,22 @@
     let Some(class) = class.filter(|_| inbound.calls.knows_destination(request.dest)) else {
         return ForwardResult::RetryLater;
     };
-    if may_be_recorded && inbound.journal.borrow().get(request.id).is_some() {
-        return ForwardResult::Recorded { class: class as u32 };
-    }
     let ForwardedRequest { id, tag, tenant, dest, deadline, idempotency_key, body } = request;
     let mut open = OpenMessage::new(&tag, &tenant, dest.0, deadline, body.into());
     open.idempotency_key = idempotency_key;
-    match record_message(inbound, id, open) {
-        Ok(true) => {}
-        Ok(false) => return ForwardResult::RetryLater,
-        Err(_) => return ForwardResult::Conflict,
+    if may_be_recorded && inbound.journal.borrow().get(id).is_some_and(|known| known.is_same_request(&open)) {
+        return ForwardResult::Recorded { class: class as u32 };
     }
-    let (position, mut record) =
-        (inbound.durability.log_end(), UnacknowledgedRecord { inbound, id: Some(id) });
+    let mut record = match record_message(inbound, id, open) {
+        Ok(record) => record,
+        Err(RecordError::Conflict) => return ForwardResult::Conflict,
+        Err(RecordError::Refused(_)) => return ForwardResult::RetryLater,
+    };
+    let position = inbound.durability.log_end();
     if !wait_until_safe(inbound, id, &position).await {
         return if record.withdraw() { ForwardResult::RetryLater } else { ForwardResult::Conflict };
     }
-    record.id = None;
+    record.keep();
     ForwardResult::Recorded { class: class as u32 }
 }
 
@@ -519,36 +516,57 @@
     now + headers.timeout.saturating_sub(sent_at.elapsed()).as_micros() as Micros
 }
 
-/// Records a message. Returns false if there is no space for it, or its time is up.
-fn record_message(inbound: &Inbound, id: MessageId, mut open: OpenMessage) -> Result<bool, StatusCode> {
+/// Why a message was not recorded.
+enum RecordError {
+    /// An open message has its id.
+    Conflict,
+    Refused(Refusal),
+}
+
+/// Records a message.
+fn record_message(
+    inbound: &Inbound,
+    id: MessageId,
+    mut open: OpenMessage,
+) -> Result<UnacknowledgedRecord<'_>, RecordError> {
     let mut journal = inbound.journal.borrow_mut();
     // Clients use a new id for each message. With an id that is still in use, the ends of two messages would
     // be confused.
-    if journal.get(id).is_some() || inbound.calls.has_attempt_in_flight(id) {
-        return Err(StatusCode::CONFLICT);
+    if journal.get(id).is_some() {
+        return Err(RecordError::Conflict);
+    }
+    let is_end_pending = || inbound.copies.as_ref().is_some_and(|copies| copies.is_end_pending(id));
+    if !journal.is_id_free(id) || is_end_pending() {
+        return Err(RecordError::Refused(Refusal::IdInUse));
     }
     let is_expired = open.deadline <= journal.unix_now();
     if is_expired || journal.held_count() >= inbound.active_settings.borrow().settings.max_held as usize {
-        return Ok(false);
+        return Err(RecordError::Refused(Refusal::NoRoom));
     }
     // A process that ends before other senders have the message has not acknowledged it.
     open.is_confirmed =
         inbound.copies.is_none() || !inbound.active_settings.borrow().counts_as_at_most_once(&open.class);
     // The record is written before the answer. A message without a record is not acknowledged.
-    Ok(journal.accept(id, open).is_ok())
+    journal.accept(id, open).map_err(|_| RecordError::Refused(Refusal::NoRoom))?;
+    Ok(UnacknowledgedRecord { inbound, hold: Some(journal.hold(id)) })
 }
 
-/// Withdraws the record of a message on drop, unless `id` was cleared, since the message may be acknowledged.
+/// Withdraws the record of a message on drop, unless it is kept since the message may be acknowledged.
 struct UnacknowledgedRecord<'a> {
     inbound: &'a Inbound,
-    id: Option<MessageId>,
+    hold: Option<IdHold>,
 }
 
 impl UnacknowledgedRecord<'_> {
     /// Withdraws the record and returns whether that is written. If not, the next process would find the
     /// message and send it, so the client must not learn that a resend is harmless.
     fn withdraw(&mut self) -> bool {
-        self.id.take().is_none_or(|id| self.inbound.journal.borrow_mut().record_end(id))
+        self.hold.take().is_none_or(|hold| self.inbound.journal.borrow_mut().record_end(hold.id()))
+    }
+
+    /// Keeps the record.
+    fn keep(&mut self) {
+        self.hold = None;
     }
 }
 
--- a/crates/daemon/src/clients/inbound/tests.rs
+++ b/crates/daemon/src/clients/inbound/tests.rs
@@ -260,3 +260,39 @@
         assert_eq!(send_message(&mut new, "00000000000000a2", 350).await, "202", "it has just connected");
     });
 }
+
+#[test]
+fn a_request_that_is_forwarded_again_is_recognized_by_its_content_and_not_only_by_its_id() {
+    // Guards against a request that is acknowledged because an earlier message has its id: it has no record,
+    // and is never sent.
+    let local = tokio::task::LocalSet::new();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    local.block_on(&runtime, async {
+        let folder = tempfile::tempdir().expect("a folder");
+        let (inbound, _received) = inbound_with_journal(folder.path());
+        let address = "127.0.0.1:4".parse().expect("an address");
+        let target =
+            Target { address, dest: DestinationId(3), live: true, per_endpoint: false, max_bundle: 1 };
+        inbound.calls.update_endpoint(EndpointId(1), Some(target));
+        let tag = inbound.active_settings.borrow().classes.tag_at(0).to_owned();
+        let request = |body: &[u8]| ForwardedRequest {
+            id: MessageId(1),
+            tag: tag.clone(),
+            tenant: "acme".into(),
+            dest: DestinationId(3),
+            deadline: u64::MAX,
+            idempotency_key: String::new(),
+            body: body.to_vec(),
+        };
+        let recorded = ForwardResult::Recorded { class: 0 };
+        assert_eq!(record_forwarded(&inbound, request(b"first"), true).await, recorded);
+        assert_eq!(record_forwarded(&inbound, request(b"first"), true).await, recorded, "the same request");
+        assert_eq!(record_forwarded(&inbound, request(b"other"), true).await, ForwardResult::Conflict);
+        assert_eq!(record_forwarded(&inbound, request(b"first"), false).await, ForwardResult::Conflict);
+        inbound.journal.borrow_mut().record_end(MessageId(1));
+        let hold = inbound.journal.borrow().hold(MessageId(1));
+        assert_eq!(record_forwarded(&inbound, request(b"other"), true).await, ForwardResult::RetryLater);
+        drop(hold);
+        assert_eq!(record_forwarded(&inbound, request(b"other"), true).await, recorded);
+    });
+}
--- a/crates/daemon/src/copies/service.rs
+++ b/crates/daemon/src/copies/service.rs
@@ -279,7 +279,10 @@
                 }
                 Output::AttemptGranted(id, number) => self.consent_decided(id, number, true),
                 Output::AttemptRefused(id, number) => self.consent_decided(id, number, false),
-                Output::TakenOver(id) => drop(self.inputs.send(Input::Adopted(MessageId(id.0)))),
+                Output::TakenOver(id) => {
+                    let hold = self.journal.borrow().hold(MessageId(id.0));
+                    let _ = self.inputs.send(Input::Adopted(hold));
+                }
                 Output::OwnershipLost(id) => {
                     self.journal.borrow_mut().record_end(MessageId(id.0));
                     let _ = self.inputs.send(Input::OwnershipLost(MessageId(id.0)));
@@ -339,7 +342,9 @@
                     "copies: {name} failed before it had registered the epoch; a new epoch begins without it"
                 );
             }
-            Event::WriteFailed => self.warn_once("copies: cannot write to the folder".to_owned()),
+            Event::WriteFailed => {
+                self.warn_once("copies: cannot write to the folder, or an id is in use".to_owned())
+            }
         }
     }
 
@@ -368,6 +373,11 @@
         })
     }
 
+    /// Whether other senders have yet to delete their copies of a message that had this id.
+    pub fn is_end_pending(&self, id: MessageId) -> bool {
+        self.replicator.borrow().is_end_pending(Id(id.0))
+    }
+
     /// Has copies of a message stored by other senders. Returns whether it is committed: enough replicas have
     /// stored it, or operators have configured that it is accepted anyway. Its record must be in the journal.
     pub async fn replicate(self: &Rc<Self>, id: MessageId, at_most_once: bool, limit: Duration) -> bool {
@@ -576,7 +586,7 @@
                         ProtocolInput::NeverRan { id: Id(id.0), number },
                     MessageUpdate::Verdict(id, verdict) =>
                         ProtocolInput::VerdictRecorded { id: Id(id.0), verdict: to_copies_verdict(verdict) },
-                    MessageUpdate::Ended(id) => ProtocolInput::Ended { id: Id(id.0) },
+                    MessageUpdate::Ended(hold) => ProtocolInput::Ended { id: Id(hold.id().0) },
                 }),
                 () = sleep_until(self.started + Duration::from_micros(wake)) =>
                     self.handle_input(ProtocolInput::Tick),
--- a/crates/daemon/src/decision_loop.rs
+++ b/crates/daemon/src/decision_loop.rs
@@ -6,6 +6,7 @@
 use crate::copies::service::ReplicationService;
 use crate::endpoint_list::{EndpointList, Member, MemberPhase, endpoint_id};
 use crate::handover::protocol::HandoverState;
+use crate::id_holds::{IdHold, IdHolds};
 use crate::input::{AppliedCommand, CLOCK_START, CommandReply, CommandResult, Input};
 use crate::operations::{OperatorCommand, Rejection};
 use crate::operators::flight_recorder::FlightRecorder;
@@ -37,6 +38,10 @@
 /// whose report has not arrived this long after its deadline is ended here.
 const PREDECESSOR_REPORT_DELAY: Duration = Duration::from_millis(50);
 
+/// Interval of the checks that no open message is forgotten, and how many messages each of them covers.
+const AUDIT_INTERVAL: Duration = Duration::from_millis(100);
+const MESSAGES_PER_AUDIT: usize = 256;
+
 /// Interval of the retries of a configuration that the store did not accept.
 const CONFIG_RETRY_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -46,8 +51,10 @@
     if written || verdict == Verdict::Dead {
         return reports.push(id, verdict);
     }
+    let hold = journal.borrow().hold(id);
     let (journal, reports) = (journal.clone(), reports.clone());
     tokio::task::spawn_local(async move {
+        let _hold = hold;
         if let Some(verdict) = wait_for_verdict_write(&journal, id, verdict).await {
             reports.push(id, verdict);
         }
@@ -74,6 +81,9 @@
     predecessor_attempts: BTreeSet<MessageId>,
     /// Messages that the predecessor recorded and whose clients have not received the acknowledgement yet.
     unacknowledged: BTreeSet<MessageId>,
+    /// Keeps the ids of these messages in use until the predecessor, or the earlier session, has ended: it
+    /// may report on them even after they have been decided on here.
+    predecessor_holds: Vec<IdHold>,
     journal: Rc<RefCell<Journal>>,
     calls: Rc<Calls>,
     copies: Option<Rc<ReplicationService>>,
@@ -86,7 +96,7 @@
     inputs: UnboundedReceiver<Input>,
     /// Replies to operators' commands that are in effect after the current turn.
     pending_replies: Vec<(CommandReply, CommandResult)>,
-    /// The number of attempts of each message that is open or has an attempt in flight.
+    /// The number of attempts of each message that the policy holds or that has an attempt in flight.
     attempts: HashMap<MessageId, AttemptCounts>,
     /// When the policy asked to be called, by its own clock. It is cleared by the same comparison as in the
     /// policy: if the two disagreed on whether this time has passed, the policy might not be called at the
@@ -94,6 +104,9 @@
     wake_at: Option<Micros>,
     last_turn_at: Option<Instant>,
     events: Vec<Event>,
+    /// When the next check for forgotten messages is due, and the message that it begins behind.
+    next_audit: Instant,
+    audited_up_to: Option<MessageId>,
 }
 
 /// The limits that the policy sets for an attempt, see [`Action::Send`].
@@ -103,10 +116,31 @@
     proven_only: bool,
 }
 
-#[derive(Default)]
+/// The number of attempts of a message.
 struct AttemptCounts {
     made: u32,
     in_flight: u32,
+    /// The policy has given the message up. Its verdict may not be recorded yet.
+    is_given_up: bool,
+    /// The policy, an attempt or the report of its end may still refer to the message.
+    _hold: IdHold,
+}
+
+impl AttemptCounts {
+    fn new(made: u32, in_flight: u32, hold: IdHold) -> Self {
+        Self { made, in_flight, is_given_up: false, _hold: hold }
+    }
+}
+
+/// Messages that are still open in an earlier session of this process.
+#[derive(Clone, Default)]
+pub struct PredecessorMessages {
+    /// Those that have an attempt in flight there.
+    pub attempts: BTreeSet<MessageId>,
+    /// Those whose acknowledgement is not written yet.
+    pub unanswered: BTreeSet<MessageId>,
+    /// Those whose requests are forwarded, and which may have a record or not.
+    pub forwarded: BTreeSet<MessageId>,
 }
 
 /// The parts that a decision loop works with.
@@ -130,13 +164,14 @@
     pub fn new(
         config: &Config,
         text: &str,
-        (predecessor_attempts, unacknowledged): (BTreeSet<MessageId>, BTreeSet<MessageId>),
+        predecessor: PredecessorMessages,
         components: Components,
     ) -> Result<Self, SettingsError> {
         let sender = Sender::new(components.active_settings.borrow().settings.clone(), config.seed)?;
         let mut decision_loop = Self::build(sender, config, text, components);
-        (decision_loop.predecessor_attempts, decision_loop.unacknowledged) =
-            (predecessor_attempts, unacknowledged);
+        decision_loop.predecessor_attempts = predecessor.attempts;
+        decision_loop.unacknowledged = &predecessor.unanswered | &predecessor.forwarded;
+        decision_loop.hold_ids_of_predecessor(&predecessor.forwarded);
         decision_loop.restore_operator_settings();
         let entries = decision_loop.apply_list(&config.initial_list, true);
         decision_loop.events.push(Event::List(ListUpdate::Restored(entries)));
@@ -162,7 +197,10 @@
         decision_loop.attempts = state
             .attempt_counts
             .iter()
-            .map(|&(id, made, in_flight)| (id, AttemptCounts { made, in_flight }))
+            .map(|&(id, made, in_flight)| {
+                let hold = decision_loop.journal.borrow().hold(id);
+                (id, AttemptCounts::new(made, in_flight, hold))
+            })
             .collect();
         decision_loop.predecessor_attempts = state.predecessor_attempts.into_iter().collect();
         for (id, open) in decision_loop.journal.clone().borrow().iter() {
@@ -174,6 +212,7 @@
                 decision_loop.unacknowledged.insert(id);
             }
         }
+        decision_loop.hold_ids_of_predecessor(&BTreeSet::new());
         decision_loop
     }
 
@@ -233,6 +272,7 @@
             pending_config: None,
             predecessor_attempts: BTreeSet::new(),
             unacknowledged: BTreeSet::new(),
+            predecessor_holds: Vec::new(),
             journal,
             calls,
             copies,
@@ -248,6 +288,8 @@
             wake_at: None,
             last_turn_at: None,
             events: Vec::new(),
+            next_audit: Instant::now() + AUDIT_INTERVAL,
+            audited_up_to: None,
         }
     }
 
@@ -280,7 +322,8 @@
                 continue;
             }
             let made = open.attempts_made();
-            self.attempts.insert(id, AttemptCounts { made, in_flight: 0 });
+            let hold = journal.borrow().hold(id);
+            self.attempts.insert(id, AttemptCounts::new(made, 0, hold));
             let Some(event) = self.resume_event(id, open, made) else {
                 // Its class left the settings, or it was never acknowledged: it can only be ended.
                 self.reports.push(id, Verdict::Dead);
@@ -349,6 +392,10 @@
                         let Some(input) = input else { return };
                         self.process_input(input);
                     }
+                    () = sleep_until(self.next_audit) => {
+                        self.audit();
+                        continue;
+                    }
                 }
             }
             // Inputs within a tick of the last turn wait; after a quiet time the next turn runs at once.
@@ -359,9 +406,62 @@
                 self.process_input(input);
             }
             self.run_turn();
+            // The policy has received all events by now, and no input is left that an earlier one precedes.
+            if Instant::now() >= self.next_audit {
+                self.audit();
+            }
+        }
+    }
+
+    /// Checks some messages of the journal for one that no part of the program will deliver or end, and takes
+    /// it up again. It has to be called while no event and no input is waiting.
+    fn audit(&mut self) {
+        self.next_audit = Instant::now() + AUDIT_INTERVAL;
+        let journal = self.journal.clone();
+        let forgotten: Vec<(MessageId, Option<Verdict>)> = {
+            let journal = journal.borrow();
+            let batch = journal.iter_after(self.audited_up_to).take(MESSAGES_PER_AUDIT);
+            let (mut checked, mut forgotten) = (0, Vec::new());
+            for (id, open) in batch {
+                (checked, self.audited_up_to) = (checked + 1, Some(id));
+                if self.is_forgotten(id, open, journal.id_holds()) {
+                    forgotten.push((id, open.verdict));
+                }
+            }
+            if checked < MESSAGES_PER_AUDIT {
+                self.audited_up_to = None;
+            }
+            forgotten
+        };
+        for (id, verdict) in forgotten {
+            tracing::error!("message {:016x} is open in the journal, but forgotten: it is resumed", id.0);
+            self.calls.reasons.count_forgotten_message();
+            self.attempts.remove(&id);
+            match verdict {
+                Some(verdict) => self.reports.push(id, verdict),
+                None => self.resume(Some(&BTreeSet::from([id]))),
+            }
+        }
+    }
+
+    /// Whether no part of the program will deliver or end an open message: none holds its id, or only this
+    /// loop does, and the policy does not have the message.
+    fn is_forgotten(&self, id: MessageId, open: &OpenMessage, holds: &IdHolds) -> bool {
+        match self.attempts.get(&id) {
+            None => !holds.is_held(id),
+            Some(counts) => counts.in_flight == 0 && open.verdict.is_none() && !self.sender.is_open(id),
         }
     }
 
+    /// Holds the ids of messages on which the predecessor may report. A request in `forwarded` that has no
+    /// record yet is about to be recorded, so its id stays free.
+    fn hold_ids_of_predecessor(&mut self, forwarded: &BTreeSet<MessageId>) {
+        let journal = self.journal.borrow();
+        let ids =
+            self.awaiting_predecessor().filter(|id| journal.get(*id).is_some() || !forwarded.contains(id));
+        self.predecessor_holds = ids.map(|id| journal.hold(id)).collect();
+    }
+
     /// Messages on which the predecessor, or an earlier session, has yet to report.
     fn awaiting_predecessor(&self) -> impl Iterator<Item = MessageId> {
         self.predecessor_attempts.iter().chain(&self.unacknowledged).copied()
@@ -523,10 +623,13 @@
                     None => return,
                 }
             }
-            Input::PredecessorEnded(mut messages) => {
+            Input::PredecessorEnded(recorded) => {
+                let mut messages: BTreeSet<MessageId> = recorded.iter().map(IdHold::id).collect();
                 messages.append(&mut self.predecessor_attempts);
                 messages.append(&mut self.unacknowledged);
-                return self.resume(Some(&messages));
+                self.resume(Some(&messages));
+                self.predecessor_holds.clear();
+                return;
             }
             Input::ConfigurationChanged(config, text) => {
                 self.pending_config = Some((config, text));
@@ -539,14 +642,14 @@
                 Some(event) => event,
                 None => return,
             },
-            Input::Adopted(id) => return self.take_over(id),
+            Input::Adopted(hold) => return self.take_over(hold.id()),
             Input::OwnershipLost(id) => self.withdraw(id),
             Input::ConsentDenied(id) => match self.pause(id) {
                 Some(event) => event,
                 None => return,
             },
-            Input::DeliveryUncertain(id) => return self.reports.push(id, Verdict::Dead),
-            Input::PauseElapsed(id) => return self.resume(Some(&BTreeSet::from([id]))),
+            Input::DeliveryUncertain(hold) => return self.reports.push(hold.id(), Verdict::Dead),
+            Input::PauseElapsed(hold) => return self.resume(Some(&BTreeSet::from([hold.id()]))),
             Input::OperatorCommand(command, reply) => return self.apply_command(command, reply),
             Input::RedirectClients(wanted) => return self.admission.set_draining(DrainReason::Zone, wanted),
             Input::Event(event) => event,
@@ -554,10 +657,11 @@
                 self.unacknowledged.remove(&accepted.id);
                 // It may have been resumed from the store already, and may have ended.
                 let is_known = self.attempts.contains_key(&accepted.id);
+                let hold = self.journal.borrow().hold(accepted.id);
                 if is_known || self.journal.borrow().get(accepted.id).is_none() {
                     return;
                 }
-                self.attempts.insert(accepted.id, AttemptCounts::default());
+                self.attempts.insert(accepted.id, AttemptCounts::new(0, 0, hold));
                 Event::Taken(accepted.message(self.time_left(accepted.id)))
             }
             Input::ListUpdate(list) => {
@@ -576,7 +680,7 @@
             let is_open = self.journal.borrow().get(id).is_some_and(|m| m.verdict.is_none());
             if let Some(counts) = self.attempts.get_mut(&id) {
                 counts.in_flight = counts.in_flight.saturating_sub(1);
-                if counts.in_flight == 0 && !is_open {
+                if counts.in_flight == 0 && (!is_open || counts.is_given_up) {
                     self.attempts.remove(&id);
                 }
             }
@@ -615,10 +719,10 @@
         };
         self.attempts.get(&id).filter(|a| a.in_flight == 0)?;
         self.attempts.remove(&id);
-        let inputs = self.calls.inputs();
+        let (inputs, hold) = (self.calls.inputs(), self.journal.borrow().hold(id));
         tokio::task::spawn_local(async move {
             tokio::time::sleep(pause).await;
-            let _ = inputs.send(Input::PauseElapsed(id));
+            let _ = inputs.send(Input::PauseElapsed(hold));
         });
         Some(Event::Withdrawn(id))
     }
@@ -813,7 +917,8 @@
         let max_bundle = self.calls.max_bundle(endpoint);
         let content = |m: &OpenMessage| (m.idempotency_key.clone(), m.body.clone());
         let (idempotency_key, body) = self.journal.borrow().get(id).map(content).unwrap_or_default();
-        let counts = self.attempts.entry(id).or_default();
+        let new_counts = || AttemptCounts::new(0, 0, self.journal.borrow().hold(id));
+        let counts = self.attempts.entry(id).or_insert_with(new_counts);
         let AttemptLimits { timeout, start_within, proven_only } = limits;
         let item =
             CallItem { id, attempt: counts.made, timeout, start_within, proven_only, idempotency_key, body };
@@ -837,7 +942,9 @@
                 // Another sender may have taken it over, or may still do so: that the client sends it again
                 // is harmless only once no sender can attempt it any more.
                 let (copies, journal, reports) = (copies.clone(), self.journal.clone(), self.reports.clone());
+                let hold = journal.borrow().hold(id);
                 tokio::task::spawn_local(async move {
+                    let _hold = hold;
                     let verdict = if copies.close_message(id).await { verdict } else { Verdict::Dead };
                     if journal.borrow().get(id).is_some_and(|o| o.verdict.is_none()) {
                         record_verdict(&journal, &reports, id, verdict);
@@ -846,8 +953,9 @@
             }
             _ => record_verdict(&self.journal, &self.reports, id, verdict),
         }
-        if self.attempts.get(&id).is_some_and(|a| a.in_flight == 0) {
-            self.attempts.remove(&id);
+        match self.attempts.get_mut(&id) {
+            Some(counts) if counts.in_flight > 0 => counts.is_given_up = true,
+            _ => drop(self.attempts.remove(&id)),
         }
     }
 
@@ -865,3 +973,6 @@
         self.journal.borrow().iter().next().is_none()
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/daemon/src/input.rs
+++ b/crates/daemon/src/input.rs
@@ -2,12 +2,12 @@
 //! the decision loop.
 
 use crate::endpoint_list::EndpointList;
+use crate::id_holds::IdHold;
 use crate::operations::{OperatorCommand, Rejection};
 use crate::settings::config::Config;
 use notchpoint_policy::{DestinationId, Event, Message, MessageId, Micros, Outcome};
 use notchpoint_store::LogPosition;
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeSet;
 use tokio::sync::oneshot;
 
 /// The policy's clock starts at this value. Settings with longer durations are rejected, so no duration that
@@ -59,17 +59,17 @@
         is_final: bool,
     },
     /// The predecessor has ended: the messages that it recorded and did not report on are resumed here.
-    PredecessorEnded(BTreeSet<MessageId>),
+    PredecessorEnded(Vec<IdHold>),
     /// This sender has taken over a message that another one had acknowledged; the journal holds it.
-    Adopted(MessageId),
+    Adopted(IdHold),
     /// Another sender owns this message: its record here is deleted, and nothing more is done for it.
     OwnershipLost(MessageId),
     /// An attempt of this message was not made, since the replicas did not consent to it: the message pauses.
     ConsentDenied(MessageId),
     /// A message was delivered so close to its deadline that the delivery may not count.
-    DeliveryUncertain(MessageId),
+    DeliveryUncertain(IdHold),
     /// The pause of a message is over.
-    PauseElapsed(MessageId),
+    PauseElapsed(IdHold),
     /// Whether clients are to be directed to other senders, because the zone of this sender is evacuated.
     RedirectClients(bool),
     /// An operator's command, and the reply to send once it is in effect.
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -8,6 +8,7 @@
 mod decision_loop;
 pub mod endpoint_list;
 mod handover;
+mod id_holds;
 mod input;
 mod io;
 mod operations;
--- a/crates/daemon/src/platform/notice_scheduler.rs
+++ b/crates/daemon/src/platform/notice_scheduler.rs
@@ -4,6 +4,7 @@
 //! answering must take only a part of that, so pending notices are posted again on a second connection well
 //! before. A notice that is delivered twice does no harm.
 
+use crate::id_holds::IdHold;
 use crate::state::record::Verdict;
 use notchpoint_policy::MessageId;
 use std::collections::{BTreeMap, VecDeque};
@@ -32,7 +33,8 @@
 /// A notice that the platform has not confirmed.
 #[derive(Debug)]
 struct PendingNotice {
-    id: MessageId,
+    /// The id of its message, which stays in use.
+    hold: IdHold,
     verdict: Verdict,
     since: Time,
     /// The earliest time of its next post.
@@ -42,7 +44,9 @@
 /// A post under way.
 #[derive(Debug)]
 struct Post {
-    ids: Vec<MessageId>,
+    /// The ids of the messages. They stay in use until the post is over, since its answer confirms the
+    /// notices by these ids.
+    holds: Vec<IdHold>,
     started: Time,
 }
 
@@ -88,8 +92,8 @@
 
 impl NoticeScheduler {
     /// Adds a notice, which is due at once.
-    pub fn push(&mut self, id: MessageId, verdict: Verdict, now: Time) {
-        self.pending.push_back(PendingNotice { id, verdict, since: now, due: now });
+    pub fn push(&mut self, hold: IdHold, verdict: Verdict, now: Time) {
+        self.pending.push_back(PendingNotice { hold, verdict, since: now, due: now });
     }
 
     /// Whether no notice is pending.
@@ -119,17 +123,17 @@
         // Notices of posts without an answer are due again, and so a part of this post.
         let delay = self.repost_delay();
         let batch = self.pending.iter_mut().filter(|n| n.due <= now).take(MAX_NOTICES_PER_POST);
-        let notices: Vec<_> = batch
+        let (notices, holds): (Vec<_>, Vec<_>) = batch
             .map(|notice| {
                 notice.due = now + delay;
-                (notice.id, notice.verdict)
+                ((notice.hold.id(), notice.verdict), notice.hold.clone())
             })
-            .collect();
+            .unzip();
         self.consecutive_reposts = if needs_new_connection { self.consecutive_reposts + 1 } else { 0 };
         self.not_before = now + delay;
         let post = self.next_post;
         self.next_post += 1;
-        self.posts.insert(post, Post { ids: notices.iter().map(|n| n.0).collect(), started: now });
+        self.posts.insert(post, Post { holds, started: now });
         Some(PostRequest { post, notices, needs_new_connection, abandoned })
     }
 
@@ -141,9 +145,10 @@
             if self.response_time.is_zero() { took } else { (self.response_time * 7 + took) / 8 };
         (self.consecutive_reposts, self.consecutive_failures) = (0, 0);
         self.not_before = now;
-        self.pending.retain(|n| !ended.ids.contains(&n.id));
+        let ids: Vec<MessageId> = ended.holds.iter().map(IdHold::id).collect();
+        self.pending.retain(|n| !ids.contains(&n.hold.id()));
         // Notices of earlier posts keep their due time, since this answer says nothing about those posts.
-        ended.ids
+        ids
     }
 
     /// Records that a post failed. Its notices are due again soon, on another connection.
@@ -152,7 +157,8 @@
         let delay = (RETRY_DELAY_MIN * (1 << self.consecutive_failures.min(8))).min(RETRY_DELAY_MAX);
         self.consecutive_failures += 1;
         self.not_before = now + delay;
-        for notice in self.pending.iter_mut().filter(|n| ended.ids.contains(&n.id)) {
+        let ids: Vec<MessageId> = ended.holds.iter().map(IdHold::id).collect();
+        for notice in self.pending.iter_mut().filter(|n| ids.contains(&n.hold.id())) {
             notice.due = notice.due.min(now + delay);
         }
     }
@@ -175,6 +181,11 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::id_holds::IdHolds;
+
+    fn hold(id: u64) -> IdHold {
+        IdHolds::default().hold(MessageId(id))
+    }
 
     const fn ms(n: u64) -> Duration {
         Duration::from_millis(n)
@@ -188,7 +199,7 @@
         let mut under_way: Vec<(u64, u64, Vec<u64>)> = Vec::new();
         for t in 0..end {
             if pushes.contains(&t) {
-                scheduler.push(MessageId(t), Verdict::Dead, ms(t));
+                scheduler.push(hold(t), Verdict::Dead, ms(t));
             }
             under_way.retain(|(post, at, ids)| {
                 if is_silent(*post) || t < at + 2 {
@@ -236,7 +247,7 @@
         assert!(confirmed.is_empty());
         assert!(max_posts <= MAX_POSTS, "{max_posts} posts at once");
         let mut scheduler = NoticeScheduler::default();
-        scheduler.push(MessageId(1), Verdict::Dead, ms(0));
+        scheduler.push(hold(1), Verdict::Dead, ms(0));
         let posts = (0..10_000).filter(|t| scheduler.next_post(ms(*t)).is_some()).count();
         assert!(posts <= 20, "{posts} posts in ten seconds");
     }
@@ -245,7 +256,7 @@
     fn a_working_platform_gets_each_notice_once() {
         let mut scheduler = NoticeScheduler::default();
         for t in 0..1_000u64 {
-            scheduler.push(MessageId(t), Verdict::Bounced(t), ms(t * 10));
+            scheduler.push(hold(t), Verdict::Bounced(t), ms(t * 10));
             let request = scheduler.next_post(ms(t * 10)).expect("due at once");
             assert_eq!((request.notices.len(), request.needs_new_connection), (1, false));
             assert!(scheduler.next_post(ms(t * 10 + 5)).is_none());
@@ -257,7 +268,7 @@
     #[test]
     fn a_failed_post_is_repeated_and_a_late_answer_has_no_effect() {
         let mut scheduler = NoticeScheduler::default();
-        scheduler.push(MessageId(1), Verdict::Dead, ms(0));
+        scheduler.push(hold(1), Verdict::Dead, ms(0));
         let first = scheduler.next_post(ms(0)).expect("due");
         scheduler.record_failed(first.post, ms(1));
         assert_eq!(scheduler.wake(), Some(ms(11)));
@@ -269,10 +280,29 @@
         assert!(scheduler.is_empty() && scheduler.oldest_age(ms(20)).is_zero());
     }
 
+    #[test]
+    fn an_id_stays_in_use_until_each_post_with_its_notice_is_over() {
+        // Guards against the answer to a repeated post that confirms the notice of a later message with the
+        // same id, which is then never posted, and ends that message.
+        let holds = IdHolds::default();
+        let is_held = || holds.is_held(MessageId(1));
+        let mut scheduler = NoticeScheduler::default();
+        scheduler.push(holds.hold(MessageId(1)), Verdict::Dead, ms(0));
+        let first = scheduler.next_post(ms(0)).expect("due");
+        let second = scheduler.next_post(ms(100)).expect("the first post has no answer");
+        let third = scheduler.next_post(ms(1_000)).expect("the second post has none either");
+        assert_eq!(scheduler.record_confirmed(second.post, ms(1_001)), [MessageId(1)]);
+        assert!(scheduler.is_empty() && is_held(), "two posts are still under way");
+        scheduler.record_failed(first.post, ms(1_002));
+        assert!(is_held(), "one post is still under way");
+        assert_eq!(scheduler.record_confirmed(third.post, ms(1_003)), [MessageId(1)]);
+        assert!(!is_held());
+    }
+
     #[test]
     fn after_a_change_of_address_all_notices_are_posted_at_once() {
         let mut scheduler = NoticeScheduler::default();
-        scheduler.push(MessageId(1), Verdict::Dead, ms(0));
+        scheduler.push(hold(1), Verdict::Dead, ms(0));
         let first = scheduler.next_post(ms(0)).expect("due");
         assert!(scheduler.next_post(ms(3)).is_none());
         assert_eq!(scheduler.relocate(ms(3)), [first.post]);
--- a/crates/daemon/src/platform/reports.rs
+++ b/crates/daemon/src/platform/reports.rs
@@ -54,7 +54,8 @@
 
     /// Adds a notice.
     pub fn push(&self, id: MessageId, verdict: Verdict) {
-        self.scheduler.borrow_mut().push(id, verdict, self.started.elapsed());
+        let hold = self.journal.borrow().hold(id);
+        self.scheduler.borrow_mut().push(hold, verdict, self.started.elapsed());
         self.notice_added.notify_one();
     }
 
--- a/crates/daemon/src/reasons.rs
+++ b/crates/daemon/src/reasons.rs
@@ -3,7 +3,7 @@
 
 use crate::state::journal::Verdict;
 use notchpoint_policy::Outcome;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 
 /// Why a request is answered with 503 or another error.
@@ -23,7 +23,9 @@
     NotWithdrawn,
     /// The successor process refused it.
     Successor,
-    /// It is malformed, its id is in use, or its method or path does not exist.
+    /// Its id belongs to a message that has ended, and parts of this sender have not learned of that yet.
+    IdInUse,
+    /// It is malformed, an open message has its id, or its method or path does not exist.
     Invalid,
 }
 
@@ -49,6 +51,7 @@
     closes: Counts<Close>,
     attempts: Counts<&'static str>,
     notices: Counts<&'static str>,
+    forgotten_messages: Cell<u64>,
 }
 
 fn count<K: Ord>(counts: &Counts<K>, key: K) {
@@ -77,6 +80,11 @@
         count(&self.notices, name);
     }
 
+    /// Counts a message that was open in the journal and that no part of the program would have ended.
+    pub fn count_forgotten_message(&self) {
+        self.forgotten_messages.set(self.forgotten_messages.get() + 1);
+    }
+
     /// Returns all counts in the form of `/status`.
     pub fn to_json(&self) -> serde_json::Value {
         serde_json::json!({
@@ -84,6 +92,7 @@
             "closes": counts_by_name(&self.closes),
             "attempts": &*self.attempts.borrow(),
             "notices": &*self.notices.borrow(),
+            "forgotten_messages": self.forgotten_messages.get(),
         })
     }
 }
--- a/crates/daemon/src/sender.rs
+++ b/crates/daemon/src/sender.rs
@@ -5,12 +5,13 @@
 use crate::clients::admission::{Admission, FRONT_DRAIN_TIME};
 use crate::clients::inbound::Inbound;
 use crate::copies::service::ReplicationService;
-use crate::decision_loop::{Components, DecisionLoop};
+use crate::decision_loop::{Components, DecisionLoop, PredecessorMessages};
 use crate::handover::protocol::{
     AfterDisconnect, ForwardResult, Frame, HandoverState, after_disconnect, frame_for,
 };
 use crate::handover::successor::Successor;
 use crate::handover::transport::{self, FrameChannel, HandoverReply};
+use crate::id_holds::IdHold;
 use crate::input::Input;
 use crate::operators::admin::{self, AdminServer, StatusSources};
 use crate::operators::flight_recorder::FlightRecorder;
@@ -31,7 +32,7 @@
 use notchpoint_policy::{MessageId, Micros};
 use notchpoint_seam::{Clock, ConfigSource, Disk, Environment, Listener, Network, Signal};
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::future::pending;
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
@@ -161,16 +162,7 @@
     Handover(Box<HandoverState>, FrameChannel),
     /// The store, after an earlier session of this process had handed over; some of its messages are still
     /// open there.
-    StoreAfterHandover(FrameChannel, OpenElsewhere),
-}
-
-/// Messages that are still open in an earlier session of this process.
-#[derive(Default)]
-struct OpenElsewhere {
-    /// Those that have an attempt in flight there.
-    attempts: BTreeSet<MessageId>,
-    /// Those whose clients have not received the acknowledgement yet.
-    unacknowledged: BTreeSet<MessageId>,
+    StoreAfterHandover(FrameChannel, PredecessorMessages),
 }
 
 /// What stays the same for the whole process, over all of its sessions.
@@ -421,12 +413,9 @@
             }
             StartFrom::StoreAfterHandover(channel, open) => {
                 calls.adopt_attempts(&[], &[], channel.outgoing.clone());
-                tokio::task::spawn_local(follow_predecessor(
-                    inbound.clone(),
-                    channel,
-                    open.unacknowledged.clone(),
-                ));
-                DecisionLoop::new(&config, &text, (open.attempts, open.unacknowledged), components)?
+                let unacknowledged = &open.unanswered | &open.forwarded;
+                tokio::task::spawn_local(follow_predecessor(inbound.clone(), channel, unacknowledged));
+                DecisionLoop::new(&config, &text, open, components)?
             }
             StartFrom::Store => DecisionLoop::new(&config, &text, Default::default(), components)?,
         };
@@ -560,8 +549,8 @@
     let FrameChannel { outgoing, mut incoming } = channel;
     // Messages that were recorded here and whose clients have not received the acknowledgement yet; `None`
     // once the predecessor, which has their connections, has ended.
-    let forwarded = Rc::new(RefCell::new(Some(BTreeSet::<MessageId>::new())));
-    let forget = |id: MessageId| forwarded.borrow_mut().as_mut().is_some_and(|ids| ids.remove(&id));
+    let forwarded = Rc::new(RefCell::new(Some(BTreeMap::<MessageId, IdHold>::new())));
+    let forget = |id: MessageId| forwarded.borrow_mut().as_mut().and_then(|ids| ids.remove(&id));
     while let Some(frame) = incoming.recv().await {
         match frame {
             Frame::AttemptEnded { id, attempt, outcome, is_final, allowance } => {
@@ -576,7 +565,7 @@
                         crate::clients::inbound::record_forwarded(&inbound, request, may_be_recorded).await;
                     if matches!(result, ForwardResult::Recorded { .. }) {
                         match &mut *recorded.borrow_mut() {
-                            Some(ids) => _ = ids.insert(id),
+                            Some(ids) => _ = ids.insert(id, inbound.journal.borrow().hold(id)),
                             // The predecessor has ended meanwhile, and its connection to the client with it.
                             None => _ = inbound.journal.borrow_mut().record_end(id),
                         }
@@ -589,8 +578,8 @@
                 let _ = inbound.inputs.send(Input::Acknowledged(accepted));
             }
             Frame::Unacknowledged(id) => {
-                forget(id);
                 inbound.journal.borrow_mut().record_end(id);
+                forget(id);
                 let _ = inbound.inputs.send(Input::Unacknowledged(id));
             }
             other => tracing::warn!("hand-over: unexpected frame {other:?} from the predecessor"),
@@ -599,7 +588,7 @@
     tracing::info!("hand-over: the predecessor has ended");
     inbound.calls.predecessor_ended();
     let forwarded = forwarded.take().unwrap_or_default();
-    let _ = inbound.inputs.send(Input::PredecessorEnded(forwarded));
+    let _ = inbound.inputs.send(Input::PredecessorEnded(forwarded.into_values().collect()));
 }
 
 /// A session that has handed over its store and its decisions, and still has open calls and connections.
@@ -681,9 +670,13 @@
         tracing::warn!("hand-over: the successor has ended; this process serves again {resumed_from}");
         let (near, far) = transport::channel_pair();
         self.unconfirmed.drain(..).for_each(|frame| drop(near.outgoing.send(frame)));
-        let attempts = state.attempts_in_flight.iter().map(|o| o.0).collect();
-        let open = OpenElsewhere { attempts, unacknowledged: self.inbound.unacknowledged() };
+        let mut open = PredecessorMessages {
+            attempts: state.attempts_in_flight.iter().map(|o| o.0).collect(),
+            unanswered: self.inbound.unanswered.borrow().clone(),
+            forwarded: BTreeSet::new(),
+        };
         if let Some(successor) = &*self.inbound.successor.borrow() {
+            open.forwarded = successor.pending();
             successor.redirect(near.outgoing.clone());
         }
         tokio::task::spawn_local(self.report_to_next_session(near));
--- a/crates/daemon/src/state/journal.rs
+++ b/crates/daemon/src/state/journal.rs
@@ -4,6 +4,7 @@
 //! Written records outlast the process without a sync. If the operator asks for more (`[store]`),
 //! `durability.rs` waits for the sync before anything is acknowledged or sent.
 
+use crate::id_holds::{IdHold, IdHolds};
 use crate::rate_limited_warning::RateLimitedWarning;
 use crate::settings::classes;
 use crate::state::legacy;
@@ -20,6 +21,7 @@
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
 use std::io;
+use std::ops::Bound;
 use std::rc::Rc;
 use tokio::sync::Notify;
 use tokio::sync::mpsc::UnboundedSender;
@@ -41,6 +43,7 @@
     timeline: Timeline,
     continuity: Continuity,
     open: BTreeMap<MessageId, OpenMessage>,
+    id_holds: IdHolds,
     /// The number of messages without an end or a verdict.
     held_count: usize,
     operator_marks: OperatorMarks,
@@ -59,11 +62,12 @@
 }
 
 /// A change of a message that the copies of it must follow.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Debug)]
 pub enum MessageUpdate {
     AttemptNeverRan(MessageId, u32),
     Verdict(MessageId, Verdict),
-    Ended(MessageId),
+    /// The id stays in use until the copies are being deleted.
+    Ended(IdHold),
 }
 
 /// A row of copies: its key, and its value, or `None` to delete the row.
@@ -121,6 +125,7 @@
             timeline,
             continuity,
             open,
+            id_holds: IdHolds::default(),
             held_count,
             operator_marks,
             stored_classes,
@@ -202,11 +207,32 @@
         self.open.get(&id)
     }
 
+    /// Whether a new message may have this id: no record has it, and no part of the program holds it.
+    pub fn is_id_free(&self, id: MessageId) -> bool {
+        !self.open.contains_key(&id) && !self.id_holds.is_held(id)
+    }
+
+    /// Keeps an id in use until the returned value is dropped.
+    pub fn hold(&self, id: MessageId) -> IdHold {
+        self.id_holds.hold(id)
+    }
+
+    /// Returns the ids that are held.
+    pub fn id_holds(&self) -> &IdHolds {
+        &self.id_holds
+    }
+
     /// Iterates over the open messages.
     pub fn iter(&self) -> impl Iterator<Item = (MessageId, &OpenMessage)> {
         self.open.iter().map(|(&id, m)| (id, m))
     }
 
+    /// Iterates over the open messages behind this id, or over all.
+    pub fn iter_after(&self, id: Option<MessageId>) -> impl Iterator<Item = (MessageId, &OpenMessage)> {
+        let from = id.map_or(Bound::Unbounded, Bound::Excluded);
+        self.open.range((from, Bound::Unbounded)).map(|(&id, m)| (id, m))
+    }
+
     /// Returns the number of messages without an end or a verdict.
     pub fn held_count(&self) -> usize {
         self.held_count
@@ -248,13 +274,16 @@
     }
 
     /// Takes over a message that another sender had acknowledged, and writes rows of copies in the same
-    /// batch. After an error nothing has changed.
+    /// batch. After an error nothing has changed. It fails as long as the id is in use here.
     pub fn adopt<'a>(
         &mut self,
         id: MessageId,
         message: OpenMessage,
         rows: impl Iterator<Item = CopyRow<'a>>,
     ) -> io::Result<()> {
+        if !self.is_id_free(id) {
+            return Err(io::Error::new(io::ErrorKind::AlreadyExists, "the message id is in use"));
+        }
         let mut batch = Batch::default();
         record::write(&mut batch, id, &message);
         add_copy_rows(&mut batch, rows);
@@ -333,11 +362,9 @@
         let attempts = self.open.get_mut(&id).into_iter().flat_map(|m| &mut m.attempts);
         let Some(attempt) = attempts.into_iter().find(|a| a.number == number) else { return };
         attempt.never_ran = true;
-        if let Some(subscriber) = &self.subscriber {
-            let _ = subscriber.send(MessageUpdate::AttemptNeverRan(id, number));
-        }
         let mut batch = Batch::default();
         batch.put(MESSAGES, &key(id, ATTEMPT, Some(number)), &encode_attempt(attempt));
+        self.notify_subscriber(MessageUpdate::AttemptNeverRan(id, number));
         self.append_or_defer(batch);
     }
 
@@ -362,7 +389,7 @@
         let mut batch = Batch::default();
         batch.delete_prefix(MESSAGES, &id.0.to_be_bytes());
         let written = self.append_or_defer(batch);
-        self.notify_subscriber(MessageUpdate::Ended(id));
+        self.notify_subscriber(MessageUpdate::Ended(self.hold(id)));
         self.reserve_for_ends();
         written
     }
@@ -464,6 +491,9 @@
     Some(())
 }
 
+#[cfg(test)]
+mod id_reuse_tests;
+
 #[cfg(test)]
 pub mod tests {
     use super::*;
--- a/crates/daemon/src/state/record.rs
+++ b/crates/daemon/src/state/record.rs
@@ -59,6 +59,15 @@
         Self { class, tenant, dest, deadline, body, idempotency_key, attempts, verdict, is_confirmed }
     }
 
+    /// Whether both records are of the same request. A record's content changes after its acceptance only by
+    /// attempts and a verdict.
+    pub fn is_same_request(&self, other: &Self) -> bool {
+        let content = |m: &Self| (m.class.clone(), m.tenant.clone(), m.dest, m.deadline);
+        content(self) == content(other)
+            && self.idempotency_key == other.idempotency_key
+            && self.body == other.body
+    }
+
     /// Returns the number of attempts made so far, which is the next attempt's number. A presumed attempt
     /// counts as one.
     pub fn attempts_made(&self) -> u32 {
--- a/crates/policy/src/choice/view.rs
+++ b/crates/policy/src/choice/view.rs
@@ -32,6 +32,11 @@
         open.map(|(&id, h)| (id, h.class as u32, h.dest, h.in_flight > 0)).collect()
     }
 
+    /// Whether this message has no final status.
+    pub fn is_open(&self, id: MessageId) -> bool {
+        self.held.get(&id).is_some_and(|h| !h.done)
+    }
+
     /// Returns the current settings.
     pub fn settings(&self) -> &Settings {
         &self.settings
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -15,6 +15,10 @@
 /// Time in which an operator request must be answered: one second, and the rest for delays of the machine.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// A sender logs a line with this text when it finds a message that it would neither have delivered nor
+/// ended.
+const FORGOTTEN_MESSAGE: &str = "is open in the journal, but forgotten";
+
 /// What is known from the output of a process so far.
 #[derive(Default)]
 struct OutputState {
@@ -39,7 +43,7 @@
 
 impl Process {
     /// Starts the process. Its output is appended to the log when it ends. A line on standard error is
-    /// recorded as a crash.
+    /// recorded as a crash, and one about a forgotten message as a lost message.
     ///
     /// # Errors
     /// The process cannot be started.
@@ -52,11 +56,14 @@
         let mut child = command.stdout(Stdio::piped()).stderr(Stdio::piped()).spawn()?;
         let (out, err) = (child.stdout.take(), child.stderr.take());
         let output = Arc::new(OutputState::default());
-        let reader_state = output.clone();
+        let (reader_state, reader_observations) = (output.clone(), observations.clone());
         thread::spawn(move || {
             let mut text = String::new();
             for line in out.into_iter().flat_map(|out| BufReader::new(out).lines().map_while(Result::ok)) {
                 reader_state.parse_line(&line);
+                if line.contains(FORGOTTEN_MESSAGE) {
+                    reader_observations.record_violation("lost", format!("sender {number}: {line}"));
+                }
                 text += &line;
                 text.push('\n');
             }
