A message in flight when its sender begins an epoch asks for its copies again

What callers saw, with copies on: each message that waited for its replicas when its sender began an epoch was refused at once with 503, although replicas were up.

Cause: begin_epoch (replicator/moves.rs) refused whatever was not committed, since the witnesses may not know the group of the message.

Its copies in the earlier group are ended first, on the same links: claimed beside a new copy, an old one could end a committed payment. It gets no row with the earlier group. New test: epochs begin twice while messages wait, then the owner is lost (one at a time): all end, no payment runs twice.

--- a/crates/copies/src/owned.rs
+++ b/crates/copies/src/owned.rs
@@ -73,6 +73,11 @@
         Key { group: self.group, id }
     }
 
+    /// Whether its client is waiting for its commit, and has not been refused yet.
+    pub fn awaits_commit(&self) -> bool {
+        !self.committed && !self.shortage_reported
+    }
+
     pub fn pending_replicas(&self) -> usize {
         self.replicas.values().filter(|replica| matches!(replica.1, ReplicaStatus::Pending(_))).count()
     }
--- a/crates/copies/src/replicator/moves.rs
+++ b/crates/copies/src/replicator/moves.rs
@@ -21,10 +21,13 @@
             witnesses,
             confirmed_by: BTreeSet::new(),
         };
-        // Messages of the earlier epoch get a row with their group.
+        // Messages of the earlier epoch get a row with their group. Those that wait for their commit belong
+        // to the new one.
         let mut rows = vec![put_row(Row::LocalState, &local)];
         let mut new_placements = Vec::new();
-        for (&id, message) in self.owned.messages.iter().filter(|(id, _)| !self.placements.contains_key(id)) {
+        let stays =
+            |id: &Id, message: &OwnedMessage| !message.awaits_commit() && !self.placements.contains_key(id);
+        for (&id, message) in self.owned.messages.iter().filter(|(id, message)| stays(id, message)) {
             let placement = Placement { group: message.group, term: message.term };
             rows.push(put_row(Row::Placement(id), &placement));
             new_placements.push((id, placement));
@@ -35,16 +38,7 @@
         }
         self.placements.extend(new_placements);
         self.local = local;
-        // Uncommitted messages belong to a group that witnesses may not know.
-        for (&id, message) in self
-            .owned
-            .messages
-            .iter_mut()
-            .filter(|(_, message)| !message.committed && !message.shortage_reported)
-        {
-            message.shortage_reported = true;
-            out.push(Output::TooFewReplicas(id));
-        }
+        self.submit_again(out);
         let up: Vec<(Peer, Incarnation)> =
             self.links.iter().filter_map(|(&p, l)| l.up.map(|up| (p, up.0))).collect();
         for (peer, incarnation) in up {
@@ -52,6 +46,33 @@
         }
     }
 
+    /// Submits the messages that wait for their commit to the current group, since witnesses may not know the
+    /// earlier one. Their copies there are ended first: a replica that claimed such a copy as well as the new
+    /// one could end a committed message.
+    fn submit_again(&mut self, out: &mut Vec<Output>) {
+        let (group, now) = (self.current_group(), self.time.now);
+        let mut ends: BTreeMap<Peer, Vec<(Key, Term)>> = BTreeMap::new();
+        let mut waiting = Vec::new();
+        for (&id, message) in self.owned.messages.iter_mut().filter(|(_, message)| message.awaits_commit()) {
+            let (key, term) = (message.key(id), message.term);
+            let replicas: BTreeSet<Peer> = std::mem::take(&mut message.replicas).into_keys().collect();
+            (message.group, message.term, message.replicas_requested_at) = (group, FIRST_TERM, now);
+            replicas.iter().for_each(|&peer| ends.entry(peer).or_default().push((key, term)));
+            waiting.push((id, key, PendingEnd { term, unacknowledged_by: replicas, forget: false }));
+        }
+        for (peer, keys) in ends {
+            for keys in keys.chunks(MAX_LIST_LEN) {
+                self.send_request(peer, Frame::Ended { keys: keys.to_vec() }, out);
+            }
+        }
+        for (id, key, end) in waiting {
+            if !end.unacknowledged_by.is_empty() {
+                self.owned.add_pending_end(key, end);
+            }
+            self.request_replicas(id, out);
+        }
+    }
+
     /// Returns whether a request can be sent to a sender now.
     pub(super) fn is_linked(&self, peer: Peer) -> bool {
         self.links.get(&peer).is_some_and(|l| l.up.is_some())
--- a/crates/daemon/tests/fleet/epochs.rs
+++ b/crates/daemon/tests/fleet/epochs.rs
@@ -128,3 +128,55 @@
     });
     assert!(refused.is_empty(), "refused while n1 was up all the time: {refused:?}");
 }
+
+/// Submits messages to n2 while it begins `epochs` new epochs, since n0 returns each time with an empty
+/// folder. No call runs meanwhile. Returns the ids that were acknowledged.
+fn submit_while_epochs_begin(fleet: &mut Fleet, epochs: usize) -> Vec<u64> {
+    const CLIENTS: u64 = 8;
+    const LINK_DELAY: Duration = Duration::from_millis(5);
+    fleet.set_behavior(Behavior::Refuse);
+    fleet.delay(2, 1, LINK_DELAY);
+    let (address, are_begun) = (fleet.senders[2].address, AtomicBool::new(false));
+    let submit_until_begun = |first: u64| {
+        let (mut client, mut acknowledged) = (Client::new(address), Vec::new());
+        for id in first.. {
+            let class = if id.is_multiple_of(2) { "payment" } else { "update" };
+            if client.submit(class, id, 3, LONG, b"hello").status() == 202 {
+                acknowledged.push(id);
+            }
+            if are_begun.load(Ordering::Relaxed) {
+                break;
+            }
+        }
+        acknowledged
+    };
+    thread::scope(|scope| {
+        let start_client = |n| scope.spawn(move || submit_until_begun(n * 1_000_000));
+        let clients: Vec<_> = (1..=CLIENTS).map(start_client).collect();
+        for epoch in 1..=epochs {
+            fleet.lose_machine(0);
+            fleet.start(0);
+            wait_until("n2 begins an epoch", || {
+                fleet.log_count(2, "n0 has lost its folder; a new epoch begins") >= epoch
+            });
+        }
+        are_begun.store(true, Ordering::Relaxed);
+        clients.into_iter().flat_map(|client| client.join().expect("no client failed")).collect()
+    })
+}
+
+#[test]
+fn messages_acknowledged_when_epochs_begin_survive_the_loss_of_their_owner() {
+    // Guards against a copy of the earlier epoch that is claimed beside the one of the new epoch: the message
+    // would run twice, or be ended though it never ran.
+    let mut fleet = Fleet::new(3, 1);
+    let ids = submit_while_epochs_begin(&mut fleet, 2);
+    // One loss is borne at a time.
+    fleet.wait_until_redundant();
+    fleet.lose_machine(2);
+    fleet.set_behavior(Behavior::Serve);
+    fleet.wait_until_all_ended(&ids);
+    fleet.assert_payments_ran_at_most_once(&ids);
+    let delivered = ids.iter().filter(|id| fleet.was_answered(**id)).count();
+    assert!(delivered > ids.len() * 9 / 10, "messages that never ran: {delivered} of {} sent", ids.len());
+}
