A message is not refused while the only replica that can be asked may still answer

What callers saw, with copies on: 503 after 20 to 100 ms, with the same witnesses before and after, although the replica that had been asked was up and stored the copy soon after.

Cause: a replica that took longer than usual and one that rejected the copy had the same status, Late, and request_replicas reported a shortage when no further sender could be asked, whatever Late ones might still answer.

Change: Rejected is a status of its own, and a shortage is reported only when no replica that was asked may still answer; the end of a late replica's link is looked at as that of a pending one. Price: with a silent replica and no other one the refusal takes the whole 300 ms.

Shown: only_replica_that_answers_late_is_waited_for, 0 of 20 acknowledged before, 20 of 20 after.

--- a/crates/copies/src/owned.rs
+++ b/crates/copies/src/owned.rs
@@ -15,8 +15,10 @@
 pub(crate) enum ReplicaStatus {
     /// It has not answered since this time.
     Pending(Micros),
-    /// It took longer than usual or rejected the copy, so that another replica was asked as well.
+    /// It has taken longer than usual, so that another replica was asked as well. It may still answer.
     Late,
+    /// It rejected the copy.
+    Rejected,
     /// It has stored the copy.
     Stored,
     /// It may or may not have a copy, and can be asked again.
@@ -82,6 +84,13 @@
         self.replicas.values().filter(|replica| matches!(replica.1, ReplicaStatus::Pending(_))).count()
     }
 
+    /// Whether any replica that was asked may still answer.
+    pub fn awaits_replica(&self) -> bool {
+        let may_answer =
+            |status: ReplicaStatus| matches!(status, ReplicaStatus::Pending(_) | ReplicaStatus::Late);
+        self.replicas.values().any(|replica| may_answer(replica.1))
+    }
+
     /// Returns whether this attempt may only be made once a quorum of witnesses has recorded it. A message
     /// that may be repeated needs no consent for the first half of its attempts. The other half is left for a
     /// new owner, so that all owners together stay under the limit.
--- a/crates/copies/src/replicator.rs
+++ b/crates/copies/src/replicator.rs
@@ -428,6 +428,26 @@
         (self.links.values().filter(|l| l.up.is_some()).count(), self.links.len())
     }
 
+    /// Describes what is known of the copies of a message that is not committed, and of the links.
+    pub fn describe_copies(&self, id: Id) -> String {
+        let Some(message) = self.owned.messages.get(&id) else { return "not owned here".to_owned() };
+        let name = |peer: &Peer| self.membership.name(*peer);
+        let replicas: Vec<String> =
+            message.replicas.iter().map(|(peer, (_, status))| format!("{} {status:?}", name(peer))).collect();
+        let up: Vec<&str> =
+            self.links.iter().filter(|(_, link)| link.up.is_some()).map(|(peer, _)| name(peer)).collect();
+        let confirmed: Vec<&str> = self.local.confirmed_by.iter().map(name).collect();
+        format!(
+            "epoch {} of {}, replicas: {}; links up: {}; epoch registered by: {}; asked {} us ago",
+            message.group.epoch,
+            self.local.epoch,
+            replicas.join(", "),
+            up.join(", "),
+            confirmed.join(", "),
+            self.time.now.saturating_sub(message.replicas_requested_at),
+        )
+    }
+
     /// Whether a message with this id has ended in the current group and some senders have not acknowledged
     /// that. A new message with the id could be taken for that one.
     pub fn is_end_pending(&self, id: Id) -> bool {
--- a/crates/copies/src/replicator/links.rs
+++ b/crates/copies/src/replicator/links.rs
@@ -192,7 +192,7 @@
             if let Some(replica) = message
                 .replicas
                 .get_mut(&peer)
-                .filter(|replica| matches!(replica.1, ReplicaStatus::Pending(_)))
+                .filter(|replica| matches!(replica.1, ReplicaStatus::Pending(_) | ReplicaStatus::Late))
             {
                 replica.1 = ReplicaStatus::Unknown;
                 affected.push(id);
--- a/crates/copies/src/replicator/owned.rs
+++ b/crates/copies/src/replicator/owned.rs
@@ -75,7 +75,7 @@
         }
         if let Some(message) = self.owned.messages.get_mut(&id)
             && chosen.len() < missing
-            && message.pending_replicas() == 0
+            && !message.awaits_replica()
             && !message.committed
             && !std::mem::replace(&mut message.shortage_reported, true)
         {
@@ -346,10 +346,8 @@
             if let Some(message) = self.owned.messages.get_mut(&id) {
                 message.replicas_requested_at = now;
                 // A late replica has had its time, and one without space may have some now.
-                for replica in message
-                    .replicas
-                    .values_mut()
-                    .filter(|replica| matches!(replica.1, ReplicaStatus::Late | ReplicaStatus::Pending(_)))
+                for replica in
+                    message.replicas.values_mut().filter(|replica| replica.1 != ReplicaStatus::Stored)
                 {
                     replica.1 = ReplicaStatus::Unknown;
                 }
--- a/crates/copies/src/replicator/responses.rs
+++ b/crates/copies/src/replicator/responses.rs
@@ -72,7 +72,7 @@
                     .filter(|replica| replica.0 == from.incarnation)
                 {
                     // It is not asked again at once, since it would reject the copy again.
-                    replica.1 = ReplicaStatus::Late;
+                    replica.1 = ReplicaStatus::Rejected;
                     self.request_replicas(key.id, out);
                 }
             }
--- a/crates/daemon/src/copies/service.rs
+++ b/crates/daemon/src/copies/service.rs
@@ -397,6 +397,11 @@
                 false
             }
         };
+        if !is_replicated {
+            let copies = self.replicator.borrow().describe_copies(id);
+            let waited = (limit - until.saturating_duration_since(Instant::now())).as_millis();
+            tracing::debug!("copies: message {id} has too few replicas after {waited} ms: {copies}");
+        }
         let accept_anyway = !is_replicated && self.when_short == WhenShort::Accept;
         if accept_anyway {
             self.handle_input(ProtocolInput::CommitAnyway { id });
--- a/crates/daemon/tests/fleet/main.rs
+++ b/crates/daemon/tests/fleet/main.rs
@@ -354,6 +354,20 @@
     fleet.wait_until_all_ended(&ids);
 }
 
+#[test]
+fn only_replica_that_answers_late_is_waited_for() {
+    // Guards against a 503 for each message after 20 to 100 ms, though the only replica that is up stores the
+    // copy within the 300 ms that are allowed.
+    const LINK_DELAY: Duration = Duration::from_millis(70);
+    let mut fleet = Fleet::new(3, 1);
+    fleet.kill(1);
+    wait_until("n0 acknowledges without n1", || fleet.submit(0, "update", 100, LONG).status() == 202);
+    fleet.delay(0, 2, LINK_DELAY);
+    let ids = fleet.submit_many(0, 0..20, LONG);
+    assert_eq!(ids.len(), 20, "n2 was up all the time");
+    fleet.wait_until_all_ended(&ids);
+}
+
 #[test]
 fn replica_that_stops_reading_slows_no_client_and_fills_no_memory() {
     let fleet = Fleet::new(3, 1);
