A message that cannot be resumed has its verdict recorded, and is not taken for forgotten

While the platform did not answer, the check for forgotten messages found it open and unknown to the policy every 100 ms, logged it, and queued its notice again. In debug builds the check of held messages, older than that, ended the process on the first turn.

Cause: DecisionLoop::resume pushed the notice and kept an entry of attempts, as if the policy had the message. Found by reading the paths that the new check judges.

Change: its verdict is recorded first, as for every other message that is given up, so the next process posts the same notice; it has no entry, and a late acknowledgement of it is passed over by the verdict.

Shown: a_message_that_cannot_be_resumed_... fails on the code before (held-messages check, left: [], right: [MessageId(1)]). 72 of 72 lib tests.

--- a/crates/daemon/src/decision_loop.rs
+++ b/crates/daemon/src/decision_loop.rs
@@ -308,6 +308,7 @@
     /// predecessor, or only those in `only` that are not known yet.
     fn resume(&mut self, only: Option<&BTreeSet<MessageId>>) {
         let journal = self.journal.clone();
+        let mut not_resumable = Vec::new();
         for (id, open) in journal.borrow().iter() {
             let is_skipped = |ids: &BTreeSet<MessageId>| {
                 !ids.contains(&id) || open.verdict.is_some() || self.attempts.contains_key(&id)
@@ -322,15 +323,18 @@
                 continue;
             }
             let made = open.attempts_made();
-            let hold = journal.borrow().hold(id);
-            self.attempts.insert(id, AttemptCounts::new(made, 0, hold));
             let Some(event) = self.resume_event(id, open, made) else {
-                // Its class left the settings, or it was never acknowledged: it can only be ended.
-                self.reports.push(id, Verdict::Dead);
+                not_resumable.push(id);
                 continue;
             };
+            let hold = journal.borrow().hold(id);
+            self.attempts.insert(id, AttemptCounts::new(made, 0, hold));
             self.events.push(event);
         }
+        // The class of these left the settings, or they were never acknowledged: they can only be ended.
+        for id in not_resumable {
+            record_verdict(&self.journal, &self.reports, id, Verdict::Dead);
+        }
     }
 
     /// Returns the event that resumes a message; `None` if it cannot be resumed.
@@ -658,7 +662,8 @@
                 // It may have been resumed from the store already, and may have ended.
                 let is_known = self.attempts.contains_key(&accepted.id);
                 let hold = self.journal.borrow().hold(accepted.id);
-                if is_known || self.journal.borrow().get(accepted.id).is_none() {
+                let is_open = |open: &OpenMessage| open.verdict.is_none();
+                if is_known || !self.journal.borrow().get(accepted.id).is_some_and(is_open) {
                     return;
                 }
                 self.attempts.insert(accepted.id, AttemptCounts::new(0, 0, hold));
--- a/crates/daemon/src/decision_loop/tests.rs
+++ b/crates/daemon/src/decision_loop/tests.rs
@@ -41,6 +41,25 @@
     reasons.to_json()["forgotten_messages"].as_u64().expect("a number")
 }
 
+#[test]
+fn a_message_that_cannot_be_resumed_is_ended_once_while_the_platform_does_not_answer() {
+    // Guards against a check that takes a message for forgotten whose notice is not delivered yet, and posts
+    // it again each time.
+    let local = tokio::task::LocalSet::new();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    local.block_on(&runtime, async {
+        let folder = tempfile::tempdir().expect("a folder");
+        let open = OpenMessage::new("class-that-left", "acme", 3, u64::MAX, Vec::new().into());
+        journal(folder.path()).accept(MessageId(1), open).expect("room");
+        let (mut decision_loop, journal, reasons) = decision_loop(folder.path());
+        let _ = tokio::time::timeout(5 * AUDIT_INTERVAL, decision_loop.run()).await;
+        assert_eq!(forgotten_messages(&reasons), 0);
+        assert_eq!(decision_loop.reports.pending_count(), 1);
+        let verdict = journal.borrow().get(MessageId(1)).expect("its notice is not delivered").verdict;
+        assert_eq!(verdict, Some(Verdict::Dead), "also for the next process");
+    });
+}
+
 #[test]
 fn a_message_that_no_part_holds_is_counted_and_resumed() {
     // Guards against an acknowledged message that stays in the journal unsent as long as the process lives.
--- a/crates/daemon/src/platform/notice_scheduler.rs
+++ b/crates/daemon/src/platform/notice_scheduler.rs
@@ -96,6 +96,12 @@
         self.pending.push_back(PendingNotice { hold, verdict, since: now, due: now });
     }
 
+    /// The number of pending notices.
+    #[cfg(test)]
+    pub fn pending_count(&self) -> usize {
+        self.pending.len()
+    }
+
     /// Whether no notice is pending.
     pub fn is_empty(&self) -> bool {
         self.pending.is_empty()
--- a/crates/daemon/src/platform/reports.rs
+++ b/crates/daemon/src/platform/reports.rs
@@ -67,6 +67,12 @@
         }
     }
 
+    /// The number of notices that are not confirmed.
+    #[cfg(test)]
+    pub fn pending_count(&self) -> usize {
+        self.scheduler.borrow().pending_count()
+    }
+
     /// Whether all notices are confirmed.
     pub fn is_empty(&self) -> bool {
         self.scheduler.borrow().is_empty()
