A connection is accepted for an evicted one only once that one is closed

Cause: ConnectionTable::wait_for_slot freed the slot of an evicted connection at once, and its descriptor was closed only when its task ran. One turn of the accept loop could so accept as many connections as it evicted. Tests: clients_that_reconnect_at_once_leave_a_process_within_its_descriptors (real process, /proc/PID/fd) failed before and passes; the unit test of the table fails (3 descriptors for 2) with wait_for_slot in its place.

--- a/crates/daemon/src/clients/connection_table.rs
+++ b/crates/daemon/src/clients/connection_table.rs
@@ -6,7 +6,7 @@
 use crate::io::read_some;
 use notchpoint_seam::Stream;
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::Shutdown;
 use std::rc::Rc;
 use std::time::Duration;
@@ -196,10 +196,25 @@
 pub struct ConnectionTable {
     next_number: Cell<u64>,
     slots: RefCell<BTreeMap<u64, Rc<ConnectionSlot>>>,
-    slot_freed: Notify,
+    /// Connections whose slots are freed, and whose descriptors are not closed yet.
+    evicted: RefCell<BTreeSet<u64>>,
+    connection_closed: Notify,
 }
 
 impl ConnectionTable {
+    /// Waits until a further connection may be accepted, so that at most `max_connections` have a descriptor.
+    pub async fn wait_for_descriptor(&self, max_connections: usize) {
+        self.wait_for_slot(max_connections).await;
+        while self.open_connections() >= max_connections {
+            let _ = timeout(SLOT_POLL_INTERVAL, self.connection_closed.notified()).await;
+        }
+    }
+
+    /// Returns the number of connections that have a descriptor.
+    pub fn open_connections(&self) -> usize {
+        self.slots.borrow().len() + self.evicted.borrow().len()
+    }
+
     /// Waits until one of `max_connections` slots is free. If all are taken, evicts the connection that has
     /// been idle longest. A connection on which a request is being read or answered is never evicted.
     pub async fn wait_for_slot(&self, max_connections: usize) {
@@ -207,9 +222,10 @@
             if let Some((number, slot)) = self.find_evictable() {
                 slot.evict();
                 self.slots.borrow_mut().remove(&number);
+                self.evicted.borrow_mut().insert(number);
                 return;
             }
-            let _ = timeout(SLOT_POLL_INTERVAL, self.slot_freed.notified()).await;
+            let _ = timeout(SLOT_POLL_INTERVAL, self.connection_closed.notified()).await;
         }
     }
 
@@ -231,10 +247,11 @@
         number
     }
 
-    /// Frees a slot, unless its connection was evicted.
+    /// Frees the slot of a connection whose descriptor is closed before any other task runs.
     pub fn remove(&self, number: u64) {
-        if self.slots.borrow_mut().remove(&number).is_some() {
-            self.slot_freed.notify_one();
+        let had_slot = self.slots.borrow_mut().remove(&number).is_some();
+        if had_slot || self.evicted.borrow_mut().remove(&number) {
+            self.connection_closed.notify_one();
         }
     }
 }
--- a/crates/daemon/src/clients/connection_table/tests.rs
+++ b/crates/daemon/src/clients/connection_table/tests.rs
@@ -57,3 +57,37 @@
         assert!(connections.slots.borrow().is_empty());
     });
 }
+
+#[test]
+fn a_further_connection_is_accepted_only_once_the_evicted_one_is_closed() {
+    // Guards against more open descriptors than slots: each eviction would allow another connection before
+    // any of the evicted ones is closed.
+    let local = tokio::task::LocalSet::new();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    local.block_on(&runtime, async {
+        const MAX_CONNECTIONS: usize = 2;
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let connections = Rc::new(ConnectionTable::default());
+        let (mut clients, open_streams) = (Vec::new(), Rc::new(Cell::new(0)));
+        for _ in 0..10 {
+            clients.push(TcpStream::connect(address).await.expect("a connection"));
+            connections.wait_for_descriptor(MAX_CONNECTIONS).await;
+            let (stream, _) = listener.accept().await.expect("a connection");
+            let slot = Rc::new(ConnectionSlot::new(Rc::new(stream), Duration::ZERO));
+            slot.since.set(Instant::now() - 2 * MIN_IDLE_TO_EVICT);
+            let number = connections.insert(&slot);
+            open_streams.set(open_streams.get() + 1);
+            assert!(open_streams.get() <= MAX_CONNECTIONS, "{} descriptors", open_streams.get());
+            assert_eq!(connections.open_connections(), open_streams.get());
+            let (table, open_streams) = (connections.clone(), open_streams.clone());
+            tokio::task::spawn_local(async move {
+                slot.wait_for_eviction().await;
+                // It takes some turns until a connection notices that it was evicted.
+                tokio::task::yield_now().await;
+                open_streams.set(open_streams.get() - 1);
+                table.remove(number);
+            });
+        }
+    });
+}
--- a/crates/daemon/src/clients/inbound.rs
+++ b/crates/daemon/src/clients/inbound.rs
@@ -194,7 +194,7 @@
         poll_queue_first(&inbound, &*listener).await;
     }
     loop {
-        connections.wait_for_slot(inbound.max_connections).await;
+        connections.wait_for_descriptor(inbound.max_connections).await;
         let next = poll_fn(|cx| {
             let polled = listener.poll_accept(cx);
             if polled.is_pending() {
--- /dev/null
+++ b/crates/daemon/tests/sockets/descriptors.rs
@@ -0,0 +1,162 @@
+//! The processes of a sender together hold no more descriptors than `limits.sockets`, whatever clients do.
+
+use crate::world::*;
+use std::collections::BTreeSet;
+use std::fs;
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+
+/// The time of a message in milliseconds: longer than a test usually takes.
+const LONG: u64 = 50_000;
+/// The limit of descriptors in most tests, as in the soak.
+const DESCRIPTORS: usize = 256;
+/// The interval between two counts of the descriptors.
+const SAMPLE_INTERVAL: Duration = Duration::from_millis(2);
+/// The time for which a crowd of clients acts on a sender.
+const CROWD_TIME: Duration = Duration::from_millis(1_500);
+/// The number of threads that open a crowd's connections.
+const CROWD_THREADS: usize = 8;
+/// The time-out of a connect. A connect to a full accept queue is not answered.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(50);
+
+/// The descriptors of all processes of a sender at one time.
+#[derive(Default)]
+struct Sample {
+    total: usize,
+    /// The number for each process id.
+    processes: Vec<(u32, usize)>,
+}
+
+/// Counts the descriptors of all processes of a sender repeatedly, also of those that are still starting.
+struct DescriptorSampler {
+    is_ended: Arc<AtomicBool>,
+    sampling: JoinHandle<Sample>,
+}
+
+impl DescriptorSampler {
+    fn start(node: &Node) -> Self {
+        let marker = format!("TMPDIR={}\0", node.folder().display()).into_bytes();
+        let is_ended = Arc::new(AtomicBool::new(false));
+        let ended = is_ended.clone();
+        let others: BTreeSet<u32> =
+            process_ids().into_iter().filter(|&pid| !is_process_of(pid, &marker)).collect();
+        let sampling = thread::spawn(move || {
+            let mut largest = Sample::default();
+            while !ended.load(Ordering::Relaxed) {
+                let own = process_ids().into_iter().filter(|pid| !others.contains(pid));
+                let own = own.filter(|&pid| is_process_of(pid, &marker));
+                let processes: Vec<(u32, usize)> = own.map(|pid| (pid, descriptors(pid))).collect();
+                let total = processes.iter().map(|(_, count)| count).sum();
+                if total > largest.total {
+                    largest = Sample { total, processes };
+                }
+                thread::sleep(SAMPLE_INTERVAL);
+            }
+            largest
+        });
+        Self { is_ended, sampling }
+    }
+
+    /// Ends the sampling, and fails the test if any sample has more descriptors than this.
+    fn assert_at_most(self, limit: usize) {
+        self.is_ended.store(true, Ordering::Relaxed);
+        let Sample { total, processes } = self.sampling.join().expect("the samples are taken");
+        assert!(total <= limit, "{total} descriptors; those of each process: {processes:?}");
+    }
+}
+
+fn process_ids() -> Vec<u32> {
+    let entries = fs::read_dir("/proc").expect("processes are listed").flatten();
+    entries.filter_map(|entry| entry.file_name().to_str()?.parse().ok()).collect()
+}
+
+/// Whether the environment of a process has this variable with this value.
+fn is_process_of(pid: u32, marker: &[u8]) -> bool {
+    let environment = fs::read(Path::new("/proc").join(pid.to_string()).join("environ")).unwrap_or_default();
+    environment.windows(marker.len()).any(|window| window == marker)
+}
+
+/// Returns the number of open descriptors of a process; 0 if it has ended.
+fn descriptors(pid: u32) -> usize {
+    fs::read_dir(Path::new("/proc").join(pid.to_string()).join("fd")).map_or(0, Iterator::count)
+}
+
+/// Clients that open connections, send nothing or a part of a request, and open a connection again as soon as
+/// one is closed.
+struct Crowd {
+    is_ended: Arc<AtomicBool>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl Crowd {
+    fn start(address: SocketAddr, connections: usize, request_part: &'static [u8]) -> Self {
+        let is_ended = Arc::new(AtomicBool::new(false));
+        let threads = (0..CROWD_THREADS).map(|_| {
+            let ended = is_ended.clone();
+            thread::spawn(move || {
+                keep_connections(address, connections / CROWD_THREADS, request_part, &ended)
+            })
+        });
+        Self { threads: threads.collect(), is_ended }
+    }
+}
+
+impl Drop for Crowd {
+    fn drop(&mut self) {
+        self.is_ended.store(true, Ordering::Relaxed);
+        self.threads.drain(..).for_each(|thread| thread.join().expect("the clients run"));
+    }
+}
+
+fn keep_connections(address: SocketAddr, count: usize, request_part: &[u8], ended: &AtomicBool) {
+    let mut connections: Vec<TcpStream> = Vec::new();
+    while !ended.load(Ordering::Relaxed) {
+        connections.retain_mut(is_open);
+        if connections.len() < count
+            && let Ok(mut stream) = TcpStream::connect_timeout(&address, CONNECT_TIMEOUT)
+        {
+            let _ = stream.write_all(request_part);
+            stream.set_nonblocking(true).expect("the option is set");
+            connections.push(stream);
+        } else {
+            thread::sleep(SAMPLE_INTERVAL);
+        }
+    }
+}
+
+fn is_open(stream: &mut TcpStream) -> bool {
+    stream.read(&mut [0; 64]).is_err_and(|why| why.kind() == ErrorKind::WouldBlock)
+}
+
+/// Sets the limits of descriptors and of calls in a configuration.
+fn with_limits(descriptors: usize, slots: usize) -> impl Fn(String) -> String {
+    move |text| {
+        text.replace("\"sockets\": 1024", &format!("\"sockets\": {descriptors}"))
+            .replace("\"slots\": 7", &format!("\"slots\": {slots}"))
+    }
+}
+
+/// Starts a sender that inherits its clients' socket, with an endpoint that answers each call.
+fn start_with_limits(descriptors: usize, slots: usize) -> (Node, Endpoint) {
+    let endpoint = Endpoint::new(|_| response("200 OK", "", ""));
+    let members = [member("s-1", endpoint.address, "shop", 3, "up")];
+    (Node::with_inherited_socket_and_config(&members, with_limits(descriptors, slots)), endpoint)
+}
+
+#[test]
+fn clients_that_reconnect_at_once_leave_a_process_within_its_descriptors() {
+    // Guards against accepting a connection for each one that is evicted, before that one is closed.
+    let (node, endpoint) = start_with_limits(DESCRIPTORS, 10);
+    let sampler = DescriptorSampler::start(&node);
+    let crowd = Crowd::start(node.address, 2 * DESCRIPTORS, b"");
+    thread::sleep(CROWD_TIME);
+    assert_eq!(node.submit("update", 1, 3, LONG, b"x").status(), 202, "a client with a message is served");
+    endpoint.call(0);
+    drop(crowd);
+    sampler.assert_at_most(DESCRIPTORS);
+}
--- a/crates/daemon/tests/sockets/main.rs
+++ b/crates/daemon/tests/sockets/main.rs
@@ -3,6 +3,7 @@
 mod clock;
 mod closing;
 mod delays;
+mod descriptors;
 mod faults;
 mod flight;
 mod growth;
--- a/crates/daemon/tests/sockets/world.rs
+++ b/crates/daemon/tests/sockets/world.rs
@@ -5,6 +5,7 @@
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::Path;
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc::{Sender, channel};
 use std::sync::{Arc, Mutex};
@@ -397,7 +398,12 @@
 
     /// Starts a sender that inherits its clients' socket from the test, so that processes can hand over.
     pub fn with_inherited_socket(members: &[String]) -> Self {
-        Self::build(members, |c| c, None, true)
+        Self::with_inherited_socket_and_config(members, |text| text)
+    }
+
+    /// The same with a changed configuration.
+    pub fn with_inherited_socket_and_config(members: &[String], change: impl Fn(String) -> String) -> Self {
+        Self::build(members, change, None, true)
     }
 
     /// Starts a sender whose system calls can be made to fail, and returns the controller of the faults. They
@@ -587,6 +593,11 @@
         self.child.id()
     }
 
+    /// Returns the folder of the sender. All of its processes have it as `TMPDIR`.
+    pub fn folder(&self) -> &Path {
+        self.folder.path()
+    }
+
     pub fn config(&self) -> String {
         std::fs::read_to_string(self.folder.path().join("config.json")).expect("the file is readable")
     }
