An operators' connection is served only once the one closed for it has its descriptor back

Change: a connection stays in the map until its task, which has the stream, is dropped (ConnectionEntry), and the server waits for that. It still accepts first and closes an idle connection only for one that is there. Test: operators_that_reconnect_at_once_leave_a_process_within_its_descriptors; those of operations.rs unchanged.

--- a/crates/daemon/src/operators/admin.rs
+++ b/crates/daemon/src/operators/admin.rs
@@ -24,7 +24,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::mpsc::UnboundedSender;
-use tokio::sync::oneshot;
+use tokio::sync::{Notify, oneshot};
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
@@ -47,11 +47,19 @@
     /// Limit of simultaneous connections. At the limit, one without a complete request is closed for the
     /// next.
     max_connections: Cell<usize>,
+    /// Connections that have a descriptor, in the order in which they were accepted.
+    connections: RefCell<BTreeMap<u64, AdminConnection>>,
+    connection_closed: Notify,
 }
 
 impl Default for AdminServer {
     fn default() -> Self {
-        Self { context: RefCell::default(), max_connections: Cell::new(MAX_OPERATOR_CONNECTIONS) }
+        Self {
+            context: RefCell::default(),
+            max_connections: Cell::new(MAX_OPERATOR_CONNECTIONS),
+            connections: RefCell::default(),
+            connection_closed: Notify::new(),
+        }
     }
 }
 
@@ -109,11 +117,49 @@
     /// It has sent a complete request.
     has_request: Rc<Cell<bool>>,
     task: AbortHandle,
+    /// It is closed for the next one, but still has its descriptor.
+    is_evicted: bool,
+}
+
+impl AdminServer {
+    /// Waits until there are fewer connections than the limit. At the limit, it closes the oldest connection
+    /// without a complete request.
+    async fn wait_for_place(&self) {
+        while self.connections.borrow().len() >= self.max_connections.get() {
+            self.evict_oldest_idle();
+            let _ = timeout(RETRY_DELAY, self.connection_closed.notified()).await;
+        }
+    }
+
+    /// Closes the oldest connection without a complete request, unless one is being closed already.
+    fn evict_oldest_idle(&self) {
+        let mut connections = self.connections.borrow_mut();
+        if connections.values().any(|c| c.is_evicted) {
+            return;
+        }
+        if let Some(oldest) = connections.values_mut().find(|c| !c.has_request.get()) {
+            oldest.is_evicted = true;
+            oldest.task.abort();
+        }
+    }
 }
 
-/// Accepts connections until it is dropped.
+/// Removes a connection from the server when the task that has its stream ends or is aborted.
+struct ConnectionEntry {
+    admin: Rc<AdminServer>,
+    number: u64,
+}
+
+impl Drop for ConnectionEntry {
+    fn drop(&mut self) {
+        self.admin.connections.borrow_mut().remove(&self.number);
+        self.admin.connection_closed.notify_one();
+    }
+}
+
+/// Accepts connections until it is dropped. At the limit, one of them waits here, and the rest in the system's
+/// accept queue.
 pub async fn serve(admin: Rc<AdminServer>, listener: Rc<dyn Listener>) {
-    let connections: Rc<RefCell<BTreeMap<u64, AdminConnection>>> = Rc::default();
     for number in 0.. {
         let stream = loop {
             match accept(&*listener).await {
@@ -124,29 +170,18 @@
                 }
             }
         };
-        while connections.borrow().len() >= admin.max_connections.get() && !drop_oldest_idle(&connections) {
-            tokio::time::sleep(RETRY_DELAY).await;
-        }
-        let (has_request, admin, open) = (Rc::new(Cell::new(false)), admin.clone(), connections.clone());
-        let request_seen = has_request.clone();
+        admin.wait_for_place().await;
+        let (has_request, served) = (Rc::new(Cell::new(false)), admin.clone());
+        let (request_seen, entry) = (has_request.clone(), ConnectionEntry { admin: admin.clone(), number });
         let task = tokio::task::spawn_local(async move {
-            let _ = timeout(CONNECTION_TIMEOUT, connection(admin, stream, request_seen)).await;
-            open.borrow_mut().remove(&number);
+            let _entry = entry;
+            let _ = timeout(CONNECTION_TIMEOUT, connection(served, stream, request_seen)).await;
         });
-        connections.borrow_mut().insert(number, AdminConnection { has_request, task: task.abort_handle() });
+        let connection = AdminConnection { has_request, task: task.abort_handle(), is_evicted: false };
+        admin.connections.borrow_mut().insert(number, connection);
     }
 }
 
-/// Closes the oldest connection without a complete request. Returns false if all have one.
-fn drop_oldest_idle(connections: &RefCell<BTreeMap<u64, AdminConnection>>) -> bool {
-    let mut connections = connections.borrow_mut();
-    let Some(number) = connections.iter().find(|(_, c)| !c.has_request.get()).map(|(&n, _)| n) else {
-        return false;
-    };
-    connections.remove(&number).inspect(|c| c.task.abort());
-    true
-}
-
 async fn connection(admin: Rc<AdminServer>, stream: Rc<dyn Stream>, has_request: Rc<Cell<bool>>) {
     if stream.set_nodelay().is_err() {
         return;
--- a/crates/daemon/tests/sockets/descriptors.rs
+++ b/crates/daemon/tests/sockets/descriptors.rs
@@ -160,3 +160,16 @@
     drop(crowd);
     sampler.assert_at_most(DESCRIPTORS);
 }
+
+#[test]
+fn operators_that_reconnect_at_once_leave_a_process_within_its_descriptors() {
+    // Guards against accepting an operator's connection for each one that is closed for it, before that one
+    // has given its descriptor back.
+    let (node, _endpoint) = start_with_limits(DESCRIPTORS, 10);
+    let sampler = DescriptorSampler::start(&node);
+    let crowds = [node.address, node.admin].map(|address| Crowd::start(address, 2 * DESCRIPTORS, b""));
+    thread::sleep(CROWD_TIME);
+    assert_eq!(node.admin_request("GET /status").status(), 200, "an operator is answered");
+    drop(crowds);
+    sampler.assert_at_most(DESCRIPTORS);
+}
