Both processes of a hand-over share the descriptors of limits.sockets

Cause: each process divided all of the descriptors for itself, while the old one still had its clients, its calls and what is its own. Change: the predecessor reports what it holds at most from then on, in its state and with each change (frame Descriptors, protocol version 4: between builds a hand-over is refused, as with each change of frames). The number never rises, since it accepts no client and starts no call. The successor divides the rest (DescriptorLimits) and has all once the link ends, which the predecessor keeps open until the process exits. Calls are counted once, since the policy that is handed over counts them among its slots. After a kill of the successor the same goes on between the two sessions of the old process; calls that the next session's policy does not know are left free for them. A process that inherits its clients' socket keeps 24 descriptors for the start of another one, and no more clients than a successor has room beside; with too few for that, it refuses the hand-over, says why, and goes on. A process that starts or has handed over serves two operators' connections. Notices of a retired session are no longer posted by it beside the next one of the process. Tests: sockets/descriptors.rs (crowd, half-written requests, either process killed after 5 to 120 ms under RLIMIT_NOFILE, refusal), descriptors/tests.rs (sums for each limit up to 3,000).

--- a/crates/daemon/src/calls.rs
+++ b/crates/daemon/src/calls.rs
@@ -9,13 +9,13 @@
 mod progress;
 
 use crate::copies::service::ReplicationService;
+use crate::descriptor_limits::DescriptorLimits;
 use crate::handover::protocol::Frame;
 use crate::input::Input;
 use crate::platform::zone_monitor::ZoneMonitor;
 use crate::rate_limited_warning::RateLimitedWarning;
 use crate::reasons::ReasonCounts;
 use crate::settings::config::Config;
-use crate::settings::descriptors::DescriptorBudget;
 use crate::state::durability::DurabilityTracker;
 use crate::state::journal::{Journal, Verdict};
 pub use answer::AttemptEnd;
@@ -120,8 +120,8 @@
     inputs: UnboundedSender<Input>,
     connect_timeout: Duration,
     idle_timeout: Duration,
-    /// Limit of idle connections, so that descriptors are left for clients.
-    max_idle: usize,
+    /// Limits of calls and of idle connections, so that descriptors are left for clients.
+    descriptors: Rc<DescriptorLimits>,
     parallel_attempts: bool,
     /// Warnings about failures on this machine.
     warnings: RateLimitedWarning,
@@ -134,6 +134,7 @@
     /// `LocalSet`.
     pub fn new(
         config: &Config,
+        descriptors: Rc<DescriptorLimits>,
         net: Rc<dyn Network>,
         journal: Rc<RefCell<Journal>>,
         durability: Rc<DurabilityTracker>,
@@ -162,7 +163,7 @@
             inputs,
             connect_timeout: Duration::from_micros(settings.connect_timeout),
             idle_timeout: Duration::from_micros(settings.conn_idle).mul_f64(IDLE_SHARE),
-            max_idle: DescriptorBudget::new(config).idle_connections,
+            descriptors,
             parallel_attempts: settings.parallel_attempts,
             warnings: RateLimitedWarning::default(),
             reasons: Rc::default(),
--- a/crates/daemon/src/calls/pool.rs
+++ b/crates/daemon/src/calls/pool.rs
@@ -11,6 +11,7 @@
 use notchpoint_policy::*;
 use notchpoint_seam::Stream;
 use std::collections::BTreeMap;
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -118,7 +119,7 @@
     pub(super) async fn release(&self, id: EndpointId, mut connection: Connection) {
         let ready = timeout(READY_TIMEOUT, connection.sender.ready()).await;
         let idle_count: usize = self.pool.borrow().values().map(Vec::len).sum();
-        let has_room = idle_count < self.max_idle;
+        let has_room = idle_count < self.descriptors.budget().idle_connections;
         let is_wanted =
             self.targets.borrow().get(&id).is_some_and(|t| t.live && t.address == connection.address)
                 && !self.out_of_service.borrow().contains(&id);
@@ -140,6 +141,9 @@
 
     /// Opens a connection.
     pub(super) async fn connect(&self, address: SocketAddr) -> Result<Connection, CallError> {
+        if self.active_calls.get() > self.descriptors.max_calls() {
+            return Err(CallError::NotSent(io::Error::other("an earlier session has the descriptors")));
+        }
         let connecting = timeout(self.connect_timeout, self.net.connect(address)).await;
         let stream = connecting.map_err(|_| CallError::Unreachable)?.map_err(CallError::of_connect)?;
         // Without TCP_NODELAY small writes are delayed, which is no reason to give up the connection.
--- a/crates/daemon/src/cli.rs
+++ b/crates/daemon/src/cli.rs
@@ -1,7 +1,7 @@
 //! The command line.
 
 use crate::sender::{self, Failure};
-use crate::settings::descriptors::DescriptorBudget;
+use crate::settings::descriptors::{DescriptorBudget, SharedDescriptors};
 use crate::settings::operator::{self, LogFormat, LogSettings};
 use crate::state::storage;
 use crate::stdout::print;
@@ -160,6 +160,11 @@
         if let Some(warning) = descriptors.warning(&config) {
             print(&format!("{name}: warning: {warning}\n"))?;
         }
+        let shared = SharedDescriptors::new(&config, true);
+        print(&format!("{name}: {}\n", shared.describe()))?;
+        if let Some(warning) = shared.warning() {
+            print(&format!("{name}: warning: {warning}\n"))?;
+        }
         return Ok(ExitCode::SUCCESS);
     }
     let lines: Vec<String> = mistakes.iter().map(|m| format!("{name}: {m}")).collect();
--- a/crates/daemon/src/clients/inbound.rs
+++ b/crates/daemon/src/clients/inbound.rs
@@ -7,6 +7,7 @@
     ConnectionSlot, ConnectionTable, READ_GRACE, SLOT_POLL_INTERVAL, Stage,
 };
 use crate::copies::service::ReplicationService;
+use crate::descriptor_limits::DescriptorLimits;
 use crate::handover::protocol::{ForwardResult, ForwardedRequest};
 use crate::handover::successor::Successor;
 use crate::id_holds::IdHold;
@@ -16,7 +17,6 @@
 use crate::reasons::{Close, Refusal};
 use crate::settings::active::ActiveSettings;
 use crate::settings::config::Config;
-use crate::settings::descriptors::DescriptorBudget;
 use crate::state::durability::DurabilityTracker;
 use crate::state::journal::{Journal, OpenMessage};
 use bytes::Bytes;
@@ -84,8 +84,10 @@
     pub first_stream: RefCell<Option<Rc<dyn Stream>>>,
     /// Messages whose 202 is not written yet.
     pub unanswered: RefCell<BTreeSet<MessageId>>,
-    /// The largest number of connections at once.
-    pub max_connections: usize,
+    pub connections: Rc<ConnectionTable>,
+    /// The limits of connections by descriptors and by memory.
+    pub descriptors: Rc<DescriptorLimits>,
+    pub max_connections_in_memory: usize,
     /// The bytes of all bodies that are being read, and the limit for them.
     pub body_bytes: Cell<usize>,
     pub max_body_bytes: usize,
@@ -97,17 +99,32 @@
         AcceptQueue::START + self.accepting_since.elapsed()
     }
 
+    /// Returns how many connections may be open at present.
+    fn max_connections(&self) -> usize {
+        self.descriptors.budget().client_connections.min(self.max_connections_in_memory)
+    }
+
+    /// Waits until a further connection may be accepted.
+    async fn wait_for_descriptor(&self) {
+        loop {
+            tokio::select! {
+                biased;
+                () = self.connections.wait_for_descriptor(self.max_connections()) => return,
+                () = self.descriptors.changed() => {}
+            }
+        }
+    }
+
     /// Returns how long ago the accept queue of the clients' socket was last seen empty, if ever.
     pub fn queue_seen_empty(&self) -> Option<Duration> {
         self.accept_queue.borrow().seen_empty(self.queue_time())
     }
 }
 
-/// Returns how many connections descriptors and memory allow.
-pub fn max_connections(config: &Config) -> usize {
-    let fit = usize::try_from(config.memory_bytes / CONNECTIONS_MEMORY_DIVISOR / CONNECTION_BYTES)
-        .unwrap_or(usize::MAX);
-    DescriptorBudget::new(config).client_connections.min(fit).max(1)
+/// Returns how many connections the memory allows. It allows at least one.
+pub fn max_connections_in_memory(config: &Config) -> usize {
+    let fit = config.memory_bytes / CONNECTIONS_MEMORY_DIVISOR / CONNECTION_BYTES;
+    usize::try_from(fit).unwrap_or(usize::MAX).max(1)
 }
 
 /// Returns how many bytes bodies may take while they are read. It allows at least one body.
@@ -186,15 +203,14 @@
     inbound.is_queue_polled.set(true);
 }
 
-/// Accepts connections, up to `max_connections` at once. The rest wait in the system's accept queue.
+/// Accepts connections, as many at once as descriptors and memory allow. The rest wait in the system's accept queue.
 pub async fn serve(inbound: Rc<Inbound>, listener: Rc<dyn Listener>) {
-    let connections = Rc::new(ConnectionTable::default());
     let accept_warning = RateLimitedWarning::default();
     if !inbound.is_queue_polled.get() {
         poll_queue_first(&inbound, &*listener).await;
     }
     loop {
-        connections.wait_for_descriptor(inbound.max_connections).await;
+        inbound.wait_for_descriptor().await;
         let next = poll_fn(|cx| {
             let polled = listener.poll_accept(cx);
             if polled.is_pending() {
@@ -223,8 +239,8 @@
         };
         let waited = inbound.accept_queue.borrow_mut().record_accepted(inbound.queue_time());
         let slot = Rc::new(ConnectionSlot::new(stream, waited));
-        let (inbound, connections) = (inbound.clone(), connections.clone());
-        let number = connections.insert(&slot);
+        let inbound = inbound.clone();
+        let number = inbound.connections.insert(&slot);
         tokio::task::spawn_local(async move {
             let open_connections = &inbound.admission.open_connections;
             open_connections.set(open_connections.get() + 1);
@@ -236,7 +252,7 @@
                 slot.close_gracefully().await;
             }
             open_connections.set(open_connections.get() - 1);
-            connections.remove(number);
+            inbound.connections.remove(number);
         });
     }
 }
--- a/crates/daemon/src/clients/inbound/tests.rs
+++ b/crates/daemon/src/clients/inbound/tests.rs
@@ -1,5 +1,6 @@
 use super::*;
 use crate::calls::Target;
+use crate::settings::descriptors::HeldDescriptors;
 use notchpoint_seam::Stream;
 use notchpoint_seam::system::SystemSockets;
 use std::collections::{BTreeMap, BTreeSet};
@@ -16,11 +17,22 @@
     let (inputs, received) = unbounded_channel();
     let durability = DurabilityTracker::new(journal.clone());
     let net = Rc::new(SystemSockets::default());
+    let descriptors = Rc::new(DescriptorLimits::new(&config, false, HeldDescriptors::default()));
     let inbound = Inbound {
-        max_connections: max_connections(&config),
+        connections: Rc::default(),
+        descriptors: descriptors.clone(),
+        max_connections_in_memory: max_connections_in_memory(&config),
         max_body_bytes: max_body_bytes(&config),
         body_bytes: Cell::new(0),
-        calls: Calls::new(&config, net, journal.clone(), durability.clone(), None, inputs.clone()),
+        calls: Calls::new(
+            &config,
+            descriptors,
+            net,
+            journal.clone(),
+            durability.clone(),
+            None,
+            inputs.clone(),
+        ),
         copies: None,
         durability,
         active_settings: Rc::new(RefCell::new(
--- a/crates/daemon/src/decision_loop.rs
+++ b/crates/daemon/src/decision_loop.rs
@@ -16,6 +16,7 @@
 use crate::platform::zone_monitor::ZoneMonitor;
 use crate::settings::active::ActiveSettings;
 use crate::settings::config::Config;
+use crate::settings::descriptors::HeldDescriptors;
 use crate::state::journal::{Journal, OpenMessage, Verdict};
 use crate::state::operator_marks::{MAX_OUT_OF_SERVICE, MarkChange};
 use crate::state::pending_writes::wait_for_verdict_write;
@@ -237,6 +238,7 @@
             attempts_in_flight,
             predecessor_attempts: self.predecessor_attempts.iter().copied().collect(),
             queue_seen_empty: None,
+            descriptors: HeldDescriptors::default(),
             waits,
             members: self.members.values().cloned().collect(),
             revision: self.discovery.revision(),
--- a/crates/daemon/src/handover/protocol.rs
+++ b/crates/daemon/src/handover/protocol.rs
@@ -9,6 +9,7 @@
 use crate::endpoint_list::Member;
 use crate::input::{AcceptedMessage, Input};
 use crate::operations::Rejection;
+use crate::settings::descriptors::HeldDescriptors;
 use hyper::StatusCode;
 use notchpoint_policy::{
     Allowance, Class, DestinationId, EndpointId, Event, MessageId, Micros, Outcome, Sender,
@@ -16,7 +17,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Incremented with every change to the frames. The format of the policy's state has its own number.
-pub const VERSION: u16 = 3;
+pub const VERSION: u16 = 4;
 const MAGIC: [u8; 6] = *b"NPHAND";
 /// Length of the greeting that both sides send first; the same in every version.
 pub const HELLO_BYTES: usize = 16;
@@ -52,6 +53,8 @@
     pub waits: Vec<RouteWait>,
     pub members: Vec<Member>,
     pub revision: u64,
+    /// What the predecessor holds at most from now on.
+    pub descriptors: HeldDescriptors,
     /// Classes by index: tag, definition, and whether clients may use it.
     pub classes: Vec<(String, Class, bool)>,
 }
@@ -90,6 +93,8 @@
     State(Box<HandoverState>),
     /// From the successor: it owns the store.
     Owned,
+    /// From the predecessor: it holds at most this many descriptors from now on. The others are the owner's.
+    Descriptors(HeldDescriptors),
     /// From the predecessor: an attempt ended.
     AttemptEnded {
         id: MessageId,
@@ -117,6 +122,7 @@
             Self::Refused(_) => "Refused",
             Self::State(_) => "State",
             Self::Owned => "Owned",
+            Self::Descriptors(_) => "Descriptors",
             Self::AttemptEnded { .. } => "AttemptEnded",
             Self::CancelAttempt { .. } => "CancelAttempt",
             Self::ForwardRequest { .. } => "ForwardRequest",
--- a/crates/daemon/src/handover/transport.rs
+++ b/crates/daemon/src/handover/transport.rs
@@ -26,6 +26,9 @@
     pub incoming: UnboundedReceiver<Frame>,
 }
 
+/// The task that writes the frames. It ends once all that was sent is written.
+pub type WrittenFrames = JoinHandle<Rc<dyn Stream>>;
+
 /// Returns both ends of a frame channel within this process.
 pub fn channel_pair() -> (FrameChannel, FrameChannel) {
     let ((a, from_a), (b, from_b)) = (unbounded_channel(), unbounded_channel());
@@ -55,8 +58,8 @@
 }
 
 /// Moves frames in both directions until either side ends. The returned task ends once all that was sent is
-/// written.
-fn pump(stream: Rc<dyn Stream>) -> (FrameChannel, JoinHandle<()>) {
+/// written, and returns the connection.
+fn pump(stream: Rc<dyn Stream>) -> (FrameChannel, WrittenFrames) {
     let (near, mut far) = channel_pair();
     let (reader, received) = (stream.clone(), far.outgoing.clone());
     let reading = tokio::task::spawn_local(async move {
@@ -74,6 +77,7 @@
             }
         }
         reading.abort();
+        stream
     });
     (near, writing)
 }
@@ -101,7 +105,7 @@
 }
 
 /// Sends the state to the successor.
-pub fn send_state(stream: Rc<dyn Stream>, state: HandoverState) -> (FrameChannel, JoinHandle<()>) {
+pub fn send_state(stream: Rc<dyn Stream>, state: HandoverState) -> (FrameChannel, WrittenFrames) {
     let (channel, written) = pump(stream);
     let _ = channel.outgoing.send(Frame::State(Box::new(state)));
     (channel, written)
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,11 +1,13 @@
 //! The sender as a library. The program `notchpoint` is a thin wrapper around it, and a rehearsal runs many
 //! senders in one process. Its clock, disk, network and signals come through `notchpoint_seam`.
 
+mod abort_on_drop;
 mod calls;
 pub mod cli;
 mod clients;
 mod copies;
 mod decision_loop;
+mod descriptor_limits;
 pub mod endpoint_list;
 mod handover;
 mod id_holds;
--- a/crates/daemon/src/operators/admin.rs
+++ b/crates/daemon/src/operators/admin.rs
@@ -8,7 +8,7 @@
 use crate::operations::{self, AdminRequest, OperatorCommand, Rejection};
 use crate::platform::zone_monitor::ZoneMonitor;
 use crate::reasons::ReasonCounts;
-use crate::settings::descriptors::MAX_OPERATOR_CONNECTIONS;
+use crate::settings::descriptors::IDLE_OPERATOR_CONNECTIONS;
 use crate::state::durability::DurabilityTracker;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -56,7 +56,7 @@
     fn default() -> Self {
         Self {
             context: RefCell::default(),
-            max_connections: Cell::new(MAX_OPERATOR_CONNECTIONS),
+            max_connections: Cell::new(IDLE_OPERATOR_CONNECTIONS),
             connections: RefCell::default(),
             connection_closed: Notify::new(),
         }
@@ -101,9 +101,15 @@
         self.max_connections.set(max_connections);
     }
 
-    /// Refuses requests from now on.
+    /// Refuses requests from now on, with few connections.
     pub fn close(&self) {
         self.context.borrow_mut().take();
+        self.limit(IDLE_OPERATOR_CONNECTIONS);
+    }
+
+    /// The number of open connections.
+    pub fn open_connections(&self) -> usize {
+        self.connections.borrow().len()
     }
 
     fn context(&self) -> Result<Rc<RequestContext>, Rejection> {
--- a/crates/daemon/src/platform/discovery.rs
+++ b/crates/daemon/src/platform/discovery.rs
@@ -6,6 +6,7 @@
 //! and the policy's delay after it takes at most as long. In both cases the attempt that succeeds
 //! begins at least a second before the 6 s are over.
 
+use crate::abort_on_drop::AbortOnDrop;
 use crate::endpoint_list::EndpointList;
 use crate::input::Input;
 use crate::io::{ObservedStream, is_local_error};
@@ -212,12 +213,3 @@
         parsed?;
     }
 }
-
-/// Aborts a task on drop.
-struct AbortOnDrop(AbortHandle);
-
-impl Drop for AbortOnDrop {
-    fn drop(&mut self) {
-        self.0.abort();
-    }
-}
--- a/crates/daemon/src/platform/reports.rs
+++ b/crates/daemon/src/platform/reports.rs
@@ -1,5 +1,6 @@
 //! Posts notices to the platform. `notice_scheduler.rs` decides when.
 
+use crate::abort_on_drop::AbortOnDrop;
 use crate::io::ObservedStream;
 use crate::platform::notice_scheduler::{NoticeScheduler, PostRequest};
 use crate::state::journal::{Journal, Verdict};
@@ -18,7 +19,6 @@
 use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
-use tokio::task::AbortHandle;
 use tokio::time::{Instant, sleep_until, timeout};
 
 /// The time-out of a post. Its notices have been posted again on another connection long before.
@@ -38,20 +38,27 @@
     notice_added: Notify,
     journal: Rc<RefCell<Journal>>,
     started: Instant,
+    task: RefCell<Option<AbortOnDrop>>,
 }
 
 impl Reports {
     /// Creates the queue of notices and starts its task. It has to be called within a `LocalSet`.
     pub fn new(address: SocketAddr, net: Rc<dyn Network>, journal: Rc<RefCell<Journal>>) -> Rc<Self> {
         let (address, address_changed, notice_added) = (Cell::new(address), Notify::new(), Notify::new());
-        let (scheduler, started) = (RefCell::default(), Instant::now());
+        let (scheduler, started, task) = (RefCell::default(), Instant::now(), RefCell::default());
         let reports =
-            Rc::new(Self { net, address, address_changed, scheduler, notice_added, journal, started });
-        let task = reports.clone();
-        tokio::task::spawn_local(async move { task.run().await });
+            Rc::new(Self { net, address, address_changed, scheduler, notice_added, journal, started, task });
+        let running = reports.clone();
+        let task = tokio::task::spawn_local(async move { running.run().await });
+        *reports.task.borrow_mut() = Some(AbortOnDrop(task.abort_handle()));
         reports
     }
 
+    /// Stops posting and closes all connections, since another session posts the same notices.
+    pub fn stop(&self) {
+        self.task.borrow_mut().take();
+    }
+
     /// Adds a notice.
     pub fn push(&self, id: MessageId, verdict: Verdict) {
         let hold = self.journal.borrow().hold(id);
@@ -81,18 +88,16 @@
     async fn run(self: Rc<Self>) {
         let (results, mut ended_posts) = unbounded_channel::<(u64, Result<Connection, String>)>();
         let mut idle_connection: Option<Connection> = None;
-        let mut posts: BTreeMap<u64, AbortHandle> = BTreeMap::new();
+        let mut posts: BTreeMap<u64, AbortOnDrop> = BTreeMap::new();
         loop {
             let request = self.scheduler.borrow_mut().next_post(self.started.elapsed());
             if let Some(request) = request {
-                if let Some(old) = request.abandoned.and_then(|p| posts.remove(&p)) {
-                    old.abort();
-                }
+                request.abandoned.and_then(|abandoned| posts.remove(&abandoned));
                 let connection = if request.needs_new_connection { None } else { idle_connection.take() };
                 let post = request.post;
                 let task =
                     tokio::task::spawn_local(self.clone().run_post(request, connection, results.clone()));
-                posts.insert(post, task.abort_handle());
+                posts.insert(post, AbortOnDrop(task.abort_handle()));
                 continue;
             }
             let wake = self.scheduler.borrow().wake().map(|w| self.started + w);
@@ -107,7 +112,7 @@
                 () = self.address_changed.notified() => {
                     idle_connection = None;
                     for post in self.scheduler.borrow_mut().relocate(self.started.elapsed()) {
-                        posts.remove(&post).inspect(AbortHandle::abort);
+                        posts.remove(&post);
                     }
                 }
                 Some((post, result)) = ended_posts.recv() => {
--- a/crates/daemon/src/sender.rs
+++ b/crates/daemon/src/sender.rs
@@ -6,11 +6,12 @@
 use crate::clients::inbound::Inbound;
 use crate::copies::service::ReplicationService;
 use crate::decision_loop::{Components, DecisionLoop, PredecessorMessages};
+use crate::descriptor_limits::DescriptorLimits;
 use crate::handover::protocol::{
     AfterDisconnect, ForwardResult, Frame, HandoverState, after_disconnect, frame_for,
 };
 use crate::handover::successor::Successor;
-use crate::handover::transport::{self, FrameChannel, HandoverReply};
+use crate::handover::transport::{self, FrameChannel, HandoverReply, WrittenFrames};
 use crate::id_holds::IdHold;
 use crate::input::Input;
 use crate::operators::admin::{self, AdminServer, StatusSources};
@@ -22,7 +23,7 @@
 use crate::rate_limited_warning::RateLimitedWarning;
 use crate::settings::active::{self, ActiveSettings};
 use crate::settings::config::Config;
-use crate::settings::descriptors::DescriptorBudget;
+use crate::settings::descriptors::{DescriptorBudget, HeldDescriptors, SharedDescriptors};
 use crate::settings::operator::{self, OperatorSettings};
 use crate::startup;
 use crate::state::durability::DurabilityTracker;
@@ -41,7 +42,6 @@
 use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::sync::mpsc::{Receiver, UnboundedReceiver, UnboundedSender, unbounded_channel};
-use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 /// Time after SIGTERM in which calls are still started. A call that starts later may not end in time, and
@@ -161,8 +161,19 @@
     /// The state of a predecessor. It may be an earlier session of this process.
     Handover(Box<HandoverState>, FrameChannel),
     /// The store, after an earlier session of this process had handed over; some of its messages are still
-    /// open there.
-    StoreAfterHandover(FrameChannel, PredecessorMessages),
+    /// open there, and it holds these descriptors.
+    StoreAfterHandover(FrameChannel, PredecessorMessages, HeldDescriptors),
+}
+
+impl StartFrom {
+    /// What the predecessor holds.
+    fn held_descriptors(&self) -> HeldDescriptors {
+        match self {
+            Self::Store => HeldDescriptors::default(),
+            Self::Handover(state, _) => state.descriptors,
+            Self::StoreAfterHandover(.., held) => *held,
+        }
+    }
 }
 
 /// What stays the same for the whole process, over all of its sessions.
@@ -211,7 +222,7 @@
         match transport::request_handover(&*self.net).await {
             HandoverReply::NoPredecessor => StartFrom::Store,
             HandoverReply::Refused(why) => {
-                tracing::warn!("hand-over: {why}; waiting for the store");
+                self.warnings.warn(&format_args!("hand-over: {why}; waiting for the store"));
                 StartFrom::Store
             }
             HandoverReply::State(state, channel) => {
@@ -321,11 +332,11 @@
             let _ = channel.outgoing.send(Frame::Owned);
             (config, text) = (crate::settings::config::read(&state.config_text)?, state.config_text.clone());
         }
-        let descriptors = DescriptorBudget::new(&config);
-        if let Some(warning) = descriptors.warning(&config) {
-            tracing::warn!("{warning}: {}", descriptors.describe(&config));
-        }
-        self.admin_server.limit(descriptors.operator_connections);
+        let inherits_socket = self.client_listener.is_some();
+        warn_of_few_descriptors(&config, inherits_socket);
+        let descriptors =
+            Rc::new(DescriptorLimits::new(&config, inherits_socket, start_from.held_descriptors()));
+        self.admin_server.limit(descriptors.budget().operator_connections);
         let journal = Rc::new(RefCell::new(journal));
         let active_settings =
             Rc::new(RefCell::new(initial_settings(&config, &start_from, &mut journal.borrow_mut())));
@@ -336,6 +347,7 @@
             self.start_copies(&config, &journal, &durability, &active_settings, &inputs, &start_from).await?;
         let calls = Calls::new(
             &config,
+            descriptors.clone(),
             self.net.clone(),
             journal.clone(),
             durability.clone(),
@@ -382,7 +394,9 @@
             inputs: received,
         };
         let inbound = Rc::new(Inbound {
-            max_connections: crate::clients::inbound::max_connections(&config),
+            connections: Rc::default(),
+            descriptors: descriptors.clone(),
+            max_connections_in_memory: crate::clients::inbound::max_connections_in_memory(&config),
             max_body_bytes: crate::clients::inbound::max_body_bytes(&config),
             body_bytes: Cell::new(0),
             active_settings,
@@ -411,7 +425,7 @@
                 discovery.watch();
                 DecisionLoop::resume_from_handover(&config, *state, components)
             }
-            StartFrom::StoreAfterHandover(channel, open) => {
+            StartFrom::StoreAfterHandover(channel, open, _) => {
                 calls.adopt_attempts(&[], &[], channel.outgoing.clone());
                 let unacknowledged = &open.unanswered | &open.forwarded;
                 tokio::task::spawn_local(follow_predecessor(inbound.clone(), channel, unacknowledged));
@@ -463,6 +477,13 @@
                 stream = handover_request => stream,
             };
             let Some(stream) = stream else { continue };
+            let retired_process = RetiredParts::Process(self.admin_server.clone());
+            if !descriptors.has_room_for_successor(retired_process.held_descriptors(&inbound)) {
+                let why = "this process leaves too few descriptors (limits.sockets) for a second one";
+                self.warnings.warn(&format_args!("hand-over: {why}; this process goes on serving"));
+                transport::send_refusal(&*stream, why).await;
+                continue;
+            }
             // There is no await from here until the frames are queued, so that no event is lost between the
             // two owners.
             let released = journal.borrow_mut().release();
@@ -479,12 +500,14 @@
             admission.is_handed_over.set(true);
             let (mut state, received) = decision_loop.into_handover_state();
             state.queue_seen_empty = inbound.queue_seen_empty().map(|ago| ago.as_micros() as Micros);
+            self.admin_server.close();
+            state.descriptors = retired_process.held_descriptors(&inbound);
             let (channel, written) = transport::send_state(stream, state.clone());
             *inbound.successor.borrow_mut() = Some(Rc::new(Successor::new(channel.outgoing.clone())));
             admission.close_signal.set();
-            self.admin_server.close();
             tracing::info!("hand-over: state sent; {} calls end in this process", calls.active_calls());
-            let retired = RetiredSession { inbound, received, unconfirmed: Vec::new() };
+            let unconfirmed = Vec::new();
+            let retired = RetiredSession { inbound, reports, received, unconfirmed, parts: retired_process };
             return Ok(retired.finish(&self.signal_handler.terminate, state, channel, written).await);
         }
         let terminated_at = Instant::now();
@@ -573,6 +596,7 @@
                     let _ = outgoing.send(Frame::ForwardResponse { number, result });
                 });
             }
+            Frame::Descriptors(held) => inbound.descriptors.record_predecessor(held),
             Frame::Acknowledged(accepted) => {
                 forget(accepted.id);
                 let _ = inbound.inputs.send(Input::Acknowledged(accepted));
@@ -587,16 +611,62 @@
     }
     tracing::info!("hand-over: the predecessor has ended");
     inbound.calls.predecessor_ended();
+    inbound.descriptors.record_predecessor(HeldDescriptors::default());
     let forwarded = forwarded.take().unwrap_or_default();
     let _ = inbound.inputs.send(Input::PredecessorEnded(forwarded.into_values().collect()));
 }
 
+/// Logs a warning if parts of the sender have too few descriptors.
+fn warn_of_few_descriptors(config: &Config, inherits_socket: bool) {
+    let budget = DescriptorBudget::new(config);
+    if let Some(warning) = budget.warning(config) {
+        tracing::warn!("{warning}: {}", budget.describe(config));
+    }
+    let shared = SharedDescriptors::new(config, inherits_socket);
+    if let Some(warning) = shared.warning() {
+        tracing::warn!("{warning}: {}", shared.describe());
+    }
+}
+
+/// The parts of a retired session that hold descriptors besides its clients' connections and its calls.
+enum RetiredParts {
+    /// All parts of the process, with connections of operators: another process is the owner.
+    Process(Rc<AdminServer>),
+    /// None: the next session of this process is the owner. It has adopted the calls, or else its policy
+    /// does not count them.
+    Session { are_calls_adopted: bool },
+}
+
+impl RetiredParts {
+    /// Returns what the session holds at most from now on, together with its predecessor.
+    fn held_descriptors(&self, inbound: &Inbound) -> HeldDescriptors {
+        let (calls, clients) = (inbound.calls.active_calls(), inbound.connections.open_connections());
+        let own = match self {
+            Self::Process(admin) => {
+                HeldDescriptors::of_retired_process(calls, clients, admin.open_connections())
+            }
+            Self::Session { .. } => HeldDescriptors { calls, others: clients },
+        };
+        let predecessor = inbound.descriptors.predecessor();
+        let calls = own.calls + predecessor.calls;
+        let others = own.others + predecessor.others;
+        match self {
+            Self::Session { are_calls_adopted: false } => {
+                HeldDescriptors { calls: 0, others: calls + others }
+            }
+            _ => HeldDescriptors { calls, others },
+        }
+    }
+}
+
 /// A session that has handed over its store and its decisions, and still has open calls and connections.
 struct RetiredSession {
     inbound: Rc<Inbound>,
+    reports: Rc<Reports>,
     received: UnboundedReceiver<Input>,
     /// Frames that were sent before the successor reported that it owns the store.
     unconfirmed: Vec<Frame>,
+    parts: RetiredParts,
 }
 
 impl RetiredSession {
@@ -613,18 +683,28 @@
         !is_open && !has_pending && !calls.has_predecessor()
     }
 
+    /// Reports what the session holds if that has changed since it was last reported.
+    fn report_descriptors(&self, reported: &mut HeldDescriptors, outgoing: &UnboundedSender<Frame>) {
+        let held = self.parts.held_descriptors(&self.inbound);
+        if std::mem::replace(reported, held) != held {
+            let _ = outgoing.send(Frame::Descriptors(held));
+        }
+    }
+
     /// Reports to the successor how calls and requests end here. Returns what the next session of this
     /// process starts from if the successor ends first.
     async fn finish(
         mut self,
         terminate: &Notify,
-        state: HandoverState,
+        mut state: HandoverState,
         channel: FrameChannel,
-        written: JoinHandle<()>,
+        written: WrittenFrames,
     ) -> Option<StartFrom> {
         let FrameChannel { outgoing, mut incoming } = channel;
         let (mut is_owned, mut ending_since) = (false, None::<Instant>);
+        let mut reported = state.descriptors;
         let next = loop {
+            self.report_descriptors(&mut reported, &outgoing);
             if ending_since.is_some_and(|since| since.elapsed() >= SHUTDOWN_TIMEOUT)
                 || (is_owned && self.is_done())
             {
@@ -659,7 +739,11 @@
             // No more frames follow: the writer ends once all of them are written.
             self.inbound.successor.borrow_mut().take().inspect(|s| s.close());
             drop((outgoing, self));
-            let _ = timeout(FINAL_WRITE_TIMEOUT, written).await;
+            if let Ok(Ok(stream)) = timeout(FINAL_WRITE_TIMEOUT, written).await {
+                // The connection stays open until the process exits: its end tells the successor that all
+                // descriptors of this process are closed.
+                std::mem::forget(stream);
+            }
             return None;
         }
         let resumed_from = if next == AfterDisconnect::Resume {
@@ -679,18 +763,23 @@
             open.forwarded = successor.pending();
             successor.redirect(near.outgoing.clone());
         }
-        tokio::task::spawn_local(self.report_to_next_session(near));
+        self.reports.stop();
+        self.parts = RetiredParts::Session { are_calls_adopted: next == AfterDisconnect::Resume };
+        state.descriptors = self.parts.held_descriptors(&self.inbound);
+        let held = state.descriptors;
+        tokio::task::spawn_local(self.report_to_next_session(near, held));
         Some(if next == AfterDisconnect::Resume {
             StartFrom::Handover(Box::new(state), far)
         } else {
-            StartFrom::StoreAfterHandover(far, open)
+            StartFrom::StoreAfterHandover(far, open, held)
         })
     }
 
     /// Reports to the next session of this process how calls and requests end in this one.
-    async fn report_to_next_session(mut self, channel: FrameChannel) {
+    async fn report_to_next_session(mut self, channel: FrameChannel, mut reported: HeldDescriptors) {
         let FrameChannel { outgoing, mut incoming } = channel;
         while !self.is_done() {
+            self.report_descriptors(&mut reported, &outgoing);
             tokio::select! {
                 biased;
                 Some(frame) = incoming.recv() => self.process_frame(frame),
--- a/crates/daemon/src/settings/descriptors/tests.rs
+++ b/crates/daemon/src/settings/descriptors/tests.rs
@@ -44,3 +44,48 @@
     config.settings.slots = 40;
     assert_eq!(DescriptorBudget::new(&config).warning(&config), None);
 }
+
+/// Returns what a process needs that has this budget, besides what another one holds.
+fn sum(all: usize, slots: usize, budget: DescriptorBudget) -> usize {
+    fixed_descriptors(all) + slots + budget.idle_connections + budget.client_connections
+}
+
+#[test]
+fn both_processes_of_a_handover_fit_together_under_any_limit() {
+    for all in 40..3_000 {
+        for slots in [1, 7, 24, 100] {
+            let shared = SharedDescriptors { all, slots, allows_handover: true };
+            let alone = shared.budget(HeldDescriptors::default());
+            assert!(sum(all, slots, alone) + STARTING_DESCRIPTORS <= all || !alone.is_sufficient, "{all}");
+            if shared.warning().is_some() {
+                continue;
+            }
+            // Clients close their connections at the predecessor, until it has none.
+            for clients in (0..=alone.client_connections).rev() {
+                let retired = HeldDescriptors::of_retired_process(slots, clients, 0);
+                assert!(shared.has_room_for_successor(retired), "{shared:?}, {clients} clients");
+                let successor = shared.budget(retired);
+                assert!(successor.client_connections >= MIN_SUCCESSOR_CONNECTIONS / 2, "{successor:?}");
+                assert!(sum(all, slots, successor) + retired.others <= all, "{shared:?}, {clients} clients");
+            }
+        }
+    }
+}
+
+#[test]
+fn too_few_descriptors_for_a_second_process_are_reported() {
+    let shared = |all| SharedDescriptors { all, slots: 60, allows_handover: true };
+    assert!(shared(140).warning().is_some_and(|warning| warning.contains("hand-overs may be refused")));
+    assert!(!shared(140).has_room_for_successor(HeldDescriptors::of_retired_process(0, 0, 0)));
+    assert_eq!(shared(256).warning(), None);
+    assert_eq!(SharedDescriptors { allows_handover: false, ..shared(140) }.warning(), None);
+}
+
+#[test]
+fn calls_that_the_policy_does_not_count_leave_fewer_for_others() {
+    let shared = SharedDescriptors { all: 256, slots: 100, allows_handover: true };
+    assert_eq!(shared.max_calls(HeldDescriptors { calls: 100, others: 0 }), 100);
+    let uncounted = HeldDescriptors { calls: 0, others: 150 };
+    assert!(shared.max_calls(uncounted) + uncounted.others + fixed_descriptors(256) <= 256);
+    assert_eq!(shared.max_calls(HeldDescriptors { calls: 0, others: 256 }), 1);
+}
--- a/crates/daemon/tests/sockets/descriptors.rs
+++ b/crates/daemon/tests/sockets/descriptors.rs
@@ -6,6 +6,7 @@
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::Path;
+use std::process::Command;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::{self, JoinHandle};
@@ -23,6 +24,14 @@
 const CROWD_THREADS: usize = 8;
 /// The time-out of a connect. A connect to a full accept queue is not answered.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(50);
+/// The start of a request, without the rest.
+const REQUEST_PART: &[u8] = b"POST /update HTTP/1.1\r\nHost: api.internal\r\nContent-Le";
+/// The times after the start of a successor at which one of the two processes is killed. A hand-over takes
+/// some tens of milliseconds.
+const KILL_DELAYS_MS: [u64; 6] = [5, 15, 25, 40, 60, 120];
+/// The descriptors of a process that has all of them and many clients: half of the limit, which is the most
+/// that clients have, less those reserved for the start of a successor.
+const WHOLE_SHARE: usize = 120;
 
 /// The descriptors of all processes of a sender at one time.
 #[derive(Default)]
@@ -173,3 +182,102 @@
     drop(crowds);
     sampler.assert_at_most(DESCRIPTORS);
 }
+
+/// Clients that submit messages one after the other, each on a new connection.
+struct Callers {
+    is_ended: Arc<AtomicBool>,
+    threads: Vec<JoinHandle<Vec<u64>>>,
+}
+
+impl Callers {
+    fn start(address: SocketAddr, count: u64) -> Self {
+        let is_ended = Arc::new(AtomicBool::new(false));
+        let threads = (1..=count).map(|caller| {
+            let ended = is_ended.clone();
+            thread::spawn(move || {
+                let ids = (caller << 32..).take_while(|_| !ended.load(Ordering::Relaxed));
+                ids.filter(|&id| Client::new(address).try_submit("update", id, 3, LONG, b"x") == Some(202))
+                    .collect()
+            })
+        });
+        Self { threads: threads.collect(), is_ended }
+    }
+
+    /// Ends the clients, and waits until each acknowledged message was called or ended by a notice.
+    fn assert_none_lost(self, node: &Node, endpoint: &Endpoint) {
+        self.is_ended.store(true, Ordering::Relaxed);
+        let threads = self.threads.into_iter();
+        let mut open: Vec<u64> = threads.flat_map(|caller| caller.join().expect("it ends")).collect();
+        assert!(!open.is_empty(), "no message was acknowledged");
+        wait_until("a call or a notice of each acknowledged message", || {
+            let requests = endpoint.requests.lock().expect("not poisoned");
+            let called: BTreeSet<&str> = requests.iter().map(|r| r.header("x-request-id")).collect();
+            open.retain(|id| {
+                !called.contains(format!("{id:016x}").as_str()) && !node.platform.has_notice(*id)
+            });
+            open.is_empty()
+        });
+    }
+}
+
+#[test]
+fn both_processes_of_a_handover_share_the_descriptors() {
+    // Guards against two processes of which each divides all of the descriptors for itself.
+    for request_part in [b"".as_slice(), REQUEST_PART] {
+        let (mut node, endpoint) = start_with_limits(DESCRIPTORS, 40);
+        let sampler = DescriptorSampler::start(&node);
+        let crowd = Crowd::start(node.address, DESCRIPTORS, request_part);
+        thread::sleep(CROWD_TIME);
+        let callers = Callers::start(node.address, 4);
+        for _ in 0..3 {
+            let mut predecessor = node.hand_over();
+            predecessor.signal("-TERM");
+            assert!(predecessor.exited_cleanly());
+        }
+        drop(crowd);
+        callers.assert_none_lost(&node, &endpoint);
+        sampler.assert_at_most(DESCRIPTORS);
+    }
+}
+
+#[test]
+fn process_that_is_killed_in_a_handover_leaves_its_descriptors_to_the_other() {
+    for kills_predecessor in [false, true] {
+        let (mut node, endpoint) = start_with_limits(DESCRIPTORS, 20);
+        node.limit_descriptors(DESCRIPTORS);
+        let sampler = DescriptorSampler::start(&node);
+        let crowd = Crowd::start(node.address, DESCRIPTORS, b"");
+        let callers = Callers::start(node.address, 4);
+        for delay in KILL_DELAYS_MS.map(Duration::from_millis) {
+            wait_until("the process has many clients", || descriptors(node.pid()) >= WHOLE_SHARE);
+            if kills_predecessor {
+                let pid = node.pid().to_string();
+                let killing = thread::spawn(move || {
+                    thread::sleep(delay);
+                    Command::new("kill").args(["-KILL", &pid]).status().expect("kill runs")
+                });
+                drop(node.hand_over());
+                killing.join().expect("the process was killed");
+                node.limit_descriptors(DESCRIPTORS);
+            } else {
+                node.start_and_kill_successor(delay);
+                wait_until("the process serves", || node.admin_request("GET /status").status() == 200);
+            }
+        }
+        wait_until("the process has its whole share", || descriptors(node.pid()) >= WHOLE_SHARE);
+        drop(crowd);
+        callers.assert_none_lost(&node, &endpoint);
+        sampler.assert_at_most(DESCRIPTORS);
+    }
+}
+
+#[test]
+fn handover_is_refused_if_a_second_process_has_too_few_descriptors() {
+    let (node, endpoint) = start_with_limits(140, 60);
+    let sampler = DescriptorSampler::start(&node);
+    let log_line = node.successor_log_line(&["waiting for the store", "listening on"]);
+    assert!(log_line.contains("too few descriptors"), "{log_line}");
+    assert_eq!(node.submit("update", 1, 3, LONG, b"x").status(), 202, "the first process goes on serving");
+    endpoint.call(0);
+    sampler.assert_at_most(140);
+}
--- a/crates/daemon/tests/sockets/world.rs
+++ b/crates/daemon/tests/sockets/world.rs
@@ -556,6 +556,15 @@
         predecessor
     }
 
+    /// Starts a successor beside the running process and kills it after this time.
+    pub fn start_and_kill_successor(&self, after: Duration) {
+        let mut child =
+            command(&self.folder, self.client_listener.as_ref()).spawn().expect("the program starts");
+        thread::sleep(after);
+        child.kill().expect("the process runs");
+        child.wait().expect("the process has ended");
+    }
+
     /// Makes the predecessor the running process again, after its successor was killed.
     pub fn continue_with(&mut self, mut predecessor: Predecessor) {
         std::mem::swap(&mut self.child, &mut predecessor.0);
