Links between senders are in the budget of descriptors

Seen: with copies on, limits.sockets 64 and clients at its three addresses that connect again at once, one process held 70 descriptors (test in this commit, failing before). docs/promises.md had the links as not in the budget. Cause: the budget did not know of replication: its socket, two links for each other sender, and up to 32 accepted connections that had not completed the handshake. Change: SharedDescriptors leaves max_descriptors(settings) for replication. Tests: connections_for_replication_leave_a_process_within_its_descriptors, replication_has_descriptors_of_its_own.

--- a/crates/daemon/src/calls/tests.rs
+++ b/crates/daemon/src/calls/tests.rs
@@ -4,7 +4,7 @@
 use super::progress::Progress;
 use super::*;
 use crate::io::Observer;
-use crate::settings::descriptors::HeldDescriptors;
+use crate::settings::descriptors::{HeldDescriptors, SharedDescriptors};
 use crate::state::journal::{OpenMessage, tests::journal};
 use notchpoint_seam::net::ConnectFuture;
 use notchpoint_seam::system::SystemSockets;
@@ -64,7 +64,10 @@
         let journal = Rc::new(RefCell::new(journal(folder.path())));
         let (inputs, received) = unbounded_channel();
         let durability = DurabilityTracker::new(journal.clone());
-        let descriptors = Rc::new(DescriptorLimits::new(&config, false, HeldDescriptors::default()));
+        let descriptors = Rc::new(DescriptorLimits::new(
+            SharedDescriptors::new(&config, false),
+            HeldDescriptors::default(),
+        ));
         let calls = Calls::new(&config, descriptors, net, journal.clone(), durability, None, inputs);
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("an address");
--- a/crates/daemon/src/clients/inbound/tests.rs
+++ b/crates/daemon/src/clients/inbound/tests.rs
@@ -1,6 +1,6 @@
 use super::*;
 use crate::calls::Target;
-use crate::settings::descriptors::HeldDescriptors;
+use crate::settings::descriptors::{HeldDescriptors, SharedDescriptors};
 use notchpoint_seam::Stream;
 use notchpoint_seam::system::SystemSockets;
 use std::collections::{BTreeMap, BTreeSet};
@@ -17,7 +17,8 @@
     let (inputs, received) = unbounded_channel();
     let durability = DurabilityTracker::new(journal.clone());
     let net = Rc::new(SystemSockets::default());
-    let descriptors = Rc::new(DescriptorLimits::new(&config, false, HeldDescriptors::default()));
+    let descriptors =
+        Rc::new(DescriptorLimits::new(SharedDescriptors::new(&config, false), HeldDescriptors::default()));
     let inbound = Inbound {
         connections: Rc::default(),
         descriptors: descriptors.clone(),
--- a/crates/daemon/src/copies/service.rs
+++ b/crates/daemon/src/copies/service.rs
@@ -33,8 +33,9 @@
 /// The same for closing a message that is returned to its client as safe to submit again: the final status
 /// has to be reported within 300 ms of its deadline.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(150);
-/// The limit of accepted connections that have not completed the handshake.
-const MAX_HANDSHAKES: usize = 32;
+/// The limit of accepted connections that have not completed the handshake, in addition to one for each other
+/// sender.
+const ADDITIONAL_HANDSHAKES: usize = 4;
 /// The limit of distinct warnings about peers; each is logged once.
 const MAX_WARNINGS: usize = 64;
 /// The interval at which the counts are logged if they have changed.
@@ -79,6 +80,18 @@
     tasks: RefCell<Vec<AbortHandle>>,
 }
 
+/// Returns how many descriptors replication takes: its socket, the links that this sender dials and accepts, and
+/// connections that have not completed the handshake.
+pub fn max_descriptors(settings: &CopiesSettings) -> usize {
+    let others = settings.senders.len();
+    if settings.count == 0 { 0 } else { 1 + 2 * others + max_handshakes(others) }
+}
+
+/// Returns the limit of accepted connections that have not completed the handshake.
+fn max_handshakes(other_senders: usize) -> usize {
+    other_senders + ADDITIONAL_HANDSHAKES
+}
+
 /// The result of a request for consent to an attempt.
 pub enum AttemptConsent {
     /// The attempt may be made.
@@ -519,7 +532,8 @@
                 sleep(RECONNECT_DELAY).await;
                 continue;
             };
-            if self.handshakes.get() >= MAX_HANDSHAKES || stream.set_nodelay().is_err() {
+            if self.handshakes.get() >= max_handshakes(self.addresses.len()) || stream.set_nodelay().is_err()
+            {
                 continue;
             }
             self.handshakes.set(self.handshakes.get() + 1);
--- a/crates/daemon/src/decision_loop/tests.rs
+++ b/crates/daemon/src/decision_loop/tests.rs
@@ -3,6 +3,7 @@
 use super::*;
 use crate::descriptor_limits::DescriptorLimits;
 use crate::reasons::ReasonCounts;
+use crate::settings::descriptors::SharedDescriptors;
 use crate::settings::operator::RecorderSettings;
 use crate::state::durability::DurabilityTracker;
 use crate::state::journal::tests::journal;
@@ -17,7 +18,8 @@
     let journal = Rc::new(RefCell::new(journal(folder)));
     let (input_sender, inputs) = unbounded_channel();
     let (net, durability) = (Rc::new(SystemSockets::default()), DurabilityTracker::new(journal.clone()));
-    let descriptors = Rc::new(DescriptorLimits::new(&config, false, HeldDescriptors::default()));
+    let descriptors =
+        Rc::new(DescriptorLimits::new(SharedDescriptors::new(&config, false), HeldDescriptors::default()));
     let (calls_net, calls_inputs) = (net.clone(), input_sender.clone());
     let calls = Calls::new(&config, descriptors, calls_net, journal.clone(), durability, None, calls_inputs);
     let active_settings = ActiveSettings::new(&config, &BTreeMap::new(), &BTreeSet::new()).0;
--- a/crates/daemon/src/descriptor_limits.rs
+++ b/crates/daemon/src/descriptor_limits.rs
@@ -6,7 +6,6 @@
 //! never rises, since it accepts no more clients and starts no more calls. The successor has the rest, and
 //! all of them once the predecessor has ended.
 
-use crate::settings::config::Config;
 use crate::settings::descriptors::{DescriptorBudget, HeldDescriptors, SharedDescriptors};
 use std::cell::Cell;
 use tokio::sync::Notify;
@@ -20,10 +19,8 @@
 }
 
 impl DescriptorLimits {
-    /// Creates the limits of a session whose predecessor holds these descriptors. Another process may take
-    /// over from it if it has inherited the clients' socket.
-    pub fn new(config: &Config, inherits_socket: bool, predecessor: HeldDescriptors) -> Self {
-        let shared = SharedDescriptors::new(config, inherits_socket);
+    /// Creates the limits of a session whose predecessor holds these of the descriptors.
+    pub fn new(shared: SharedDescriptors, predecessor: HeldDescriptors) -> Self {
         Self { shared, predecessor: Cell::new(predecessor), changed: Notify::new() }
     }
 
--- a/crates/daemon/src/sender.rs
+++ b/crates/daemon/src/sender.rs
@@ -4,7 +4,7 @@
 use crate::clients::accept_queue::AcceptQueue;
 use crate::clients::admission::{Admission, FRONT_DRAIN_TIME};
 use crate::clients::inbound::Inbound;
-use crate::copies::service::ReplicationService;
+use crate::copies::service::{self as replication, ReplicationService};
 use crate::decision_loop::{Components, DecisionLoop, PredecessorMessages};
 use crate::descriptor_limits::DescriptorLimits;
 use crate::handover::protocol::{
@@ -332,10 +332,11 @@
             let _ = channel.outgoing.send(Frame::Owned);
             (config, text) = (crate::settings::config::read(&state.config_text)?, state.config_text.clone());
         }
-        let inherits_socket = self.client_listener.is_some();
-        warn_of_few_descriptors(&config, inherits_socket);
-        let descriptors =
-            Rc::new(DescriptorLimits::new(&config, inherits_socket, start_from.held_descriptors()));
+        let for_replication = self.operator.copies.as_ref().map_or(0, replication::max_descriptors);
+        let shared = SharedDescriptors::new(&config, self.client_listener.is_some());
+        let shared = shared.with_replication(for_replication);
+        warn_of_few_descriptors(&config, &shared);
+        let descriptors = Rc::new(DescriptorLimits::new(shared, start_from.held_descriptors()));
         self.admin_server.limit(descriptors.budget().operator_connections);
         let journal = Rc::new(RefCell::new(journal));
         let active_settings =
@@ -617,12 +618,11 @@
 }
 
 /// Logs a warning if parts of the sender have too few descriptors.
-fn warn_of_few_descriptors(config: &Config, inherits_socket: bool) {
+fn warn_of_few_descriptors(config: &Config, shared: &SharedDescriptors) {
     let budget = DescriptorBudget::new(config);
     if let Some(warning) = budget.warning(config) {
         tracing::warn!("{warning}: {}", budget.describe(config));
     }
-    let shared = SharedDescriptors::new(config, inherits_socket);
     if let Some(warning) = shared.warning() {
         tracing::warn!("{warning}: {}", shared.describe());
     }
--- a/crates/daemon/src/settings/descriptors.rs
+++ b/crates/daemon/src/settings/descriptors.rs
@@ -55,6 +55,8 @@
     slots: usize,
     /// Whether another process may start and take over.
     allows_handover: bool,
+    /// Descriptors for replication.
+    replication: usize,
 }
 
 impl SharedDescriptors {
@@ -62,7 +64,12 @@
     /// they inherit the clients' socket.
     pub fn new(config: &Config, inherits_socket: bool) -> Self {
         let (all, slots) = (config.max_descriptors, config.settings.slots as usize);
-        Self { all, slots, allows_handover: inherits_socket }
+        Self { all, slots, allows_handover: inherits_socket, replication: 0 }
+    }
+
+    /// Leaves this number of descriptors for replication. Only the process that owns the store has them.
+    pub fn with_replication(self, descriptors: usize) -> Self {
+        Self { replication: descriptors, ..self }
     }
 
     /// Divides the descriptors that a process has while its predecessor holds some. A third process does not
@@ -79,7 +86,8 @@
     /// Returns how many calls may be in progress. There may be fewer than slots while an earlier session has
     /// calls that the policy does not count.
     pub fn max_calls(&self, predecessor: HeldDescriptors) -> usize {
-        let left = self.all.saturating_sub(fixed_descriptors(self.all) + predecessor.others);
+        let own = fixed_descriptors(self.all) + self.replication;
+        let left = self.all.saturating_sub(own + predecessor.others);
         left.clamp(1, self.slots)
     }
 
@@ -91,7 +99,8 @@
     /// Returns how many descriptors are left for connections of clients and idle ones to endpoints.
     fn left_beside(&self, predecessor: HeldDescriptors) -> usize {
         let calls = self.slots.max(predecessor.calls);
-        self.all.saturating_sub(fixed_descriptors(self.all) + calls + predecessor.others)
+        let own = fixed_descriptors(self.all) + self.replication;
+        self.all.saturating_sub(own + calls + predecessor.others)
     }
 
     /// Returns how many clients a process may have so that a hand-over is possible at any time; `None` if
@@ -140,7 +149,8 @@
 
     /// Divides this number of descriptors in the same way, with this number of calls in progress.
     fn split(all: usize, slots: usize) -> Self {
-        SharedDescriptors { all, slots, allows_handover: false }.budget(HeldDescriptors::default())
+        SharedDescriptors { all, slots, allows_handover: false, replication: 0 }
+            .budget(HeldDescriptors::default())
     }
 
     /// Divides the descriptors that are left so that clients may use all of their part: the watch, notices,
--- a/crates/daemon/src/settings/descriptors/tests.rs
+++ b/crates/daemon/src/settings/descriptors/tests.rs
@@ -54,7 +54,7 @@
 fn both_processes_of_a_handover_fit_together_under_any_limit() {
     for all in 40..3_000 {
         for slots in [1, 7, 24, 100] {
-            let shared = SharedDescriptors { all, slots, allows_handover: true };
+            let shared = SharedDescriptors { all, slots, allows_handover: true, replication: 0 };
             let alone = shared.budget(HeldDescriptors::default());
             assert!(sum(all, slots, alone) + STARTING_DESCRIPTORS <= all || !alone.is_sufficient, "{all}");
             if shared.warning().is_some() {
@@ -74,7 +74,7 @@
 
 #[test]
 fn too_few_descriptors_for_a_second_process_are_reported() {
-    let shared = |all| SharedDescriptors { all, slots: 60, allows_handover: true };
+    let shared = |all| SharedDescriptors { all, slots: 60, allows_handover: true, replication: 0 };
     assert!(shared(140).warning().is_some_and(|warning| warning.contains("hand-overs may be refused")));
     assert!(!shared(140).has_room_for_successor(HeldDescriptors::of_retired_process(0, 0, 0)));
     assert_eq!(shared(256).warning(), None);
@@ -83,9 +83,19 @@
 
 #[test]
 fn calls_that_the_policy_does_not_count_leave_fewer_for_others() {
-    let shared = SharedDescriptors { all: 256, slots: 100, allows_handover: true };
+    let shared = SharedDescriptors { all: 256, slots: 100, allows_handover: true, replication: 0 };
     assert_eq!(shared.max_calls(HeldDescriptors { calls: 100, others: 0 }), 100);
     let uncounted = HeldDescriptors { calls: 0, others: 150 };
     assert!(shared.max_calls(uncounted) + uncounted.others + fixed_descriptors(256) <= 256);
     assert_eq!(shared.max_calls(HeldDescriptors { calls: 0, others: 256 }), 1);
 }
+
+#[test]
+fn replication_has_descriptors_of_its_own() {
+    let shared = SharedDescriptors { all: 256, slots: 7, allows_handover: true, replication: 0 };
+    for replication in 0..=100 {
+        let shared = shared.with_replication(replication);
+        let budget = shared.budget(HeldDescriptors::default());
+        assert!(sum(256, 7, budget) + STARTING_DESCRIPTORS + replication <= 256, "{replication}: {budget:?}");
+    }
+}
--- a/crates/daemon/tests/sockets/descriptors.rs
+++ b/crates/daemon/tests/sockets/descriptors.rs
@@ -281,3 +281,22 @@
     endpoint.call(0);
     sampler.assert_at_most(140);
 }
+
+#[test]
+fn connections_for_replication_leave_a_process_within_its_descriptors() {
+    // Guards against links between senders that are not in the budget.
+    const FEW_DESCRIPTORS: usize = 64;
+    let endpoint = Endpoint::new(|_| response("200 OK", "", ""));
+    let members = [member("s-1", endpoint.address, "shop", 3, "up")];
+    let reserved = [(); 3].map(|()| ReservedAddress::new());
+    let [listen, others @ ..] = [0, 1, 2].map(|n| reserved[n].address);
+    let others = others.map(|at| format!("[[copies.senders]]\nname = \"at-{at}\"\naddress = \"{at}\"\n"));
+    let operator =
+        format!("[copies]\ncount = 1\nlisten = \"{listen}\"\ninstallation = \"tests\"\n{}", others.concat());
+    let node = Node::with_operator(&members, with_limits(FEW_DESCRIPTORS, 7), Some(&operator));
+    let sampler = DescriptorSampler::start(&node);
+    let crowds = [node.address, node.admin, listen].map(|at| Crowd::start(at, FEW_DESCRIPTORS, b""));
+    thread::sleep(CROWD_TIME);
+    drop(crowds);
+    sampler.assert_at_most(FEW_DESCRIPTORS);
+}
