A call is refused for lack of descriptors only where there are fewer than slots

Seen: nothing; found by reading the change of the budget again. A call whose messages have all ended may still close its connection while the policy starts the next one, so for a moment there can be one call more than slots. Change: the check applies only while an earlier session of the process has calls that the policy does not count and fewer descriptors than slots are left (reduced_calls). The tests with crowds take a connection that is closed for another one for what it is, and try again.

--- a/crates/daemon/src/calls/pool.rs
+++ b/crates/daemon/src/calls/pool.rs
@@ -141,7 +141,7 @@
 
     /// Opens a connection.
     pub(super) async fn connect(&self, address: SocketAddr) -> Result<Connection, CallError> {
-        if self.active_calls.get() > self.descriptors.max_calls() {
+        if self.descriptors.reduced_calls().is_some_and(|most| self.active_calls.get() > most) {
             return Err(CallError::NotSent(io::Error::other("an earlier session has the descriptors")));
         }
         let connecting = timeout(self.connect_timeout, self.net.connect(address)).await;
--- a/crates/daemon/src/descriptor_limits.rs
+++ b/crates/daemon/src/descriptor_limits.rs
@@ -41,9 +41,9 @@
         self.shared.budget(self.predecessor.get())
     }
 
-    /// Returns how many calls may be in progress at present.
-    pub fn max_calls(&self) -> usize {
-        self.shared.max_calls(self.predecessor.get())
+    /// Returns how many calls may be in progress at present, if fewer than the policy starts.
+    pub fn reduced_calls(&self) -> Option<usize> {
+        self.shared.reduced_calls(self.predecessor.get())
     }
 
     /// Whether a successor has enough descriptors if this process holds these after the hand-over.
--- a/crates/daemon/src/settings/descriptors.rs
+++ b/crates/daemon/src/settings/descriptors.rs
@@ -83,12 +83,12 @@
         DescriptorBudget { client_connections: clients, ..budget }
     }
 
-    /// Returns how many calls may be in progress. There may be fewer than slots while an earlier session has
-    /// calls that the policy does not count.
-    pub fn max_calls(&self, predecessor: HeldDescriptors) -> usize {
+    /// Returns how many calls may be in progress if there are descriptors for fewer than the policy starts, as
+    /// while an earlier session has calls that the policy does not count.
+    pub fn reduced_calls(&self, predecessor: HeldDescriptors) -> Option<usize> {
         let own = fixed_descriptors(self.all) + self.replication;
         let left = self.all.saturating_sub(own + predecessor.others);
-        left.clamp(1, self.slots)
+        (left < self.slots).then_some(left.max(1))
     }
 
     /// Whether a successor has enough descriptors beside a process that holds these after the hand-over.
