--- a/crates/daemon/src/clients/admission.rs
+++ b/crates/daemon/src/clients/admission.rs
@@ -9,6 +9,8 @@
 /// s. Requests that arrive within this time are served, and open connections are then closed between two
 /// requests.
 pub const FRONT_DRAIN_TIME: Duration = Duration::from_millis(600);
+/// Time after SIGTERM at which the process ends, even if calls are still in progress.
+pub const SHUTDOWN_TIMEOUT: Duration = Duration::from_millis(3_300);
 
 /// The state of admission that all client connections share.
 #[derive(Default)]
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -18,6 +18,7 @@
 mod platform;
 mod rate_limited_warning;
 mod reasons;
+mod retired_session;
 pub mod sender;
 pub mod settings;
 mod startup;
