--- a/crates/daemon/tests/sockets/descriptors.rs
+++ b/crates/daemon/tests/sockets/descriptors.rs
@@ -157,8 +157,8 @@
     (Node::with_inherited_socket_and_config(&members, with_limits(descriptors, slots)), endpoint)
 }
 
-/// Whether a process reports to operators that it accepts clients. It may close the connection for another one
-/// before the request arrives.
+/// Whether a process reports to operators that it accepts clients. It may close the connection for another
+/// one before the request arrives.
 fn accepts_clients(admin: SocketAddr) -> bool {
     let mut answer = [0; 12];
     let answered = TcpStream::connect(admin).and_then(|mut stream| {
