--- a/crates/daemon/src/clients/inbound.rs
+++ b/crates/daemon/src/clients/inbound.rs
@@ -203,7 +203,8 @@
     inbound.is_queue_polled.set(true);
 }
 
-/// Accepts connections, as many at once as descriptors and memory allow. The rest wait in the system's accept queue.
+/// Accepts connections, as many at once as descriptors and memory allow. The rest wait in the system's accept
+/// queue.
 pub async fn serve(inbound: Rc<Inbound>, listener: Rc<dyn Listener>) {
     let accept_warning = RateLimitedWarning::default();
     if !inbound.is_queue_polled.get() {
--- a/crates/daemon/src/copies/service.rs
+++ b/crates/daemon/src/copies/service.rs
@@ -80,8 +80,8 @@
     tasks: RefCell<Vec<AbortHandle>>,
 }
 
-/// Returns how many descriptors replication takes: its socket, the links that this sender dials and accepts, and
-/// connections that have not completed the handshake.
+/// Returns how many descriptors replication takes: its socket, the links that this sender dials and accepts,
+/// and connections that have not completed the handshake.
 pub fn max_descriptors(settings: &CopiesSettings) -> usize {
     let others = settings.senders.len();
     if settings.count == 0 { 0 } else { 1 + 2 * others + max_handshakes(others) }
--- a/crates/daemon/src/operators/admin.rs
+++ b/crates/daemon/src/operators/admin.rs
@@ -163,8 +163,8 @@
     }
 }
 
-/// Accepts connections until it is dropped. At the limit, one of them waits here, and the rest in the system's
-/// accept queue.
+/// Accepts connections until it is dropped. At the limit, one of them waits here, and the rest in the
+/// system's accept queue.
 pub async fn serve(admin: Rc<AdminServer>, listener: Rc<dyn Listener>) {
     for number in 0.. {
         let stream = loop {
--- a/crates/daemon/src/retired_session.rs
+++ b/crates/daemon/src/retired_session.rs
@@ -1,5 +1,5 @@
-//! A session that has handed over its store and its decisions. Its calls and its clients' connections end here,
-//! and what becomes of them is reported to the successor, or to the next session of this process if the
+//! A session that has handed over its store and its decisions. Its calls and its clients' connections end
+//! here, and what becomes of them is reported to the successor, or to the next session of this process if the
 //! successor ends first.
 
 use crate::clients::admission::SHUTDOWN_TIMEOUT;
--- a/crates/daemon/src/settings/descriptors.rs
+++ b/crates/daemon/src/settings/descriptors.rs
@@ -1,5 +1,5 @@
-//! Divides the file descriptors of a sender among its parts, so that no part can exhaust those of another. The
-//! two processes of a hand-over share them.
+//! Divides the file descriptors of a sender among its parts, so that no part can exhaust those of another.
+//! The two processes of a hand-over share them.
 
 use crate::settings::config::Config;
 use serde::{Deserialize, Serialize};
@@ -83,8 +83,8 @@
         DescriptorBudget { client_connections: clients, ..budget }
     }
 
-    /// Returns how many calls may be in progress if there are descriptors for fewer than the policy starts, as
-    /// while an earlier session has calls that the policy does not count.
+    /// Returns how many calls may be in progress if there are descriptors for fewer than the policy starts,
+    /// as while an earlier session has calls that the policy does not count.
     pub fn reduced_calls(&self, predecessor: HeldDescriptors) -> Option<usize> {
         let own = fixed_descriptors(self.all) + self.replication;
         let left = self.all.saturating_sub(own + predecessor.others);
