--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -20,8 +20,10 @@
     if [ -n "$KEEP" ]; then echo "kept: $WORK"; else rm -rf "$WORK"; fi
 }
 trap finish EXIT
-trap 'exit 2' INT TERM HUP
-timeout -s KILL 115 "$program"
+timeout -k 2 113 "$program" &
+running=$!
+trap 'kill -TERM "$running" 2>/dev/null; exit 2' INT TERM HUP
+wait "$running"
 status=$?
 [ "$status" -le 2 ] || status=2
 exit "$status"
