--- a/review/3/case.rs
+++ b/review/3/case.rs
@@ -26,11 +26,21 @@
     let listener = TcpListener::bind("127.0.0.1:0").unwrap_or_else(|e| fail(&e.to_string()));
     like_ethernet(&listener);
     let address = listener.local_addr().unwrap();
+    let _ = listener.set_nonblocking(true);
     thread::spawn(move || {
-        for near in listener.incoming().flatten() {
+        loop {
+            if is_cut.lock().unwrap().is_some_and(|until| Instant::now() < until) {
+                let filling = stop_connects(&listener);
+                wait_while_cut(&is_cut);
+                drop(filling);
+                resume_connects(&listener);
+            }
+            let Ok((near, _)) = listener.accept() else {
+                thread::sleep(ms(1));
+                continue;
+            };
             let is_cut = is_cut.clone();
             thread::spawn(move || {
-                wait_while_cut(&is_cut);
                 let Ok(far) = TcpStream::connect(to) else { return };
                 let _ = (near.set_nodelay(true), far.set_nodelay(true));
                 let (near2, far2, cut2) = (near.try_clone().unwrap(), far.try_clone().unwrap(), is_cut.clone());
@@ -78,7 +88,8 @@
             *counted.lock().unwrap().entry(message.id.clone()).or_default() += 1;
         }
         let ids: Vec<&str> = called.iter().map(|m| m.id.as_str()).collect();
-        recorded.line(&format!("endpoint s-0: {} runs {}", request.line, ids.join(" ")));
+        let waits = request.header("x-timeout-ms");
+        recorded.line(&format!("endpoint s-0: {}, X-Timeout-Ms {waits}, runs {}", request.line, ids.join(" ")));
         if called[0].body.starts_with(b"last before the cut") {
             let (cut, recorded) = (cut.clone(), recorded.clone());
             thread::spawn(move || {
@@ -135,7 +146,9 @@
         status
     };
     for id in &ids {
-        hand_again(id, TIME, &body);
+        if hand_again(id, TIME, &body) != Some(202) {
+            fail("a payment was not taken on");
+        }
     }
     // Clients whose message was bounced hand the order in again once, after the wait, under a new id.
     let mut again = BTreeMap::new();
--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -9,7 +9,8 @@
 [ -n "$RUN_COMMAND" ] || { echo "deploy/balancer.toml names no command" >&2; exit 2; }
 WORK=$(mktemp -d) || exit 2
 RECORD=review/$case/record.txt
-export RUN_COMMAND WORK RECORD
+SCRIPT_PID=$$
+export RUN_COMMAND WORK RECORD SCRIPT_PID
 finish() {
     [ -f "$WORK/pids" ] && while read -r pid; do
         # Only a process whose folder is this case's is ended.
@@ -22,7 +23,7 @@
 trap finish EXIT
 timeout -k 2 113 "$program" &
 running=$!
-trap 'kill -TERM "$running" 2>/dev/null; exit 2' INT TERM HUP
+trap 'kill -TERM "$running" 2>/dev/null; wait "$running"; exit 2' INT TERM HUP
 wait "$running"
 status=$?
 [ "$status" -le 2 ] || status=2
--- a/review/standins/mod.rs
+++ b/review/standins/mod.rs
@@ -26,6 +26,8 @@
     unsafe extern "C" {
         pub fn kill(pid: i32, signal: i32) -> i32;
         pub fn dup2(old: i32, new: i32) -> i32;
+        pub fn listen(fd: i32, backlog: i32) -> i32;
+        pub fn prctl(option: i32, value: u64, a: u64, b: u64, c: u64) -> i32;
         pub fn setsockopt(fd: i32, level: i32, name: i32, value: *const i32, len: u32) -> i32;
     }
 }
@@ -55,6 +57,7 @@
 impl Record {
     /// Creates the file that the environment variable `RECORD` names.
     pub fn create() -> Self {
+        end_with_script();
         let path = std::env::var("RECORD").unwrap_or_else(|_| fail("RECORD is not set"));
         let file = File::create(&path).unwrap_or_else(|e| fail(&format!("{path}: {e}")));
         Self(Arc::new((Instant::now(), Mutex::new(file))))
@@ -66,6 +69,21 @@
     }
 }
 
+/// Ends this program, and with it the processes that it started, if the script that started it is gone.
+fn end_with_script() {
+    let Ok(pid) = std::env::var("SCRIPT_PID") else { return };
+    thread::spawn(move || {
+        loop {
+            let stat = fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
+            if stat.rsplit(')').next().is_none_or(|rest| rest.trim().is_empty() || rest.trim().starts_with('Z')) {
+                let _ = fs::remove_dir_all(work_folder());
+                std::process::exit(COULD_NOT_RUN);
+            }
+            thread::sleep(ms(200));
+        }
+    });
+}
+
 /// Ends the case, since it could not run.
 pub fn fail(why: &str) -> ! {
     eprintln!("could not run: {why}");
@@ -242,6 +260,22 @@
     }
 }
 
+/// Lets connects to a listening socket stay pending: its queue is full. Returns what fills it. Nothing may accept
+/// connections meanwhile.
+pub fn stop_connects(listener: &TcpListener) -> Vec<TcpStream> {
+    unsafe { c::listen(listener.as_raw_fd(), 0) };
+    let (address, mut filling) = (listener.local_addr().unwrap(), Vec::new());
+    while let Ok(stream) = TcpStream::connect_timeout(&address, ms(30)) {
+        filling.push(stream);
+    }
+    filling
+}
+
+/// Lets connects succeed again.
+pub fn resume_connects(listener: &TcpListener) {
+    unsafe { c::listen(listener.as_raw_fd(), 128) };
+}
+
 /// A notice that the platform received.
 #[derive(Clone, Debug)]
 pub struct Notice {
@@ -446,6 +480,14 @@
         let log = fs::OpenOptions::new().create(true).append(true).open(folder.join("log"));
         let log = log.unwrap_or_else(|e| fail(&e.to_string()));
         let mut command_line = Command::new("/bin/sh");
+        // The process ends with this program, however that ends. In the child, between fork and exec: this call.
+        const PR_SET_PDEATHSIG: i32 = 1;
+        unsafe {
+            command_line.pre_exec(|| {
+                c::prctl(PR_SET_PDEATHSIG, SIGKILL as u64, 0, 0, 0);
+                Ok(())
+            });
+        }
         if let Some(listener) = listener {
             let descriptor = listener.as_raw_fd();
             command_line.env("BALANCER_ACCEPT_FD", "4");
