A request that is being read keeps its class when a configuration replaces it

Cause: the class's index and tag were looked up with the head and used after the body. Such a request did not count as a use, so ClassTable::reconfigure could give the index, and the tag too, to another definition. And the policy's message came from the request, not from its record, so the two could differ. Change: a request holds its class until its record is written (ClassHold); a held class keeps index, tag and definition. The decision loop takes class, tenant and destination from the record. The successor of a hand-over, and a session that follows a killed one, hold all classes taken over until the predecessor has ended. IdHolds became the generic Holds for that. Why it works: no index passes from one table to another any more, and a tag means one definition for as long as any request or record names it. Tests, each failing before: sockets/classes.rs (two tests, with each of the two replacements: 2 calls for 1, also behind a hand-over; there a class that is gone was refused with 503), and an_acknowledged_message_has_the_class_of_its_record_and_not_of_an_index (an index of an earlier session). The table's unit test uses the new hold, so it has no form to run on the code before.

--- a/crates/daemon/src/clients/inbound.rs
+++ b/crates/daemon/src/clients/inbound.rs
@@ -10,7 +10,7 @@
 use crate::descriptor_limits::DescriptorLimits;
 use crate::handover::protocol::{ForwardResult, ForwardedRequest};
 use crate::handover::successor::Successor;
-use crate::id_holds::IdHold;
+use crate::holds::IdHold;
 use crate::input::{AcceptedMessage, Input};
 use crate::io::{ObservedStream, Observer};
 use crate::rate_limited_warning::RateLimitedWarning;
@@ -376,7 +376,8 @@
     }
     let name = path.strip_prefix('/').unwrap_or(path);
     let name = name.split('/').next().unwrap_or(name).to_owned();
-    let Some(class) = inbound.active_settings.borrow().classes.current_index(&name) else {
+    // Held until the message has its record: a new configuration may replace the class while the body arrives.
+    let Some(class) = inbound.active_settings.borrow().classes.hold_current(&name) else {
         return Err(StatusCode::NOT_FOUND);
     };
     if request.method() != Method::POST {
@@ -392,7 +393,8 @@
     }
     let (headers, tag) = {
         let active = inbound.active_settings.borrow();
-        (parse_headers(&active, request.headers(), &name, class), active.classes.tag_at(class).to_owned())
+        let headers = parse_headers(&active, request.headers(), &name, class.key());
+        (headers, active.classes.tag_at(class.key()).to_owned())
     };
     // The body is read even if the headers are invalid: an answer to a request that is still being written is
     // lost.
@@ -443,7 +445,7 @@
         };
     }
     // There is no await between here and the return, so the next flush on this connection is this answer's.
-    tracker.expect(headers.accepted(class as u32));
+    tracker.expect(headers.accepted(class.key() as u32));
     record.keep();
     Ok(empty_response(StatusCode::ACCEPTED))
 }
@@ -578,7 +580,7 @@
     /// Withdraws the record and returns whether that is written. If not, the next process would find the
     /// message and send it, so the client must not learn that a resend is harmless.
     fn withdraw(&mut self) -> bool {
-        self.hold.take().is_none_or(|hold| self.inbound.journal.borrow_mut().record_end(hold.id()))
+        self.hold.take().is_none_or(|hold| self.inbound.journal.borrow_mut().record_end(hold.key()))
     }
 
     /// Keeps the record.
--- a/crates/daemon/src/copies/service.rs
+++ b/crates/daemon/src/copies/service.rs
@@ -605,7 +605,7 @@
                         ProtocolInput::NeverRan { id: Id(id.0), number },
                     MessageUpdate::Verdict(id, verdict) =>
                         ProtocolInput::VerdictRecorded { id: Id(id.0), verdict: to_copies_verdict(verdict) },
-                    MessageUpdate::Ended(hold) => ProtocolInput::Ended { id: Id(hold.id().0) },
+                    MessageUpdate::Ended(hold) => ProtocolInput::Ended { id: Id(hold.key().0) },
                 }),
                 () = sleep_until(self.started + Duration::from_micros(wake)) =>
                     self.handle_input(ProtocolInput::Tick),
--- a/crates/daemon/src/decision_loop.rs
+++ b/crates/daemon/src/decision_loop.rs
@@ -6,8 +6,8 @@
 use crate::copies::service::ReplicationService;
 use crate::endpoint_list::{EndpointList, Member, MemberPhase, endpoint_id};
 use crate::handover::protocol::HandoverState;
-use crate::id_holds::{IdHold, IdHolds};
-use crate::input::{AppliedCommand, CLOCK_START, CommandReply, CommandResult, Input};
+use crate::holds::{IdHold, IdHolds};
+use crate::input::{AcceptedMessage, AppliedCommand, CLOCK_START, CommandReply, CommandResult, Input};
 use crate::operations::{OperatorCommand, Rejection};
 use crate::operators::flight_recorder::FlightRecorder;
 use crate::platform::discovery::Discovery;
@@ -15,6 +15,7 @@
 use crate::platform::reports::Reports;
 use crate::platform::zone_monitor::ZoneMonitor;
 use crate::settings::active::ActiveSettings;
+use crate::settings::classes::ClassHold;
 use crate::settings::config::Config;
 use crate::settings::descriptors::HeldDescriptors;
 use crate::state::journal::{Journal, OpenMessage, Verdict};
@@ -85,6 +86,8 @@
     /// Keeps the ids of these messages in use until the predecessor, or the earlier session, has ended: it
     /// may report on them even after they have been decided on here.
     predecessor_holds: Vec<IdHold>,
+    /// Keeps the classes of requests that are still being read there, which will be recorded here.
+    predecessor_class_holds: Vec<ClassHold>,
     journal: Rc<RefCell<Journal>>,
     calls: Rc<Calls>,
     copies: Option<Rc<ReplicationService>>,
@@ -172,7 +175,7 @@
         let mut decision_loop = Self::build(sender, config, text, components);
         decision_loop.predecessor_attempts = predecessor.attempts;
         decision_loop.unacknowledged = &predecessor.unanswered | &predecessor.forwarded;
-        decision_loop.hold_ids_of_predecessor(&predecessor.forwarded);
+        decision_loop.hold_for_predecessor(&predecessor.forwarded);
         decision_loop.restore_operator_settings();
         let entries = decision_loop.apply_list(&config.initial_list, true);
         decision_loop.events.push(Event::List(ListUpdate::Restored(entries)));
@@ -213,7 +216,7 @@
                 decision_loop.unacknowledged.insert(id);
             }
         }
-        decision_loop.hold_ids_of_predecessor(&BTreeSet::new());
+        decision_loop.hold_for_predecessor(&BTreeSet::new());
         decision_loop
     }
 
@@ -275,6 +278,7 @@
             predecessor_attempts: BTreeSet::new(),
             unacknowledged: BTreeSet::new(),
             predecessor_holds: Vec::new(),
+            predecessor_class_holds: Vec::new(),
             journal,
             calls,
             copies,
@@ -341,17 +345,7 @@
 
     /// Returns the event that resumes a message; `None` if it cannot be resumed.
     fn resume_event(&self, id: MessageId, open: &OpenMessage, attempts: u32) -> Option<Event> {
-        let index_of = |list: &[String], name: &str| list.iter().position(|n| n == name).map(|n| n as u32);
-        let active_settings = self.active_settings.borrow();
-        let message = Message {
-            id,
-            class: active_settings.classes.index_of(&open.class)? as u32,
-            tenant: index_of(&active_settings.names.tenants, &open.tenant),
-            key: None,
-            dest: DestinationId(open.dest),
-            is_retry: true,
-            expires_in: self.time_left(id),
-        };
+        let message = self.policy_message(id, open, true)?;
         // The client may not have received the 202, and may have sent the message again.
         let may_be_resent = self.copies.is_some()
             && !open.is_confirmed
@@ -362,6 +356,46 @@
         Some(Event::Resumed { message, attempts, ran_ago: self.first_possible_run(id) })
     }
 
+    /// Returns a message as the policy receives it; `None` if its class left the settings. All comes from the
+    /// record: an index of a class or a tenant means another one in another session's tables.
+    fn policy_message(&self, id: MessageId, open: &OpenMessage, is_retry: bool) -> Option<Message> {
+        let active_settings = self.active_settings.borrow();
+        let tenants = &active_settings.names.tenants;
+        Some(Message {
+            id,
+            class: active_settings.classes.index_of(&open.class)? as u32,
+            tenant: tenants.iter().position(|name| *name == open.tenant).map(|index| index as u32),
+            key: None,
+            dest: DestinationId(open.dest),
+            is_retry,
+            expires_in: self.time_left(id),
+        })
+    }
+
+    /// Returns the event by which the policy receives a message whose client can have received the
+    /// acknowledgement; `None` if there is nothing to decide.
+    fn acknowledged_event(&mut self, accepted: &AcceptedMessage) -> Option<Event> {
+        let id = accepted.id;
+        self.unacknowledged.remove(&id);
+        // It may have been resumed from the store already, and may have ended.
+        if self.attempts.contains_key(&id) {
+            return None;
+        }
+        let journal = self.journal.clone();
+        let message = {
+            let journal = journal.borrow();
+            let open = journal.get(id).filter(|open| open.verdict.is_none())?;
+            self.policy_message(id, open, accepted.is_retry)
+        };
+        let Some(message) = message else {
+            record_verdict(&self.journal, &self.reports, id, Verdict::Dead);
+            return None;
+        };
+        let hold = journal.borrow().hold(id);
+        self.attempts.insert(id, AttemptCounts::new(0, 0, hold));
+        Some(Event::Taken(message))
+    }
+
     /// The policy's clock.
     fn now(&self) -> Micros {
         self.clock_origin + self.started_at.elapsed().as_micros() as Micros
@@ -459,13 +493,17 @@
         }
     }
 
-    /// Holds the ids of messages on which the predecessor may report. A request in `forwarded` that has no
-    /// record yet is about to be recorded, so its id stays free.
-    fn hold_ids_of_predecessor(&mut self, forwarded: &BTreeSet<MessageId>) {
+    /// Holds the ids of messages on which the predecessor may report, and the classes of requests that it
+    /// still reads. A request in `forwarded` that has no record yet is about to be recorded, so its id stays
+    /// free.
+    fn hold_for_predecessor(&mut self, forwarded: &BTreeSet<MessageId>) {
         let journal = self.journal.borrow();
         let ids =
             self.awaiting_predecessor().filter(|id| journal.get(*id).is_some() || !forwarded.contains(id));
         self.predecessor_holds = ids.map(|id| journal.hold(id)).collect();
+        if self.calls.has_predecessor() {
+            self.predecessor_class_holds = self.active_settings.borrow().classes.hold_all();
+        }
     }
 
     /// Messages on which the predecessor, or an earlier session, has yet to report.
@@ -630,11 +668,12 @@
                 }
             }
             Input::PredecessorEnded(recorded) => {
-                let mut messages: BTreeSet<MessageId> = recorded.iter().map(IdHold::id).collect();
+                let mut messages: BTreeSet<MessageId> = recorded.iter().map(IdHold::key).collect();
                 messages.append(&mut self.predecessor_attempts);
                 messages.append(&mut self.unacknowledged);
                 self.resume(Some(&messages));
                 self.predecessor_holds.clear();
+                self.predecessor_class_holds.clear();
                 return;
             }
             Input::ConfigurationChanged(config, text) => {
@@ -648,29 +687,21 @@
                 Some(event) => event,
                 None => return,
             },
-            Input::Adopted(hold) => return self.take_over(hold.id()),
+            Input::Adopted(hold) => return self.take_over(hold.key()),
             Input::OwnershipLost(id) => self.withdraw(id),
             Input::ConsentDenied(id) => match self.pause(id) {
                 Some(event) => event,
                 None => return,
             },
-            Input::DeliveryUncertain(hold) => return self.reports.push(hold.id(), Verdict::Dead),
-            Input::PauseElapsed(hold) => return self.resume(Some(&BTreeSet::from([hold.id()]))),
+            Input::DeliveryUncertain(hold) => return self.reports.push(hold.key(), Verdict::Dead),
+            Input::PauseElapsed(hold) => return self.resume(Some(&BTreeSet::from([hold.key()]))),
             Input::OperatorCommand(command, reply) => return self.apply_command(command, reply),
             Input::RedirectClients(wanted) => return self.admission.set_draining(DrainReason::Zone, wanted),
             Input::Event(event) => event,
-            Input::Acknowledged(accepted) => {
-                self.unacknowledged.remove(&accepted.id);
-                // It may have been resumed from the store already, and may have ended.
-                let is_known = self.attempts.contains_key(&accepted.id);
-                let hold = self.journal.borrow().hold(accepted.id);
-                let is_open = |open: &OpenMessage| open.verdict.is_none();
-                if is_known || !self.journal.borrow().get(accepted.id).is_some_and(is_open) {
-                    return;
-                }
-                self.attempts.insert(accepted.id, AttemptCounts::new(0, 0, hold));
-                Event::Taken(accepted.message(self.time_left(accepted.id)))
-            }
+            Input::Acknowledged(accepted) => match self.acknowledged_event(&accepted) {
+                Some(event) => event,
+                None => return,
+            },
             Input::ListUpdate(list) => {
                 let entries = self.apply_list(&list, list.complete);
                 Event::List(if list.complete {
--- a/crates/daemon/src/decision_loop/tests.rs
+++ b/crates/daemon/src/decision_loop/tests.rs
@@ -1,4 +1,4 @@
-//! The check that no open message of the journal is forgotten.
+//! The check that no open message of the journal is forgotten, and what the policy is told of a message.
 
 use super::*;
 use crate::descriptor_limits::DescriptorLimits;
@@ -89,3 +89,29 @@
         drop(hold);
     });
 }
+
+#[test]
+fn an_acknowledged_message_has_the_class_of_its_record_and_not_of_an_index() {
+    // Guards against a payment that is repeated: an earlier session that accepted it had its classes in
+    // another order, so that its index of the class meant a class that may be repeated.
+    let local = tokio::task::LocalSet::new();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    local.block_on(&runtime, async {
+        let folder = tempfile::tempdir().expect("a folder");
+        let (mut decision_loop, journal, _) = decision_loop(folder.path());
+        let index_of = |name: &str| {
+            let index = decision_loop.active_settings.borrow().classes.current_index(name);
+            index.expect("a class") as u32
+        };
+        let (update, payment) = (index_of("update"), index_of("payment"));
+        let open = OpenMessage::new("payment", "acme", 3, u64::MAX, Vec::new().into());
+        journal.borrow_mut().accept(MessageId(1), open).expect("room");
+        let dest = DestinationId(3);
+        let accepted =
+            AcceptedMessage { id: MessageId(1), class: update, tenant: None, dest, is_retry: false };
+        decision_loop.events.clear();
+        decision_loop.process_input(Input::Acknowledged(accepted));
+        let [Event::Taken(message)] = &decision_loop.events[..] else { panic!("one message is taken") };
+        assert_eq!((message.class, message.tenant), (payment, Some(0)));
+    });
+}
--- a/crates/daemon/src/input.rs
+++ b/crates/daemon/src/input.rs
@@ -2,10 +2,10 @@
 //! the decision loop.
 
 use crate::endpoint_list::EndpointList;
-use crate::id_holds::IdHold;
+use crate::holds::IdHold;
 use crate::operations::{OperatorCommand, Rejection};
 use crate::settings::config::Config;
-use notchpoint_policy::{DestinationId, Event, Message, MessageId, Micros, Outcome};
+use notchpoint_policy::{DestinationId, Event, MessageId, Micros, Outcome};
 use notchpoint_store::LogPosition;
 use serde::{Deserialize, Serialize};
 use tokio::sync::oneshot;
@@ -14,12 +14,14 @@
 /// is subtracted from a time leads below zero.
 pub const CLOCK_START: Micros = 1 << 50;
 
-/// A message that was accepted. Only the message's record has its deadline: a remaining time kept here would
-/// begin to run too late, after a slow write to the disk or the transfer from another process.
+/// A message that was accepted. Only its record says what it is. A remaining time kept here would begin to
+/// run too late, after a slow write to the disk or the transfer from another process.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct AcceptedMessage {
     pub id: MessageId,
-    /// The index of the class in the settings, as `tenant` is the index of the tenant.
+    /// The index of the class in the settings of the process or session that accepted the message, as `tenant`
+    /// is the index of the tenant. Both mean something else in other tables, and only the frames' form keeps
+    /// them.
     pub class: u32,
     pub tenant: Option<u32>,
     pub dest: DestinationId,
@@ -27,14 +29,6 @@
     pub is_retry: bool,
 }
 
-impl AcceptedMessage {
-    /// Returns the message as the policy receives it.
-    pub fn message(&self, expires_in: Micros) -> Message {
-        let Self { id, class, tenant, dest, is_retry } = *self;
-        Message { id, class, tenant, key: None, dest, is_retry, expires_in }
-    }
-}
-
 /// One input of the decision loop.
 #[derive(Debug)]
 pub enum Input {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -10,7 +10,7 @@
 mod descriptor_limits;
 pub mod endpoint_list;
 mod handover;
-mod id_holds;
+mod holds;
 mod input;
 mod io;
 mod operations;
--- a/crates/daemon/src/platform/notice_scheduler.rs
+++ b/crates/daemon/src/platform/notice_scheduler.rs
@@ -4,7 +4,7 @@
 //! answering must take only a part of that, so pending notices are posted again on a second connection well
 //! before. A notice that is delivered twice does no harm.
 
-use crate::id_holds::IdHold;
+use crate::holds::IdHold;
 use crate::state::record::Verdict;
 use notchpoint_policy::MessageId;
 use std::collections::{BTreeMap, VecDeque};
@@ -132,7 +132,7 @@
         let (notices, holds): (Vec<_>, Vec<_>) = batch
             .map(|notice| {
                 notice.due = now + delay;
-                ((notice.hold.id(), notice.verdict), notice.hold.clone())
+                ((notice.hold.key(), notice.verdict), notice.hold.clone())
             })
             .unzip();
         self.consecutive_reposts = if needs_new_connection { self.consecutive_reposts + 1 } else { 0 };
@@ -151,8 +151,8 @@
             if self.response_time.is_zero() { took } else { (self.response_time * 7 + took) / 8 };
         (self.consecutive_reposts, self.consecutive_failures) = (0, 0);
         self.not_before = now;
-        let ids: Vec<MessageId> = ended.holds.iter().map(IdHold::id).collect();
-        self.pending.retain(|n| !ids.contains(&n.hold.id()));
+        let ids: Vec<MessageId> = ended.holds.iter().map(IdHold::key).collect();
+        self.pending.retain(|n| !ids.contains(&n.hold.key()));
         // Notices of earlier posts keep their due time, since this answer says nothing about those posts.
         ids
     }
@@ -163,8 +163,8 @@
         let delay = (RETRY_DELAY_MIN * (1 << self.consecutive_failures.min(8))).min(RETRY_DELAY_MAX);
         self.consecutive_failures += 1;
         self.not_before = now + delay;
-        let ids: Vec<MessageId> = ended.holds.iter().map(IdHold::id).collect();
-        for notice in self.pending.iter_mut().filter(|n| ids.contains(&n.hold.id())) {
+        let ids: Vec<MessageId> = ended.holds.iter().map(IdHold::key).collect();
+        for notice in self.pending.iter_mut().filter(|n| ids.contains(&n.hold.key())) {
             notice.due = notice.due.min(now + delay);
         }
     }
@@ -187,7 +187,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::id_holds::IdHolds;
+    use crate::holds::IdHolds;
 
     fn hold(id: u64) -> IdHold {
         IdHolds::default().hold(MessageId(id))
--- a/crates/daemon/src/sender.rs
+++ b/crates/daemon/src/sender.rs
@@ -10,7 +10,7 @@
 use crate::handover::protocol::{ForwardResult, Frame};
 use crate::handover::successor::Successor;
 use crate::handover::transport::{self, FrameChannel, HandoverReply};
-use crate::id_holds::IdHold;
+use crate::holds::IdHold;
 use crate::input::Input;
 use crate::operators::admin::{self, AdminServer, StatusSources};
 use crate::operators::flight_recorder::FlightRecorder;
@@ -519,7 +519,11 @@
         return ActiveSettings::from_predecessor(config, state.sender.settings(), &state.classes);
     }
     let (active_settings, changes) = {
-        let used = journal.iter().map(|(_, m)| m.class.as_str()).collect();
+        let mut used: BTreeSet<&str> = journal.iter().map(|(_, m)| m.class.as_str()).collect();
+        // The earlier session may still read requests of any class that it knew.
+        if matches!(start_from, StartFrom::StoreAfterHandover(..)) {
+            used.extend(journal.stored_classes().keys().map(String::as_str));
+        }
         ActiveSettings::new(config, journal.stored_classes(), &used)
     };
     // If the changes cannot be stored, a message loses its class only by a change of that class together with
--- a/crates/daemon/src/settings/classes.rs
+++ b/crates/daemon/src/settings/classes.rs
@@ -2,8 +2,10 @@
 //! configuration makes of the class later. This module has no I/O.
 //!
 //! A definition has a tag, by which the store's records refer to it, and an index, by which the policy does.
-//! A class that is changed gets a new tag and a new index. The old ones are freed once no message uses them.
+//! A class that is changed gets a new tag and a new index. The old ones are freed once no message uses them and
+//! nothing holds them: a request that is being read has no message yet, and keeps a [`ClassHold`] instead.
 
+use crate::holds::{Hold, Holds};
 use notchpoint_policy::Class;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -26,10 +28,15 @@
     is_current: bool,
 }
 
+/// Keeps the index and the tag of a class definition in use until it is dropped.
+pub type ClassHold = Hold<usize>;
+
 /// The definitions that the configuration has or messages use, by index.
 #[derive(Clone, Debug, Default)]
 pub struct ClassTable {
     entries: Vec<Entry>,
+    /// The indexes that are in use besides those of messages. Clones of the table share them.
+    holds: Holds<usize>,
 }
 
 /// Returns a definition as it is stored. Two definitions are equal if their texts are.
@@ -76,8 +83,8 @@
         (classes, changes)
     }
 
-    /// Adopts the classes of a new configuration. `in_use` has the indexes that messages use. Returns the
-    /// changes to make in the store.
+    /// Adopts the classes of a new configuration. `in_use` has the indexes that messages use; those that are
+    /// held are kept as well. Returns the changes to make in the store.
     pub fn reconfigure(
         &mut self,
         configured: &[(String, Class)],
@@ -96,7 +103,8 @@
         }
         for (n, entry) in self.entries.iter_mut().enumerate() {
             entry.is_current = current.contains(&n);
-            if !entry.is_current && !in_use.contains(&n) && !entry.tag.is_empty() {
+            let is_used = entry.is_current || in_use.contains(&n) || self.holds.is_held(n);
+            if !is_used && !entry.tag.is_empty() {
                 changes.push(ClassChange::Delete { tag: std::mem::take(&mut entry.tag) });
             }
         }
@@ -119,6 +127,18 @@
         self.entries.iter().position(|e| e.is_current && tag_name(&e.tag) == name)
     }
 
+    /// Holds the class that clients may use under this name, so that it stays the same definition whatever a
+    /// new configuration makes of the class.
+    pub fn hold_current(&self, name: &str) -> Option<ClassHold> {
+        self.current_index(name).map(|index| self.holds.hold(index))
+    }
+
+    /// Holds all definitions that the table has.
+    pub fn hold_all(&self) -> Vec<ClassHold> {
+        let used = self.entries.iter().enumerate().filter(|(_, e)| !e.tag.is_empty());
+        used.map(|(index, _)| self.holds.hold(index)).collect()
+    }
+
     /// Returns the index of the definition with the tag of a stored record.
     pub fn index_of(&self, tag: &str) -> Option<usize> {
         self.entries.iter().position(|e| e.tag == tag && !tag.is_empty())
@@ -141,7 +161,7 @@
             class: class.clone(),
             is_current: *is_current,
         };
-        Self { entries: entries.iter().map(entry).collect() }
+        Self { entries: entries.iter().map(entry).collect(), holds: Holds::default() }
     }
 
     /// Returns the definitions by index, for the policy.
--- a/crates/daemon/src/settings/classes/tests.rs
+++ b/crates/daemon/src/settings/classes/tests.rs
@@ -44,6 +44,26 @@
     assert!(classes.current_index("d").is_some_and(|n| n < 3) && classes.definitions().len() == 4);
 }
 
+#[test]
+fn a_class_that_is_held_keeps_its_index_its_tag_and_its_definition() {
+    // Guards against a request that is read under one class and decided on under another, since a new
+    // configuration gave the class's index, or its tag, to another definition meanwhile.
+    let (mut classes, _) =
+        ClassTable::new(&configured(&[("a", AtMostOnce, 5)]), &BTreeMap::new(), &BTreeSet::new());
+    let hold = classes.hold_current("a").expect("a class");
+    for new in [[("b", Idempotent, 1)], [("a", Idempotent, 5)]] {
+        // A new configuration changes a clone of the table first.
+        let mut clone = classes.clone();
+        clone.reconfigure(&configured(&new), &BTreeSet::new());
+        classes = clone;
+        assert_eq!((classes.tag_at(hold.key()), classes.index_of("a")), ("a", Some(hold.key())));
+        assert_eq!(classes.definitions()[hold.key()].effect, AtMostOnce);
+    }
+    drop(hold);
+    let changes = classes.reconfigure(&configured(&[("a", Idempotent, 5)]), &BTreeSet::new());
+    assert!(changes.contains(&ClassChange::Delete { tag: "a".into() }), "nothing is kept: {changes:?}");
+}
+
 #[test]
 fn the_table_is_bounded_by_the_classes_in_use_however_often_settings_change() {
     let (mut classes, _) =
--- a/crates/daemon/src/state/journal.rs
+++ b/crates/daemon/src/state/journal.rs
@@ -4,7 +4,7 @@
 //! Written records outlast the process without a sync. If the operator asks for more (`[store]`),
 //! `durability.rs` waits for the sync before anything is acknowledged or sent.
 
-use crate::id_holds::{IdHold, IdHolds};
+use crate::holds::{IdHold, IdHolds};
 use crate::rate_limited_warning::RateLimitedWarning;
 use crate::settings::classes;
 use crate::state::legacy;
--- a/crates/daemon/tests/sockets/main.rs
+++ b/crates/daemon/tests/sockets/main.rs
@@ -1,5 +1,6 @@
 //! The program on loopback sockets, tested through its interfaces to clients, endpoints and the platform.
 
+mod classes;
 mod clock;
 mod closing;
 mod delays;
--- a/crates/daemon/tests/sockets/world.rs
+++ b/crates/daemon/tests/sockets/world.rs
@@ -757,6 +757,11 @@
     /// Sends a request and returns the response.
     pub fn request(&mut self, line: &str, headers: &[(&str, &str)], body: &[u8]) -> HttpMessage {
         self.send(line, headers, body);
+        self.read_response()
+    }
+
+    /// Reads one response.
+    pub fn read_response(&mut self) -> HttpMessage {
         read_message(&mut self.0, 0).expect("the response is complete")
     }
 
