A message given up while its call is still being written may run

Cause: Calls::call ended a message whose time was over as ConnectFailed (a cancelled one as Moot) while the call's last byte was not written. That proves that it never ran only once the connection is closed, which happens with the last message of a call; until then hyper goes on writing the request, with the message in it. Ruled out: the claim of the last message of a call (its connection is closed before the end is reported), and a message given up before the request is built (it is no part of it; now with a test). Change: Call::outcome_of_given_up decides after the messages were removed. With the request on a connection and others waiting, a message may run: TimedOut or Cancelled. Why it works: never_ran is reported only where no further byte of the request can be written. Test: a_message_given_up_while_the_rest_of_its_call_is_still_written_may_run, with the guard taken out (ConnectFailed, never ran) for (TimedOut, may have run).

--- a/crates/daemon/src/calls.rs
+++ b/crates/daemon/src/calls.rs
@@ -21,7 +21,7 @@
 pub use answer::AttemptEnd;
 use answer::CallResult;
 use bytes::Bytes;
-use call::{Call, remove_matching};
+use call::{Call, GiveUpReason, remove_matching};
 use error::CallError;
 use notchpoint_policy::*;
 use notchpoint_seam::Network;
@@ -327,32 +327,26 @@
             tokio::pin!(exchange);
             loop {
                 let Some(next) = call.next_due() else { break None };
-                let outcome = tokio::select! {
+                let is_settled;
+                let reason = tokio::select! {
                     biased;
                     result = &mut exchange => break Some(result),
                     () = call.deadline_changed.notified() => continue,
                     Some(attempt) = cancelled.recv() => {
-                        let outcome = match (self.is_settled(&call), call.is_request_written()) {
-                            (true, _) => Outcome::Served,
-                            (_, true) => Outcome::Cancelled,
-                            _ => Outcome::Moot,
-                        };
+                        is_settled = self.is_settled(&call);
                         removed = remove_matching(&call.waiting, |i| (i.id, i.attempt) == attempt);
-                        outcome
+                        GiveUpReason::Cancelled
                     }
                     () = sleep_until(next) => {
-                        let outcome = match (self.is_settled(&call), call.is_request_written()) {
-                            (true, _) => Outcome::Served,
-                            (_, true) => Outcome::TimedOut,
-                            _ => Outcome::ConnectFailed,
-                        };
+                        is_settled = self.is_settled(&call);
                         // The whole call ends with the deadline of its first message.
                         let expired = call.is_expired();
                         removed =
                             remove_matching(&call.waiting, |i| expired || call.started + i.timeout <= next);
-                        outcome
+                        GiveUpReason::TimedOut
                     }
                 };
+                let outcome = if is_settled { Outcome::Served } else { call.outcome_of_given_up(reason) };
                 let ended = std::mem::take(&mut removed).into_iter().map(|i| (i, AttemptEnd::from(outcome)));
                 if call.waiting.borrow().is_empty() {
                     // The connection is closed first: the call holds its slot for as long as that is open.
--- a/crates/daemon/src/calls/call.rs
+++ b/crates/daemon/src/calls/call.rs
@@ -3,6 +3,7 @@
 use super::CallItem;
 use super::pool::Connection;
 use super::progress::Progress;
+use notchpoint_policy::Outcome;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
@@ -28,6 +29,13 @@
     pub(super) is_settled: Cell<bool>,
 }
 
+/// Why the response is no longer awaited for a message.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum GiveUpReason {
+    Cancelled,
+    TimedOut,
+}
+
 impl Call {
     pub(super) fn new(items: Vec<CallItem>) -> Self {
         let (connection, progress, deadline, deadline_changed) = Default::default();
@@ -64,6 +72,24 @@
         self.progress.borrow().as_ref().is_some_and(|p| p.is_request_complete())
     }
 
+    /// Whether the request may still reach the endpoint as a whole. Its connection goes on writing it for as
+    /// long as any message of the call is waiting, also for the messages that have been given up. Once none
+    /// is waiting, the connection is closed.
+    fn may_arrive(&self) -> bool {
+        let is_being_written = self.connection.borrow().is_some() && !self.waiting.borrow().is_empty();
+        self.is_request_written() || is_being_written
+    }
+
+    /// Returns the outcome of messages that have just been removed from those waiting.
+    pub(super) fn outcome_of_given_up(&self, reason: GiveUpReason) -> Outcome {
+        match (reason, self.may_arrive()) {
+            (GiveUpReason::Cancelled, true) => Outcome::Cancelled,
+            (GiveUpReason::Cancelled, false) => Outcome::Moot,
+            (GiveUpReason::TimedOut, true) => Outcome::TimedOut,
+            (GiveUpReason::TimedOut, false) => Outcome::ConnectFailed,
+        }
+    }
+
     /// Whether any byte of a response was received.
     pub(super) fn has_response_bytes(&self) -> bool {
         self.progress.borrow().as_ref().is_some_and(|p| p.received.borrow().first_byte_at.is_some())
--- a/crates/daemon/src/calls/tests.rs
+++ b/crates/daemon/src/calls/tests.rs
@@ -351,6 +351,69 @@
     assert_eq!(run(false, Duration::from_secs(20), false), (Outcome::ConnectFailed, true));
 }
 
+/// Makes one call of three messages, so long that no socket buffers all of it. The endpoint reads one byte,
+/// and the first message is cancelled or times out; then the endpoint reads the rest and answers. Returns the
+/// first message's outcome, and whether the journal records that it never ran.
+async fn given_up_within_a_long_batch(reason: GiveUpReason) -> (Outcome, bool) {
+    let mut harness = Harness::new(3).await;
+    let times = [Duration::from_secs(20), LONG_TIME, LONG_TIME];
+    let body = Bytes::from(vec![0; 16 << 20]);
+    let items =
+        (1..).zip(times).map(|(id, timeout)| harness.accept_message(id, u64::MAX, timeout, body.clone()));
+    harness.calls.start(ENDPOINT, items.collect());
+    let (mut stream, _) = harness.listener.accept().await.expect("a call");
+    let first_byte = stream.read_u8().await.expect("its first byte");
+    match reason {
+        GiveUpReason::Cancelled => harness.calls.cancel(MessageId(1), 0),
+        // The paused clock jumps to the time-out.
+        GiveUpReason::TimedOut => tokio::time::pause(),
+    }
+    let (id, outcome) = harness.next_end().await;
+    assert_eq!(id, 1);
+    let never_ran = harness.journal.borrow().get(MessageId(1)).expect("open").attempts[0].never_ran;
+    if reason == GiveUpReason::TimedOut {
+        tokio::time::resume();
+    }
+    assert_eq!(first_byte, b'P');
+    let (_, sent) = read_request(&mut stream).await;
+    assert!(sent.starts_with(b"0000000000000001 "), "the endpoint receives the first message all the same");
+    stream.write_all(all_done(&[1, 2, 3]).as_bytes()).await.expect("written");
+    for id in [2, 3] {
+        assert_eq!(harness.next_end().await, (id, Outcome::Served));
+    }
+    (outcome, never_ran)
+}
+
+#[test]
+fn a_message_given_up_while_the_rest_of_its_call_is_still_written_may_run() {
+    // Guards against a second effect: such a message counted as one that never ran, its client heard that
+    // handing it in again is harmless, and the endpoint received it all the same, once a network cut was over.
+    let run = |reason| run_on_sockets(given_up_within_a_long_batch(reason));
+    assert_eq!(run(GiveUpReason::TimedOut), (Outcome::TimedOut, false));
+    assert_eq!(run(GiveUpReason::Cancelled), (Outcome::Cancelled, false));
+}
+
+#[test]
+fn a_message_given_up_while_its_call_still_connects_never_ran() {
+    // Guards against losing messages that must not be repeated: what is given up before the request is built
+    // is no part of it, whatever becomes of the others.
+    run_on_sockets(async {
+        let net = Rc::new(DelayedNetwork::default());
+        let mut harness = Harness::on_network(net.clone(), 2).await;
+        let items =
+            [1, 2].map(|id| harness.accept_message(id, u64::MAX, LONG_TIME, Bytes::from_static(b"body")));
+        harness.calls.start(ENDPOINT, items.to_vec());
+        let (mut stream, _) = harness.listener.accept().await.expect("a connection");
+        harness.calls.cancel(MessageId(1), 0);
+        assert_eq!(harness.next_end().await, (1, Outcome::Moot));
+        net.release.notify_one();
+        let (head, _) = read_request(&mut stream).await;
+        assert!(head.contains("x-request-id: 0000000000000002"), "of the second alone: {head}");
+        stream.write_all(OK_RESPONSE).await.expect("written");
+        assert_eq!(harness.next_end().await, (2, Outcome::Served));
+    });
+}
+
 /// The system's sockets, but a connection to an endpoint is established only when the test releases it.
 #[derive(Default)]
 struct DelayedNetwork {
