--- a/crates/daemon/src/clients/inbound.rs
+++ b/crates/daemon/src/clients/inbound.rs
@@ -376,7 +376,8 @@
     }
     let name = path.strip_prefix('/').unwrap_or(path);
     let name = name.split('/').next().unwrap_or(name).to_owned();
-    // Held until the message has its record: a new configuration may replace the class while the body arrives.
+    // Held until the message has its record: a new configuration may replace the class while the body
+    // arrives.
     let Some(class) = inbound.active_settings.borrow().classes.hold_current(&name) else {
         return Err(StatusCode::NOT_FOUND);
     };
--- a/crates/daemon/src/input.rs
+++ b/crates/daemon/src/input.rs
@@ -19,9 +19,9 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct AcceptedMessage {
     pub id: MessageId,
-    /// The index of the class in the settings of the process or session that accepted the message, as `tenant`
-    /// is the index of the tenant. Both mean something else in other tables, and only the frames' form keeps
-    /// them.
+    /// The index of the class in the settings of the process or session that accepted the message, as
+    /// `tenant` is the index of the tenant. Both mean something else in other tables, and only the frames'
+    /// form keeps them.
     pub class: u32,
     pub tenant: Option<u32>,
     pub dest: DestinationId,
--- a/crates/daemon/src/settings/classes.rs
+++ b/crates/daemon/src/settings/classes.rs
@@ -2,8 +2,8 @@
 //! configuration makes of the class later. This module has no I/O.
 //!
 //! A definition has a tag, by which the store's records refer to it, and an index, by which the policy does.
-//! A class that is changed gets a new tag and a new index. The old ones are freed once no message uses them and
-//! nothing holds them: a request that is being read has no message yet, and keeps a [`ClassHold`] instead.
+//! A class that is changed gets a new tag and a new index. The old ones are freed once no message uses them
+//! and nothing holds them: a request that is being read has no message yet, and keeps a [`ClassHold`].
 
 use crate::holds::{Hold, Holds};
 use notchpoint_policy::Class;
--- a/crates/daemon/tests/sockets/main.rs
+++ b/crates/daemon/tests/sockets/main.rs
@@ -10,6 +10,7 @@
 mod growth;
 mod handover;
 mod keys;
+mod late_answers;
 mod operations;
 mod outage;
 mod restart;
--- a/crates/daemon/tests/sockets/world.rs
+++ b/crates/daemon/tests/sockets/world.rs
@@ -61,7 +61,7 @@
 }
 
 /// Reads a request or a response. Returns `None` if the connection ends before its last byte.
-fn read_message(from: &mut impl BufRead, connection: usize) -> Option<HttpMessage> {
+pub fn read_message(from: &mut impl BufRead, connection: usize) -> Option<HttpMessage> {
     let mut first = String::new();
     from.read_line(&mut first).ok().filter(|n| *n > 0)?;
     let mut words = first.split_whitespace();
