--- a/crates/daemon/src/calls/pool.rs
+++ b/crates/daemon/src/calls/pool.rs
@@ -28,7 +28,7 @@
 pub(super) const REST_BEFORE_REUSE: Duration = Duration::from_millis(100);
 /// A call that would wait longer than this for the rest of a connection opens another one. Without it the
 /// slots of the settings would be taken by calls that wait.
-pub(super) const MAX_REST_WAIT: Duration = Duration::from_millis(50);
+const MAX_REST_WAIT: Duration = Duration::from_millis(50);
 
 /// A connection to an endpoint.
 pub(super) struct Connection {
