--- a/crates/daemon/src/holds.rs
+++ b/crates/daemon/src/holds.rs
@@ -6,8 +6,7 @@
 //! nothing that concerns an earlier message reaches a later one. Conversely, each open message of the journal
 //! has a hold: one without a hold is forgotten by all parts, which the decision loop detects.
 //!
-//! In the same way the class of a request that is still being read is held, see
-//! [`ClassTable`](crate::settings::classes::ClassTable).
+//! In the same way the class of a request that is still being read is held, by its index.
 
 use notchpoint_policy::MessageId;
 use std::cell::RefCell;
