--- a/crates/daemon/src/calls.rs
+++ b/crates/daemon/src/calls.rs
@@ -100,8 +100,6 @@
     /// The destinations in the list, and those that left it, which stay known until the given time.
     known_destinations: RefCell<BTreeMap<DestinationId, Option<Instant>>>,
     pool: RefCell<BTreeMap<EndpointId, Vec<IdleConnection>>>,
-    /// Idle connections that were set aside to rest; the policy does not know of them.
-    resting: RefCell<BTreeMap<EndpointId, Vec<IdleConnection>>>,
     route_waits: RefCell<BTreeMap<Route, Instant>>,
     cancels: RefCell<BTreeMap<AttemptId, (EndpointId, UnboundedSender<AttemptId>)>>,
     /// Attempts in flight at the predecessor, which reports how they end.
@@ -151,7 +149,6 @@
             endpoint_counts: RefCell::default(),
             known_destinations: RefCell::default(),
             pool: RefCell::default(),
-            resting: RefCell::default(),
             route_waits: RefCell::default(),
             cancels: RefCell::default(),
             adopted_attempts: RefCell::default(),
@@ -210,7 +207,7 @@
             None => self.targets.borrow_mut().remove(&id),
         };
         if old.map(|t| (t.address, t.live)) != target.map(|t| (t.address, t.live)) {
-            let closed = self.close_all_idle(id);
+            let closed = self.pool.borrow_mut().remove(&id).map_or(0, |idle| idle.len());
             self.report_closed(id, closed);
         }
         let left = self.count_endpoint(old, target);
@@ -241,7 +238,7 @@
         let mut all = self.out_of_service.borrow_mut();
         if is_out {
             all.insert(id);
-            let closed = self.close_all_idle(id);
+            let closed = self.pool.borrow_mut().remove(&id).map_or(0, |idle| idle.len());
             self.report_closed(id, closed);
         } else {
             all.remove(&id);
@@ -307,7 +304,7 @@
         self.active_calls.set(self.active_calls.get() + 1);
         // The connection is taken now, not when the task runs: one that becomes idle in between is not part
         // of the policy's decision, and would be counted twice.
-        let idle = self.take_idle(endpoint, items.iter().any(|i| i.proven_only));
+        let idle = self.take_idle(endpoint);
         let calls = self.clone();
         tokio::task::spawn_local(async move {
             calls.call(endpoint, items, idle, cancelled).await;
--- a/crates/daemon/src/calls/exchange.rs
+++ b/crates/daemon/src/calls/exchange.rs
@@ -16,7 +16,7 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::{Instant, sleep_until};
 
 /// An attempt whose record is not durable within this time is not made.
 const DURABLE_WITHIN: Duration = Duration::from_secs(1);
@@ -37,9 +37,6 @@
     ) -> Result<CallResult, CallError> {
         let Call { started, waiting, connection, progress, .. } = call;
         let moot = Ok(CallResult::SameForAll(Outcome::Moot.into()));
-        if let Some(conn) = &used {
-            sleep(conn.rest_left()).await;
-        }
         let Some(target) = self.callable_target(endpoint) else {
             if let Some(conn) = used {
                 self.release(endpoint, conn).await;
@@ -98,7 +95,7 @@
             // Nothing awaits from here to the first byte: messages that are too late for it are not started.
             let now = Instant::now();
             let is_ending = self.start_deadline.get().is_some_and(|deadline| now >= deadline);
-            let is_unproven = |i: &CallItem| i.proven_only && !conn.is_proven();
+            let is_unproven = |i: &CallItem| i.proven_only && !conn.is_proven;
             let late =
                 remove_matching(waiting, |i| is_ending || now >= *started + i.start_within || is_unproven(i));
             late.iter().for_each(|i| self.report_end(endpoint, i, Outcome::Moot.into()));
@@ -130,7 +127,7 @@
                 Ok((result, is_reusable)) => {
                     let conn = connection.borrow_mut().take();
                     if let Some(mut conn) = conn.filter(|_| is_reusable) {
-                        conn.record_response();
+                        conn.is_proven = true;
                         self.release(endpoint, conn).await;
                     }
                     return Ok(result);
--- a/crates/daemon/src/calls/handover.rs
+++ b/crates/daemon/src/calls/handover.rs
@@ -13,7 +13,6 @@
     /// Returns the attempts in flight, and the waits in force with the time that is left of each.
     pub fn hand_over(&self) -> (Vec<AttemptInFlight>, Vec<RouteWait>) {
         self.is_handed_over.set(true);
-        self.resting.borrow_mut().clear();
         let pool = std::mem::take(&mut *self.pool.borrow_mut());
         pool.iter().for_each(|(&id, idle)| self.report_closed(id, idle.len()));
         let own = self.cancels.borrow().iter().map(|(&(id, n), (e, _))| (id, n, *e)).collect::<Vec<_>>();
