An answer counts only for the call that it belongs to, whenever a copy of another one comes

Cause: an answer was matched to its call by order alone. A second copy of an answer that crossed the next request was taken for the answer to that, and each later call on the connection got the answer of the call before. Ruled out: telling answers apart by bytes or time; a rest before the next call (a copy may come later than any span); correcting a conclusion later (the truth need not come). Change: the first answer on a connection belongs to its first call. A connection carries a further call only after answers 200, so any other status is no copy. A 200 on a used connection has to list a message of the call (form for several messages, where the endpoint takes that), or to announce `Connection: close`, which all other requests on used connections ask for. All else is discarded, counted in /status and logged with the messages. No time is part of it. The relays of the fleet tests kept the descriptors of ended connections; they close them.

--- a/crates/daemon/src/calls.rs
+++ b/crates/daemon/src/calls.rs
@@ -1,12 +1,17 @@
 //! Connections and calls to endpoints: how each call ended, and whether it can have run.
 
 mod answer;
+mod attribution;
 mod call;
 mod error;
 mod exchange;
+mod framing;
 mod handover;
 mod pool;
 mod progress;
+mod request;
+mod response_stream;
+mod surplus;
 
 use crate::copies::service::ReplicationService;
 use crate::descriptor_limits::DescriptorLimits;
@@ -32,6 +37,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use surplus::SurplusResponses;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::time::{Instant, sleep_until};
 
@@ -100,6 +106,8 @@
     /// The destinations in the list, and those that left it, which stay known until the given time.
     known_destinations: RefCell<BTreeMap<DestinationId, Option<Instant>>>,
     pool: RefCell<BTreeMap<EndpointId, Vec<IdleConnection>>>,
+    /// Responses that answer no call.
+    surplus: Rc<SurplusResponses>,
     route_waits: RefCell<BTreeMap<Route, Instant>>,
     cancels: RefCell<BTreeMap<AttemptId, (EndpointId, UnboundedSender<AttemptId>)>>,
     /// Attempts in flight at the predecessor, which reports how they end.
@@ -142,6 +150,7 @@
         inputs: UnboundedSender<Input>,
     ) -> Rc<Self> {
         let settings = &config.settings;
+        let reasons = Rc::<ReasonCounts>::default();
         let calls = Rc::new(Self {
             net,
             targets: RefCell::default(),
@@ -149,6 +158,7 @@
             endpoint_counts: RefCell::default(),
             known_destinations: RefCell::default(),
             pool: RefCell::default(),
+            surplus: SurplusResponses::new(reasons.clone()),
             route_waits: RefCell::default(),
             cancels: RefCell::default(),
             adopted_attempts: RefCell::default(),
@@ -166,7 +176,7 @@
             descriptors,
             parallel_attempts: settings.parallel_attempts,
             warnings: RateLimitedWarning::default(),
-            reasons: Rc::default(),
+            reasons,
         });
         let swept = Rc::downgrade(&calls);
         tokio::task::spawn_local(async move {
@@ -204,7 +214,10 @@
     pub fn update_endpoint(&self, id: EndpointId, target: Option<Target>) {
         let old = match target {
             Some(t) => self.targets.borrow_mut().insert(id, t),
-            None => self.targets.borrow_mut().remove(&id),
+            None => {
+                self.surplus.forget(id);
+                self.targets.borrow_mut().remove(&id)
+            }
         };
         if old.map(|t| (t.address, t.live)) != target.map(|t| (t.address, t.live)) {
             let closed = self.pool.borrow_mut().remove(&id).map_or(0, |idle| idle.len());
--- a/crates/daemon/src/calls/answer.rs
+++ b/crates/daemon/src/calls/answer.rs
@@ -2,9 +2,10 @@
 
 use super::error::CallError;
 use super::progress::Progress;
+use crate::http_options::announces_close;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body as _, Incoming};
-use hyper::header::{CONNECTION, HeaderMap, RETRY_AFTER};
+use hyper::header::{HeaderMap, RETRY_AFTER};
 use hyper::{Response, StatusCode};
 use notchpoint_policy::*;
 use std::collections::BTreeMap;
@@ -34,37 +35,41 @@
     PerMessage(BTreeMap<MessageId, AttemptEnd>),
 }
 
-/// Reads the complete response. Returns the result of the call, and whether the connection may carry another
-/// call. It fails if the response does not arrive or cannot be read.
+/// A response that was read completely.
+pub(super) struct CallResponse {
+    pub(super) result: CallResult,
+    /// The endpoint announces that it closes the connection.
+    pub(super) closes: bool,
+    /// The connection may carry another call. That holds only after a 200, so that no copy of a refusal can be
+    /// taken for the response to that call.
+    pub(super) is_reusable: bool,
+}
+
+/// Reads the complete response. It fails if the response does not arrive or cannot be read.
 pub(super) async fn read_response(
     response: impl Future<Output = hyper::Result<Response<Incoming>>>,
     is_batch: bool,
     progress: &Progress,
-) -> Result<(CallResult, bool), CallError> {
+) -> Result<CallResponse, CallError> {
     let response = response.await.map_err(|_| CallError::Broken)?;
     if progress.received.borrow().early {
         // It began before the request was written completely, so it is left over from an earlier call.
         return Err(CallError::Broken);
     }
-    let is_reusable = !closes_connection(&response);
-    let is_per_message = is_batch && response.status() == StatusCode::OK;
+    let closes = announces_close(response.headers());
+    let is_ok = response.status() == StatusCode::OK;
     let (end, wait) = (read_status(&response), read_wait(response.headers()));
     let length = response.body().size_hint().exact();
     let body =
         Limited::new(response.into_body(), MAX_BODY_BYTES).collect().await.map_err(|_| CallError::Broken)?;
     let body = body.to_bytes();
-    let is_reusable = is_reusable && !length.is_some_and(|n| progress.has_excess_bytes(n));
-    let result = if is_per_message {
+    let has_excess = length.is_some_and(|n| progress.has_excess_bytes(n));
+    let result = if is_batch && is_ok {
         CallResult::PerMessage(read_batch(&body, wait, end.allowance))
     } else {
         CallResult::SameForAll(end)
     };
-    Ok((result, is_reusable))
-}
-
-fn closes_connection(response: &Response<Incoming>) -> bool {
-    let values = response.headers().get_all(CONNECTION).iter().filter_map(|v| v.to_str().ok());
-    values.flat_map(|v| v.split(',')).any(|v| v.trim().eq_ignore_ascii_case("close"))
+    Ok(CallResponse { result, closes, is_reusable: is_ok && !closes && !has_excess })
 }
 
 fn read_status(response: &Response<Incoming>) -> AttemptEnd {
--- a/crates/daemon/src/calls/call.rs
+++ b/crates/daemon/src/calls/call.rs
@@ -15,7 +15,7 @@
     pub(super) started: Instant,
     /// Messages whose outcome is still open; once the request is written, in the request's order.
     pub(super) waiting: RefCell<Vec<CallItem>>,
-    /// The request carries several messages.
+    /// The request has the form for several messages, so that its response tells the result of each.
     pub(super) is_batch: Cell<bool>,
     pub(super) connection: RefCell<Option<Connection>>,
     /// Set once the call has its connection, so that nothing of an earlier request on it counts.
@@ -51,9 +51,9 @@
     }
 
     /// Marks the start of writing the request, which is valid until the deadline.
-    pub(super) fn begin(&self, deadline: Option<Instant>) {
+    pub(super) fn begin(&self, deadline: Option<Instant>, is_batch: bool) {
         self.deadline.set(deadline);
-        self.is_batch.set(self.waiting.borrow().len() > 1);
+        self.is_batch.set(is_batch);
         self.deadline_changed.notify_one();
     }
 
@@ -92,7 +92,7 @@
 
     /// Whether any byte of a response was received.
     pub(super) fn has_response_bytes(&self) -> bool {
-        self.progress.borrow().as_ref().is_some_and(|p| p.received.borrow().first_byte_at.is_some())
+        self.progress.borrow().as_ref().is_some_and(|p| p.has_received_bytes())
     }
 }
 
--- a/crates/daemon/src/calls/exchange.rs
+++ b/crates/daemon/src/calls/exchange.rs
@@ -8,13 +8,8 @@
 use super::{CallItem, Calls};
 use crate::copies::service::AttemptConsent;
 use crate::input::Input;
-use bytes::Bytes;
-use http_body_util::Full as Body;
-use hyper::Request;
-use hyper::header::{CONTENT_LENGTH, HOST};
 use notchpoint_policy::*;
 use std::cell::RefCell;
-use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::{Instant, sleep_until};
 
@@ -53,7 +48,7 @@
             let is_reused = used.is_some();
             let mut conn = match used.take() {
                 Some(c) => c,
-                None => self.connect(target.address).await?,
+                None => self.connect(endpoint, target.address).await?,
             };
             // Connecting takes time: meanwhile the endpoint may have left the list, a wait may have begun, or
             // messages may have ended.
@@ -104,33 +99,40 @@
                 return moot;
             }
             let deadline = self.order_by_deadline(&mut waiting.borrow_mut());
-            call.begin(deadline);
             let sent = waiting.borrow().clone();
-            let Some(request) = build_request(target.address, &sent, started.elapsed(), &conn.progress)
-            else {
+            let form = self.request_form(endpoint, &target, &conn, &sent);
+            call.begin(deadline, form.is_batch);
+            let observed = conn.progress.clone();
+            let Some(request) = form.build(target.address, &sent, started.elapsed(), &observed) else {
                 self.release(endpoint, conn).await;
                 return moot;
             };
-            let observed = conn.progress.clone();
+            form.expect_response(&conn, &sent);
             *progress.borrow_mut() = Some(observed.clone());
             let response = conn.sender.send_request(request);
             *connection.borrow_mut() = Some(conn);
             let result = tokio::select! {
                 biased;
-                result = read_response(response, sent.len() > 1, &observed) => result,
+                result = read_response(response, form.is_batch, &observed) => result,
                 () = self.response_overdue(call, &observed) => Err(CallError::Broken),
             };
+            let has_surplus = observed.filter.borrow().surplus_responses() > 0;
+            observed.filter.borrow_mut().end_call();
             match result {
                 Ok(_) if !self.is_settled(call) && call.is_expired() => {
                     return Ok(CallResult::SameForAll(Outcome::TimedOut.into()));
                 }
-                Ok((result, is_reusable)) => {
+                Ok(response) => {
+                    if form.closes && response.closes {
+                        self.surplus.record_announcement(endpoint);
+                    }
+                    let is_reusable = response.is_reusable && !form.closes && !has_surplus;
                     let conn = connection.borrow_mut().take();
                     if let Some(mut conn) = conn.filter(|_| is_reusable) {
                         conn.is_proven = true;
                         self.release(endpoint, conn).await;
                     }
-                    return Ok(result);
+                    return Ok(response.result);
                 }
                 // An idle connection that was closed just as it was used says nothing about a new connection,
                 // so the call is repeated on one.
@@ -178,8 +180,7 @@
     /// Waits until the time for the rest of a response that has begun is over.
     async fn response_overdue(&self, call: &Call, progress: &Progress) {
         loop {
-            let since = progress.received.borrow().first_byte_at;
-            let Some(since) = since else {
+            let Some(since) = progress.response_awaited_since() else {
                 progress.received_more.notified().await;
                 continue;
             };
@@ -193,35 +194,3 @@
         }
     }
 }
-
-/// Builds the request of a call; `None` if no message is left or the request is malformed.
-fn build_request(
-    host: SocketAddr,
-    items: &[CallItem],
-    elapsed: Duration,
-    progress: &Progress,
-) -> Option<Request<Body<Bytes>>> {
-    let timeout_ms = items.iter().map(|i| i.timeout).max()?.saturating_sub(elapsed).as_millis().max(1) as u64;
-    let builder = Request::post(if items.len() > 1 { "/v1/messages:batch" } else { "/v1/messages" })
-        .header(HOST, host.to_string())
-        .header("X-Timeout-Ms", timeout_ms);
-    let (builder, body) = match items {
-        [one] => {
-            let builder = builder.header("X-Request-ID", format!("{:016x}", one.id.0));
-            let key = Some(&one.idempotency_key).filter(|key| !key.is_empty());
-            (key.into_iter().fold(builder, |b, key| b.header("Idempotency-Key", key)), one.body.clone())
-        }
-        many => {
-            let mut lines = Vec::new();
-            for item in many {
-                let key = if item.idempotency_key.is_empty() { "-" } else { &item.idempotency_key };
-                lines.extend(format!("{:016x} {key} {}\r\n", item.id.0, item.body.len()).into_bytes());
-                lines.extend(&item.body);
-                lines.extend(b"\r\n");
-            }
-            (builder, lines.into())
-        }
-    };
-    progress.start_request(body.len());
-    builder.header(CONTENT_LENGTH, body.len()).body(Body::new(body)).ok()
-}
--- a/crates/daemon/src/calls/pool.rs
+++ b/crates/daemon/src/calls/pool.rs
@@ -3,6 +3,7 @@
 use super::Calls;
 use super::error::CallError;
 use super::progress::Progress;
+use super::response_stream::ResponseStream;
 use crate::input::Input;
 use crate::io::ObservedStream;
 use bytes::Bytes;
@@ -140,7 +141,11 @@
     }
 
     /// Opens a connection.
-    pub(super) async fn connect(&self, address: SocketAddr) -> Result<Connection, CallError> {
+    pub(super) async fn connect(
+        &self,
+        endpoint: EndpointId,
+        address: SocketAddr,
+    ) -> Result<Connection, CallError> {
         if self.descriptors.reduced_calls().is_some_and(|most| self.active_calls.get() > most) {
             return Err(CallError::NotSent(io::Error::other("an earlier session has the descriptors")));
         }
@@ -151,6 +156,9 @@
             self.warnings.warn(&format_args!("cannot set TCP_NODELAY on a connection to an endpoint: {why}"));
         }
         let progress = Rc::new(Progress::default());
+        let surplus = self.surplus.clone();
+        let stream: Rc<dyn Stream> =
+            Rc::new(ResponseStream { stream, progress: progress.clone(), endpoint, surplus });
         let observed = ObservedStream::new(stream.clone(), progress.clone());
         let handshake = http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(observed).await;
         let (sender, driver) = handshake.map_err(|_| CallError::Broken)?;
--- a/crates/daemon/src/calls/progress.rs
+++ b/crates/daemon/src/calls/progress.rs
@@ -1,5 +1,7 @@
 //! Observes the bytes of the current request and its response on a connection, independently of hyper.
 
+use super::attribution::ResponseFilter;
+use super::framing::parse_status;
 use crate::io::Observer;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -13,6 +15,8 @@
     head_end_matched: Cell<usize>,
     body_left: Cell<usize>,
     pub(super) received: RefCell<ReceivedBytes>,
+    /// Holds back what may not belong to the response; `received` has only what it passes.
+    pub(super) filter: RefCell<ResponseFilter>,
     /// Notified whenever bytes are received.
     pub(super) received_more: Notify,
 }
@@ -63,15 +67,6 @@
     }
 }
 
-/// Returns the status code if the first line has one.
-fn parse_status(line: &[u8]) -> Option<u16> {
-    let (version, rest) = line.split_at_checked(9)?;
-    let (digits, end) = rest.split_at_checked(3)?;
-    let is_valid = version.starts_with(b"HTTP/1.") && version[7].is_ascii_digit() && version[8] == b' ';
-    let is_valid = is_valid && digits.iter().all(u8::is_ascii_digit) && !end.first()?.is_ascii_digit();
-    std::str::from_utf8(digits).ok()?.parse().ok().filter(|_| is_valid)
-}
-
 impl Progress {
     /// Resets the progress for a new request with a body of this length.
     pub(super) fn start_request(&self, body: usize) {
@@ -91,6 +86,17 @@
         received.status == Some(200) && !received.early && self.is_request_complete()
     }
 
+    /// When the time began in which the rest of a response has to arrive: with the first byte of the response,
+    /// or with the last one so far of a response that is not attributed to a call yet.
+    pub(super) fn response_awaited_since(&self) -> Option<Instant> {
+        self.received.borrow().first_byte_at.or_else(|| self.filter.borrow().held_at())
+    }
+
+    /// Whether any byte was received in the current call, of whatever response.
+    pub(super) fn has_received_bytes(&self) -> bool {
+        self.received.borrow().first_byte_at.is_some() || self.filter.borrow().has_received()
+    }
+
     /// Whether more bytes were received than a response with a body of this length has.
     pub(super) fn has_excess_bytes(&self, body: u64) -> bool {
         let received = self.received.borrow();
--- a/crates/daemon/src/calls/tests.rs
+++ b/crates/daemon/src/calls/tests.rs
@@ -1,5 +1,7 @@
 //! Calls over real connections to endpoints that the tests themselves implement.
 
+mod attribution;
+
 use super::answer::read_batch;
 use super::progress::Progress;
 use super::*;
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod endpoint_list;
 mod handover;
 mod holds;
+mod http_options;
 mod input;
 mod io;
 mod operations;
--- a/crates/daemon/src/reasons.rs
+++ b/crates/daemon/src/reasons.rs
@@ -52,6 +52,7 @@
     attempts: Counts<&'static str>,
     notices: Counts<&'static str>,
     forgotten_messages: Cell<u64>,
+    surplus_responses: Cell<u64>,
 }
 
 fn count<K: Ord>(counts: &Counts<K>, key: K) {
@@ -85,6 +86,11 @@
         self.forgotten_messages.set(self.forgotten_messages.get() + 1);
     }
 
+    /// Counts a response of an endpoint that answers no call.
+    pub fn count_surplus_response(&self) {
+        self.surplus_responses.set(self.surplus_responses.get() + 1);
+    }
+
     /// Returns all counts in the form of `/status`.
     pub fn to_json(&self) -> serde_json::Value {
         serde_json::json!({
@@ -93,6 +99,7 @@
             "attempts": &*self.attempts.borrow(),
             "notices": &*self.notices.borrow(),
             "forgotten_messages": self.forgotten_messages.get(),
+            "surplus_responses": self.surplus_responses.get(),
         })
     }
 }
--- a/crates/daemon/tests/fleet/fleet.rs
+++ b/crates/daemon/tests/fleet/fleet.rs
@@ -34,11 +34,14 @@
     bytes_per_second: None,
 };
 
+/// The two streams of each open connection of a link, by number.
+type OpenConnections = BTreeMap<u64, [TcpStream; 2]>;
+
 /// A relay between a sender and an address that it dials.
 struct Link {
     address: SocketAddr,
     state: Arc<Mutex<LinkState>>,
-    streams: Arc<Mutex<Vec<TcpStream>>>,
+    connections: Arc<Mutex<OpenConnections>>,
     bytes_passed: Arc<AtomicU64>,
 }
 
@@ -46,21 +49,25 @@
     fn new(to: SocketAddr) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("the socket has an address");
-        let (state, streams) = (Arc::new(Mutex::new(OPEN_LINK)), Arc::<Mutex<Vec<TcpStream>>>::default());
+        let state = Arc::new(Mutex::new(OPEN_LINK));
+        let connections = Arc::<Mutex<OpenConnections>>::default();
         let bytes_passed = Arc::<AtomicU64>::default();
-        let (shared, open_streams, count) = (state.clone(), streams.clone(), bytes_passed.clone());
+        let (shared, all, count) = (state.clone(), connections.clone(), bytes_passed.clone());
         thread::spawn(move || {
-            for near in listener.incoming().flatten() {
-                let (state, streams, count) = (shared.clone(), open_streams.clone(), count.clone());
-                thread::spawn(move || relay_connection(near, to, &state, &streams, &count));
+            for (number, near) in (0..).zip(listener.incoming().flatten()) {
+                let (state, open, count) = (shared.clone(), all.clone(), count.clone());
+                thread::spawn(move || {
+                    relay_connection(near, to, &state, &open, number, &count);
+                    open.lock().expect("not poisoned").remove(&number);
+                });
             }
         });
-        Self { address, state, streams, bytes_passed }
+        Self { address, state, connections, bytes_passed }
     }
 
     /// Closes all connections of the link.
     fn break_all(&self) {
-        for stream in self.streams.lock().expect("not poisoned").drain(..) {
+        for stream in self.connections.lock().expect("not poisoned").values().flatten() {
             let _ = stream.shutdown(Shutdown::Both);
         }
     }
@@ -71,13 +78,14 @@
     near: TcpStream,
     to: SocketAddr,
     state: &Arc<Mutex<LinkState>>,
-    streams: &Mutex<Vec<TcpStream>>,
+    connections: &Mutex<OpenConnections>,
+    number: u64,
     count: &Arc<AtomicU64>,
 ) {
     // The connection itself is made over a cut too; its bytes are held while the cut lasts.
     let Ok(far) = TcpStream::connect(to) else { return };
     let duplicate = |stream: &TcpStream| stream.try_clone().expect("the socket is duplicated");
-    streams.lock().expect("not poisoned").extend([duplicate(&near), duplicate(&far)]);
+    connections.lock().expect("not poisoned").insert(number, [duplicate(&near), duplicate(&far)]);
     let (back_from, back_to, shared, back_count) =
         (duplicate(&far), duplicate(&near), state.clone(), count.clone());
     let back = thread::spawn(move || {
--- a/crates/daemon/tests/sockets/late_answers.rs
+++ b/crates/daemon/tests/sockets/late_answers.rs
@@ -4,9 +4,9 @@
 use crate::world::*;
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{BufReader, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc::{Receiver, RecvTimeoutError, channel};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -36,6 +36,12 @@
     answers_per_copy: u64,
     /// The most time between an answer and its copy, in milliseconds.
     max_copy_delay_ms: u64,
+    /// How many copies are written at once.
+    copies: usize,
+    /// The endpoints close a connection after the answer to a request that asks for it, and announce that.
+    heeds_close: bool,
+    /// The endpoints answer no request that a copy has crossed.
+    is_silent_after_crossing: bool,
     /// In percent, the calls that are answered 200.
     served_percent: u64,
     seed: u64,
@@ -111,7 +117,9 @@
         let is_batch = request.line.ends_with(":batch");
         let lines: String = ids.iter().map(|id| format!("{id} done\r\n")).collect();
         let body = if is_batch && status == "200 OK" { lines } else { String::new() };
-        let answer = format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+        let closes = scenario.heeds_close && request.header("connection") == "close";
+        let option = if closes { "Connection: close\r\n" } else { "" };
+        let answer = format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n{option}\r\n{body}", body.len());
         {
             let mut log = log.lock().expect("not poisoned");
             log.findings.calls += 1;
@@ -127,6 +135,11 @@
                 }
             }
         }
+        if closes {
+            let _ = stream.write_all(answer.repeat(1 + usize::from(has_copy)).as_bytes());
+            let _ = stream.shutdown(Shutdown::Both);
+            return;
+        }
         if stream.write_all(answer.as_bytes()).is_err() {
             return;
         }
@@ -145,15 +158,27 @@
                 if Instant::now() > last {
                     continue;
                 }
+                let log_of_run = log;
                 let mut log = log.lock().expect("not poisoned");
                 log.findings.copies += 1;
                 log.findings.crossed += usize::from(next.is_some());
-                let _ = stream.write_all(answer.as_bytes());
+                drop(log);
+                let _ = stream.write_all(answer.repeat(scenario.copies).as_bytes());
+                if let Some((_, crossed)) = next.take_if(|_| scenario.is_silent_after_crossing) {
+                    fall_silent(&called_ids(&crossed), arrivals, log_of_run);
+                    return;
+                }
             }
         }
     }
 }
 
+/// Takes a request with these messages, and all that follow it, and answers none.
+fn fall_silent(ids: &[String], arrivals: &Receiver<Arrival>, log: &Mutex<EndpointLog>) {
+    log.lock().expect("not poisoned").may_have_run.extend(ids.iter().cloned());
+    while arrivals.recv().is_ok() {}
+}
+
 /// Starts an endpoint and returns its address.
 fn start_endpoint(scenario: Scenario, log: &Arc<Mutex<EndpointLog>>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
@@ -205,14 +230,28 @@
     Findings { lost, repeated: payments.map(number).collect(), ..log.findings.clone() }
 }
 
-/// Runs a scenario with several seeds at once, and checks that no message is lost and no payment repeated.
-fn check(scenario: Scenario) {
-    let runs: Vec<_> =
-        (0..SEEDS).map(|seed| thread::spawn(move || run(Scenario { seed, ..scenario }))).collect();
-    let found: Vec<Findings> = runs.into_iter().map(|run| run.join().expect("it has run")).collect();
-    let broken = found.iter().any(|f| !f.lost.is_empty() || !f.repeated.is_empty());
-    assert!(!broken, "lost or repeated messages with {scenario:?}: {found:?}");
-    assert!(found.iter().all(|f| f.copies > 0), "no copy was written: {found:?}");
+/// Only one test at a time has runs, so that they do not keep each other from being in time.
+static RUNNING: Mutex<()> = Mutex::new(());
+
+/// Runs scenarios with several seeds each, all at once, and checks that no message is lost and no payment
+/// repeated. Returns how many copies were written in each run.
+fn check(scenarios: &[Scenario]) -> Vec<usize> {
+    let running = RUNNING.lock().unwrap_or_else(PoisonError::into_inner);
+    let with_seeds = scenarios.iter().flat_map(|s| (0..SEEDS).map(move |seed| Scenario { seed, ..*s }));
+    let runs: Vec<_> = with_seeds.map(|scenario| (scenario, thread::spawn(move || run(scenario)))).collect();
+    let found: Vec<(Scenario, Findings)> =
+        runs.into_iter().map(|(scenario, run)| (scenario, run.join().expect("it has run"))).collect();
+    drop(running);
+    found.iter().for_each(|(scenario, findings)| println!("{scenario:?}: {findings:?}"));
+    let broken: Vec<_> = found.iter().filter(|(_, f)| !f.lost.is_empty() || !f.repeated.is_empty()).collect();
+    assert!(broken.is_empty(), "lost or repeated messages: {broken:?}");
+    found.iter().map(|(_, f)| f.copies).collect()
+}
+
+/// The same, and checks that each run has had copies.
+fn check_with_copies(scenarios: &[Scenario]) {
+    let copies = check(scenarios);
+    assert!(copies.iter().all(|&count| count > 0), "no copy was written: {copies:?}");
 }
 
 /// How many runs of a scenario are made, each with a seed of its own.
@@ -223,24 +262,58 @@
     link: Duration::from_millis(10),
     answers_per_copy: 5,
     max_copy_delay_ms: 8,
+    copies: 1,
+    heeds_close: true,
+    is_silent_after_crossing: false,
     served_percent: 70,
     seed: 0,
 };
 
+/// Both kinds of endpoint in the same scenario.
+fn both_kinds(scenario: Scenario) -> [Scenario; 2] {
+    ["shop", "chain"].map(|kind| Scenario { kind, ..scenario })
+}
+
 #[test]
 fn copy_of_an_answer_that_crosses_the_next_request_loses_and_repeats_no_message() {
     // Guards against a message that counts as delivered, or as never run, by a copy of an earlier answer.
-    check(SCENARIO);
+    check_with_copies(&[SCENARIO]);
 }
 
 #[test]
 fn copy_of_an_answer_to_a_batch_that_crosses_the_next_one_loses_and_repeats_no_message() {
     // The same for calls with several messages, whose refusals and errors name no message.
-    check(Scenario { kind: "chain", ..SCENARIO });
+    check_with_copies(&[Scenario { kind: "chain", ..SCENARIO }]);
 }
 
 #[test]
 fn copies_over_a_slow_link_lose_and_repeat_no_message() {
     // The same where requests take long to the endpoint, and copies come later.
-    check(Scenario { link: Duration::from_millis(40), max_copy_delay_ms: 60, ..SCENARIO });
+    check_with_copies(&[Scenario { link: Duration::from_millis(40), max_copy_delay_ms: 60, ..SCENARIO }]);
+}
+
+#[test]
+fn copies_of_answers_lose_and_repeat_no_message_whatever_their_delay() {
+    // Guards against a mend that holds only for copies that come soon, or for one of them at a time.
+    for (link_ms, max_copy_delay_ms) in [(40, 60), (100, 1_000)] {
+        let link = Duration::from_millis(link_ms);
+        let scenario = Scenario { link, max_copy_delay_ms, ..SCENARIO };
+        check_with_copies(&both_kinds(Scenario { copies: 2, answers_per_copy: 1, ..scenario }));
+    }
+}
+
+#[test]
+fn endpoint_that_is_silent_after_a_copy_loses_and_repeats_no_message() {
+    // Guards against a message that counts as delivered since its own answer, which would correct that, never
+    // comes.
+    let scenario = Scenario { link: Duration::from_millis(40), max_copy_delay_ms: 60, ..SCENARIO };
+    check_with_copies(&both_kinds(Scenario { is_silent_after_crossing: true, ..scenario }));
+}
+
+#[test]
+fn endpoint_that_closes_no_connection_when_asked_loses_and_repeats_no_message() {
+    // Its answers on used connections show nothing. Guards against one that counts all the same. Few copies are
+    // written, since such an endpoint soon gets one call on each connection.
+    let copies = check(&both_kinds(Scenario { heeds_close: false, ..SCENARIO }));
+    assert!(copies.iter().sum::<usize>() > 0, "no copy was written: {copies:?}");
 }
--- a/crates/daemon/tests/sockets/main.rs
+++ b/crates/daemon/tests/sockets/main.rs
@@ -66,14 +66,25 @@
     assert!(call.header("x-timeout-ms").parse::<u64>().is_ok_and(|ms| ms <= LONG));
 }
 
+/// Serves a call: in the form for several messages each is done.
+fn serve_any_form(request: &HttpMessage) -> Reply {
+    let lines: String = request.ids().iter().map(|id| format!("{id} done\r\n")).collect();
+    response("200 OK", "", if request.line.ends_with(":batch") { &lines } else { "" })
+}
+
 #[test]
-fn consecutive_calls_share_one_connection() {
-    // Guards against a new connection, with its cost, for each message.
-    let (node, endpoint) = start_with_endpoint("shop", |_| ok());
-    for id in 0..3 {
-        node.submit("payment", id, 3, LONG, b"");
-        let call = endpoint.call(id as usize);
-        assert_eq!(call.connection, 0);
+fn consecutive_calls_share_a_connection_for_as_long_as_their_answers_show_whose_they_are() {
+    // Guards against a new connection, with its cost, for each message, and against a third answer on one
+    // connection that could be a copy of the second.
+    for (kind, connections) in [("shop", [0, 0, 1, 1, 2]), ("chain", [0; 5])] {
+        let (node, endpoint) = start_with_endpoint(kind, serve_any_form);
+        for (id, connection) in (0..).zip(connections) {
+            node.submit("payment", id, 3, LONG, b"");
+            let call = endpoint.call(id as usize);
+            assert_eq!(call.connection, connection, "call {id}, {kind}");
+            let is_last = kind == "shop" && id % 2 == 1;
+            assert_eq!(call.header("connection"), if is_last { "close" } else { "" }, "call {id}, {kind}");
+        }
     }
 }
 
--- a/crates/daemon/tests/sockets/world.rs
+++ b/crates/daemon/tests/sockets/world.rs
@@ -4,7 +4,7 @@
 use notchpoint_faults::{Fault, FaultController};
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc::{Sender, channel};
@@ -86,7 +86,13 @@
     Reply::Respond(format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n{headers}\r\n{body}", body.len()))
 }
 
-/// What an endpoint does with a call. Texts are written as they are.
+/// Returns the text of a response with the announcement that the connection is closed after it.
+pub fn announce_close(response: &str) -> String {
+    response.replacen("\r\n", "\r\nConnection: close\r\n", 1)
+}
+
+/// What an endpoint does with a call. Texts are written as they are, but that a request which asks for the end
+/// of its connection gets a response that announces it, and the connection is closed.
 pub enum Reply {
     Respond(String),
     /// Writes the text and closes the connection.
@@ -196,16 +202,19 @@
                     while let Some(request) = read_message(&mut reader, number) {
                         log.lock().expect("not poisoned").push(request.clone());
                         let reply = (handler.lock().expect("not poisoned"))(&request);
+                        let closes = request.header("connection") == "close";
+                        let write = |text: &str| match closes {
+                            true => (&stream).write_all(announce_close(text).as_bytes()),
+                            false => (&stream).write_all(text.as_bytes()),
+                        };
                         let written = match &reply {
-                            Reply::Respond(text) | Reply::RespondAndClose(text) => {
-                                (&stream).write_all(text.as_bytes())
-                            }
+                            Reply::Respond(text) | Reply::RespondAndClose(text) => write(text),
                             Reply::RespondAfter(span, text) => {
                                 thread::sleep(*span);
-                                (&stream).write_all(text.as_bytes())
+                                write(text)
                             }
                             Reply::RespondTwice(first, later) => {
-                                let written = (&stream).write_all(first.as_bytes());
+                                let written = write(first);
                                 thread::sleep(Duration::from_millis(50));
                                 let written = written.and_then(|()| (&stream).write_all(later.as_bytes()));
                                 *late.lock().expect("not poisoned") += 1;
@@ -214,7 +223,7 @@
                             Reply::Hang => continue,
                             Reply::Close => break,
                         };
-                        if written.is_err() || matches!(reply, Reply::RespondAndClose(_)) {
+                        if written.is_err() || closes || matches!(reply, Reply::RespondAndClose(_)) {
                             break;
                         }
                     }
@@ -298,6 +307,7 @@
                 }
                 return;
             }
+            let asks_to_close = request.header("connection") == "close";
             let is_rejected = {
                 let mut left = self.notices_to_reject.lock().expect("not poisoned");
                 let is_rejected = *left > 0;
@@ -309,7 +319,13 @@
                 self.notices.lock().expect("not poisoned").extend(text.lines().map(str::to_owned));
             }
             let status = if is_rejected { "503 No" } else { "204 Fine" };
-            if write!(stream, "HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n").is_err() {
+            let answer = format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n");
+            if asks_to_close {
+                let _ = stream.write_all(announce_close(&answer).as_bytes());
+                let _ = stream.shutdown(Shutdown::Both);
+                return;
+            }
+            if stream.write_all(answer.as_bytes()).is_err() {
                 return;
             }
         }
--- a/crates/rehearsal/src/endpoint.rs
+++ b/crates/rehearsal/src/endpoint.rs
@@ -26,6 +26,8 @@
 /// A caller that closes within this time after an answer was written may not have read it, because its
 /// time-out elapsed at the same time.
 const CROSSING_TIME: Micros = 2_000;
+/// The empty line that ends the head of an answer.
+const END_OF_HEAD: &[u8] = b"\r\n";
 /// Bytes that are sent in place of an answer.
 const GARBAGE_ANSWER: &[u8] = b"\x16\x03\x01\x00\xa5 not an answer at all\r\n\r\n";
 
@@ -284,7 +286,7 @@
                     return;
                 }
             };
-            if !self.write_answer(&mut wire, &ids, reply).await || request.closes() {
+            if !self.write_answer(&mut wire, &request, &ids, reply).await || request.closes() {
                 return;
             }
             answered = Some((self.observations.now(), ids));
@@ -346,28 +348,27 @@
     }
 
     /// Writes an answer. Returns false if the connection cannot be used any more.
-    async fn write_answer(&self, wire: &mut Wire, ids: &[u64], reply: Reply) -> bool {
+    async fn write_answer(&self, wire: &mut Wire, request: &Message, ids: &[u64], reply: Reply) -> bool {
         self.observations.log(format_args!("answer {:016x} {reply:?}", ids[0]));
+        let close = if request.closes() { "Connection: close\r\n" } else { "" };
         let mut text = Vec::new();
         let mut done: &[u64] = &[];
         let each: Vec<u64>;
         match reply {
+            Reply::Status(200, _) if is_batch(request) => {
+                let results: Vec<_> = ids.iter().map(|&id| (id, MessageResult::Done)).collect();
+                (text, done) = (batch_response(&results, close), ids);
+            }
             Reply::Status(200, _) => {
-                (text, done) = (empty_response(200, ""), ids);
+                (text, done) = (empty_response(200, close), ids);
             }
             Reply::Status(status, wait) => {
                 let wait =
                     wait.map(|w| format!("Retry-After: {:.6}\r\n", w as f64 / 1e6)).unwrap_or_default();
-                text = empty_response(status, &wait);
+                text = empty_response(status, &format!("{wait}{close}"));
             }
             Reply::Each(results) => {
-                let mut body = String::new();
-                for (id, result) in &results {
-                    let result = if *result == MessageResult::Done { "done" } else { "failed" };
-                    let _ = write!(body, "{id:016x} {result}\r\n");
-                }
-                text =
-                    format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()).into_bytes();
+                text = batch_response(&results, close);
                 each = results
                     .iter()
                     .filter(|result| result.1 == MessageResult::Done)
@@ -383,12 +384,16 @@
             Reply::Spoilt => text.extend_from_slice(GARBAGE_ANSWER),
             // For a single message the status line is enough; for several the complete answer is needed.
             Reply::Half => {
-                text.extend_from_slice(b"HTTP/1.1 200 OK\r\nContent-Length: 40\r\nX-Tr");
-                done = if ids.len() == 1 { ids } else { &[] };
+                text = format!("HTTP/1.1 200 OK\r\n{close}Content-Length: 40\r\nX-Tr").into_bytes();
+                done = if is_batch(request) { &[] } else { ids };
             }
             Reply::Trickle => {
-                done = if ids.len() == 1 { ids } else { &[] };
-                for (n, byte) in empty_response(200, "").into_iter().enumerate() {
+                done = if is_batch(request) { &[] } else { ids };
+                let response = empty_response(200, close);
+                // Up to the announcement of the close nothing shows the caller that this is no copy of the
+                // answer before.
+                let shown_after = response.len() - END_OF_HEAD.len();
+                for (n, byte) in response.into_iter().enumerate() {
                     if wire.write(&[byte]).await.is_err() {
                         return false;
                     }
@@ -398,7 +403,12 @@
                     // The caller may close before it has read the rest, or even a status line with 200.
                     tokio::select! {
                         biased;
-                        () = wire.wait_closed() => return false,
+                        () = wire.wait_closed() => {
+                            if request.closes() && n + 1 < shown_after {
+                                self.observations.record_crossed(done);
+                            }
+                            return false;
+                        }
                         () = sleep(TRICKLE_INTERVAL) => {}
                     }
                 }
@@ -419,6 +429,21 @@
     format!("HTTP/1.1 {status} X\r\nContent-Length: 0\r\n{headers}\r\n").into_bytes()
 }
 
+/// Returns the response to a call in the form for several messages, with the result of each.
+fn batch_response(results: &[(u64, MessageResult)], headers: &str) -> Vec<u8> {
+    let mut body = String::new();
+    for (id, result) in results {
+        let result = if *result == MessageResult::Done { "done" } else { "failed" };
+        let _ = write!(body, "{id:016x} {result}\r\n");
+    }
+    format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n{headers}\r\n{body}", body.len()).into_bytes()
+}
+
+/// Whether a call has the form for several messages.
+fn is_batch(request: &Message) -> bool {
+    request.path == "/v1/messages:batch"
+}
+
 /// Returns the IDs of the messages in a call, or None if the call is malformed.
 fn parse_message_ids(request: &Message) -> Option<Vec<u64>> {
     let parse_id = |text: &str| u64::from_str_radix(text, 16).ok().filter(|_| text.len() == 16);
--- a/crates/rehearsal/src/platform.rs
+++ b/crates/rehearsal/src/platform.rs
@@ -159,7 +159,7 @@
                     ("GET", "/discovery/hosts") => self.serve_watch(sender, &mut wire, &request).await,
                     _ => wire.write(b"HTTP/1.1 404 X\r\nContent-Length: 0\r\n\r\n").await.is_ok(),
                 };
-            if !stays_open {
+            if !stays_open || request.closes() {
                 return;
             }
         }
@@ -206,7 +206,9 @@
                 (self.bounced_callback.borrow())(*id, wait * 1_000);
             }
         }
-        let written = wire.write(b"HTTP/1.1 204 X\r\nContent-Length: 0\r\n\r\n").await.is_ok();
+        let close = if request.closes() { "Connection: close\r\n" } else { "" };
+        let answer = format!("HTTP/1.1 204 X\r\n{close}Content-Length: 0\r\n\r\n");
+        let written = wire.write(answer.as_bytes()).await.is_ok();
         if written {
             let mut messages = self.observations.messages.borrow_mut();
             for (id, ..) in &notices {
--- a/crates/soak/src/http.rs
+++ b/crates/soak/src/http.rs
@@ -42,7 +42,12 @@
         u64::from_str_radix(self.headers.get("x-request-id")?, 16).ok()
     }
 
-    /// Returns whether the request is a call with several messages.
+    /// Returns whether the request asks to close the connection after its answer.
+    pub fn asks_to_close(&self) -> bool {
+        self.headers.get("connection").is_some_and(|value| value.eq_ignore_ascii_case("close"))
+    }
+
+    /// Returns whether the request is a call in the form for several messages.
     pub fn is_batch(&self) -> bool {
         self.line.contains(":batch")
     }
--- a/crates/soak/src/partners.rs
+++ b/crates/soak/src/partners.rs
@@ -168,13 +168,15 @@
             let Some(call) = Message::read(&mut reader) else { return };
             let ids = call.ids();
             let Some(&first) = ids.first() else { return };
+            let close_header = if call.asks_to_close() { "Connection: close\r\n" } else { "" };
             observations.record_call(first, number, first_byte_at);
             ids.iter().for_each(|id| observations.record_call_of_message(*id, number));
             let behaviour = self.behaviour();
             if behaviour == Behaviour::Full {
-                let headers = format!("Retry-After: {}\r\n", RETRY_AFTER.as_secs_f64());
+                let headers = format!("Retry-After: {}\r\n{close_header}", RETRY_AFTER.as_secs_f64());
                 observations.record_wait_request(first, number, RETRY_AFTER);
-                if stream.write_all(answer("429 Full", &headers, "").as_bytes()).is_err() {
+                let is_written = stream.write_all(answer("429 Full", &headers, "").as_bytes()).is_ok();
+                if !is_written || call.asks_to_close() {
                     return;
                 }
                 continue;
@@ -197,10 +199,13 @@
                 true => ids.iter().map(|id| format!("{id:016x} done\r\n")).collect(),
                 false => String::new(),
             };
-            if stream.write_all(answer("200 OK", "", &body).as_bytes()).is_err() {
+            if stream.write_all(answer("200 OK", close_header, &body).as_bytes()).is_err() {
                 return;
             }
             ids.iter().for_each(|id| observations.record_delivery(*id));
+            if call.asks_to_close() {
+                return;
+            }
         }
     }
 }
@@ -334,7 +339,9 @@
                 observations.record_notice(id, result);
             }
         }
-        if stream.write_all(answer("204 Fine", "", "").as_bytes()).is_err() {
+        let close_header = if request.asks_to_close() { "Connection: close\r\n" } else { "" };
+        let is_written = stream.write_all(answer("204 Fine", close_header, "").as_bytes()).is_ok();
+        if !is_written || request.asks_to_close() {
             return;
         }
     }
