The policy counts no connection that its own order to close has closed

In release builds the policy went on with a wrong count. Cause: `end_attempt` (scarce connections) and a note of scarce connections cleared the count and ordered CloseIdle in the middle of a turn's events. The order is carried out after the turn, so a connection that became idle by a later event of the turn was counted, and closed by the order. Change: such orders are collected and given once all events of the turn are processed, when the count is that of the connections that the order closes. An order for an endpoint without idle connections is no longer given. Test: connection_that_becomes_idle_in_the_turn_of_an_order_to_close_is_not_counted fails before (1 connection counted, the order closes both). The state that is recorded keeps its form: the new field is empty between turns.

--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -160,9 +160,7 @@
 impl Sender {
     /// Processes all events of one turn, then dispatches messages once. `now` must not go backwards.
     pub fn handle(&mut self, now: Micros, events: &[Event], actions: &mut Vec<Action>) {
-        self.now = now.clamp(self.now, MAX_TIME);
-        self.wake_at = self.wake_at.filter(|&w| w > self.now);
-        self.sent_this_turn.clear();
+        self.begin_turn(now);
         for event in events {
             match event {
                 Event::Taken(message) => self.accept(message, 0, None),
@@ -181,6 +179,7 @@
                 Event::Wake | Event::Probed { .. } => {}
             }
         }
+        self.close_idle_connections();
         if self.now >= self.watch_at {
             self.actions.push(Action::Watch);
             self.watch_at = self.now + WATCH_TIMEOUT;
--- a/crates/policy/src/choice/notes.rs
+++ b/crates/policy/src/choice/notes.rs
@@ -81,11 +81,8 @@
                 route.refusal_note_at = now;
                 let kind = self.dests.get(&route_id.0).map_or(0, |d| d.kind);
                 self.scarce_until[kind] = now + FORGET_AFTER;
-                for (&endpoint, e) in self.endpoints.iter_mut().filter(|(_, e)| e.kind == kind) {
-                    if !std::mem::take(&mut e.idle_since).is_empty() {
-                        self.actions.push(Action::CloseIdle { endpoint });
-                    }
-                }
+                let same_kind = self.endpoints.iter().filter(|(_, e)| e.kind == kind).map(|(&id, _)| id);
+                self.close_after_events.extend(same_kind);
             }
         }
     }
--- a/crates/policy/src/choice/outcome.rs
+++ b/crates/policy/src/choice/outcome.rs
@@ -110,8 +110,7 @@
                     if now < self.scarce_until[endpoint.kind]
                         && endpoint.use_gap > self.settings.conn_idle / 8
                     {
-                        endpoint.idle_since.clear();
-                        self.actions.push(Action::CloseIdle { endpoint: ended.endpoint });
+                        self.close_after_events.insert(ended.endpoint);
                     }
                 }
             }
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -274,6 +274,9 @@
     pub(crate) life_table: LifeTable,
     /// Destinations that calls were sent to in this turn.
     pub(crate) sent_this_turn: BTreeSet<DestinationId>,
+    /// Endpoints whose idle connections are closed once all events of this turn are processed.
+    #[serde(skip)]
+    pub(crate) close_after_events: BTreeSet<EndpointId>,
     /// Zones that receive less than their whole share, or probes.
     pub(crate) zone_shares: BTreeMap<u32, ZoneShare>,
 }
@@ -308,6 +311,7 @@
             wake_at: None,
             life_table: LifeTable::default(),
             sent_this_turn: BTreeSet::new(),
+            close_after_events: BTreeSet::new(),
             zone_shares: BTreeMap::new(),
             settings,
         })
@@ -326,6 +330,24 @@
         is_over
     }
 
+    /// Starts a turn at `now`.
+    pub(crate) fn begin_turn(&mut self, now: Micros) {
+        self.now = now.clamp(self.now, MAX_TIME);
+        self.wake_at = self.wake_at.filter(|&at| at > self.now);
+        self.sent_this_turn.clear();
+    }
+
+    /// Orders the closes that the events of this turn call for. The order is carried out after the turn, so
+    /// only here does it concern the connections that are counted.
+    pub(crate) fn close_idle_connections(&mut self) {
+        for endpoint in std::mem::take(&mut self.close_after_events) {
+            let counted = self.endpoints.get_mut(&endpoint).map(|e| std::mem::take(&mut e.idle_since));
+            if counted.is_some_and(|idle| !idle.is_empty()) {
+                self.actions.push(Action::CloseIdle { endpoint });
+            }
+        }
+    }
+
     /// Records that a connection became idle or that an idle one ended, which is assumed to be the oldest.
     pub(crate) fn update_idle(&mut self, id: EndpointId, became_idle: bool) {
         let Some(endpoint) = self.endpoints.get_mut(&id).filter(|_| self.settings.connections_reported)
--- a/crates/policy/src/state/tests.rs
+++ b/crates/policy/src/state/tests.rs
@@ -371,6 +371,7 @@
         wake_at: Some(926),
         life_table: life_table(930.0),
         sent_this_turn: BTreeSet::from([DestinationId(927)]),
+        close_after_events: BTreeSet::new(),
         zone_shares: BTreeMap::from([(928, zone_share())]),
     }
 }
--- a/crates/policy/tests/fleet.rs
+++ b/crates/policy/tests/fleet.rs
@@ -453,6 +453,36 @@
     assert!(closes(&rig) >= 1);
 }
 
+#[test]
+fn connection_that_becomes_idle_in_the_turn_of_an_order_to_close_is_not_counted() {
+    // Guards against a policy that counts a connection which its own order has closed: the order is carried out
+    // after all events of its turn, so it closes also those that became idle after the event that caused it.
+    let settings = Settings { conn_idle: 10 * SEC, connections_reported: true, ..sparse(100) };
+    let mut rig = Rig::new(settings, 0, 1);
+    let endpoint = EndpointId(0);
+    let served = |id| Event::Ended {
+        id: MessageId(id),
+        attempt: 0,
+        outcome: Outcome::Served,
+        is_final: true,
+        allowance: None,
+    };
+    let first = rig.submit(IDEMPOTENT);
+    rig.advance(50 * MS);
+    rig.feed(&[Event::Unused(endpoint), served(first)]);
+    rig.advance(5 * SEC);
+    let refused = rig.submit(IDEMPOTENT);
+    rig.end(refused, Outcome::ConnectFailed);
+    rig.advance(SEC);
+    rig.end_all(Outcome::Served);
+    rig.advance(5 * SEC);
+    let last = rig.submit(IDEMPOTENT);
+    rig.advance(50 * MS);
+    let actions = rig.feed(&[Event::Unused(endpoint), served(last), Event::Unused(endpoint)]);
+    assert!(actions.contains(&Action::CloseIdle { endpoint }), "connections are scarce: {actions:?}");
+    assert_eq!(rig.sender.idle_connections(), [(endpoint, 0)]);
+}
+
 #[test]
 fn refusals_during_an_outage_do_not_count_as_scarce_connections() {
     let mut rig = Rig::new(
