--- a/crates/daemon/src/platform/reports.rs
+++ b/crates/daemon/src/platform/reports.rs
@@ -197,3 +197,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
