--- a/crates/daemon/src/calls/answer.rs
+++ b/crates/daemon/src/calls/answer.rs
@@ -40,8 +40,8 @@
     pub(super) result: CallResult,
     /// The endpoint announces that it closes the connection.
     pub(super) closes: bool,
-    /// The connection may carry another call. That holds only after a 200, so that no copy of a refusal can be
-    /// taken for the response to that call.
+    /// The connection may carry another call. That holds only after a 200, so that no copy of a refusal can
+    /// be taken for the response to that call.
     pub(super) is_reusable: bool,
 }
 
--- a/crates/daemon/src/calls/progress.rs
+++ b/crates/daemon/src/calls/progress.rs
@@ -86,8 +86,8 @@
         received.status == Some(200) && !received.early && self.is_request_complete()
     }
 
-    /// When the time began in which the rest of a response has to arrive: with the first byte of the response,
-    /// or with the last one so far of a response that is not attributed to a call yet.
+    /// When the time began in which the rest of a response has to arrive: with the first byte of the
+    /// response, or with the last one so far of a response that is not attributed to a call yet.
     pub(super) fn response_awaited_since(&self) -> Option<Instant> {
         self.received.borrow().first_byte_at.or_else(|| self.filter.borrow().held_at())
     }
--- a/crates/daemon/src/platform/reports/tests.rs
+++ b/crates/daemon/src/platform/reports/tests.rs
@@ -48,8 +48,8 @@
 
 #[test]
 fn copy_of_an_answer_does_not_confirm_the_next_post() {
-    // Guards against a message that ends without a notice: a second copy of a 204, which crossed the next post,
-    // was taken for the answer to that, and the platform never took the post.
+    // Guards against a message that ends without a notice: a second copy of a 204, which crossed the next
+    // post, was taken for the answer to that, and the platform never took the post.
     run_with_platform(async |listener, reports| {
         reports.push(MessageId(1), Verdict::Dead);
         let (mut first, _) = listener.accept().await.expect("a connection");
--- a/crates/daemon/tests/sockets/late_answers.rs
+++ b/crates/daemon/tests/sockets/late_answers.rs
@@ -312,8 +312,8 @@
 
 #[test]
 fn endpoint_that_closes_no_connection_when_asked_loses_and_repeats_no_message() {
-    // Its answers on used connections show nothing. Guards against one that counts all the same. Few copies are
-    // written, since such an endpoint soon gets one call on each connection.
+    // Its answers on used connections show nothing. Guards against one that counts all the same. Few copies
+    // are written, since such an endpoint soon gets one call on each connection.
     let copies = check(&both_kinds(Scenario { heeds_close: false, ..SCENARIO }));
     assert!(copies.iter().sum::<usize>() > 0, "no copy was written: {copies:?}");
 }
--- a/crates/daemon/tests/sockets/world.rs
+++ b/crates/daemon/tests/sockets/world.rs
@@ -91,8 +91,8 @@
     response.replacen("\r\n", "\r\nConnection: close\r\n", 1)
 }
 
-/// What an endpoint does with a call. Texts are written as they are, but that a request which asks for the end
-/// of its connection gets a response that announces it, and the connection is closed.
+/// What an endpoint does with a call. Texts are written as they are, but that a request which asks for the
+/// end of its connection gets a response that announces it, and the connection is closed.
 pub enum Reply {
     Respond(String),
     /// Writes the text and closes the connection.
--- a/crates/policy/tests/fleet.rs
+++ b/crates/policy/tests/fleet.rs
@@ -455,8 +455,9 @@
 
 #[test]
 fn connection_that_becomes_idle_in_the_turn_of_an_order_to_close_is_not_counted() {
-    // Guards against a policy that counts a connection which its own order has closed: the order is carried out
-    // after all events of its turn, so it closes also those that became idle after the event that caused it.
+    // Guards against a policy that counts a connection which its own order has closed: the order is carried
+    // out after all events of its turn, so it closes also those that became idle after the event that caused
+    // it.
     let settings = Settings { conn_idle: 10 * SEC, connections_reported: true, ..sparse(100) };
     let mut rig = Rig::new(settings, 0, 1);
     let endpoint = EndpointId(0);
