Fleet tests: relays are tasks of one thread, not two polling threads a connection

Change: relays of connections and of notes are tasks on one thread of each fleet (link.rs), and end with it. What a link does to bytes is as before.

--- a/crates/daemon/tests/fleet/fleet.rs
+++ b/crates/daemon/tests/fleet/fleet.rs
@@ -2,202 +2,17 @@
 //! test can cut, delay, throttle, or break in the middle of a frame. Tests wait for conditions: lines of a
 //! sender's log, calls at endpoints, notices at the platform.
 
+use crate::link::{self, Link, LinkState, NoteRelays, OPEN_LINK};
 use crate::world::{Client, Endpoint, HttpMessage, Platform, Reply, member, response, wait_until};
 use std::collections::{BTreeMap, BTreeSet};
-use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
-
-/// How a link treats the bytes that pass it.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct LinkState {
-    /// Whether bytes pass from the dialing side to the dialed side, and in the opposite direction.
-    pub forward: bool,
-    pub backward: bool,
-    /// The time by which bytes are delayed.
-    pub delay: Duration,
-    /// The number of bytes after which a connection is closed.
-    pub reset_after_bytes: Option<usize>,
-    /// The throughput limit.
-    pub bytes_per_second: Option<u32>,
-}
-
-const OPEN_LINK: LinkState = LinkState {
-    forward: true,
-    backward: true,
-    delay: Duration::ZERO,
-    reset_after_bytes: None,
-    bytes_per_second: None,
-};
-
-/// The two streams of each open connection of a link, by number.
-type OpenConnections = BTreeMap<u64, [TcpStream; 2]>;
-
-/// A relay between a sender and an address that it dials.
-struct Link {
-    address: SocketAddr,
-    state: Arc<Mutex<LinkState>>,
-    connections: Arc<Mutex<OpenConnections>>,
-    bytes_passed: Arc<AtomicU64>,
-}
-
-impl Link {
-    fn new(to: SocketAddr) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-        let address = listener.local_addr().expect("the socket has an address");
-        let state = Arc::new(Mutex::new(OPEN_LINK));
-        let connections = Arc::<Mutex<OpenConnections>>::default();
-        let bytes_passed = Arc::<AtomicU64>::default();
-        let (shared, all, count) = (state.clone(), connections.clone(), bytes_passed.clone());
-        thread::spawn(move || {
-            for (number, near) in (0..).zip(listener.incoming().flatten()) {
-                let (state, open, count) = (shared.clone(), all.clone(), count.clone());
-                thread::spawn(move || {
-                    relay_connection(near, to, &state, &open, number, &count);
-                    open.lock().expect("not poisoned").remove(&number);
-                });
-            }
-        });
-        Self { address, state, connections, bytes_passed }
-    }
-
-    /// Closes all connections of the link.
-    fn break_all(&self) {
-        for stream in self.connections.lock().expect("not poisoned").values().flatten() {
-            let _ = stream.shutdown(Shutdown::Both);
-        }
-    }
-}
-
-/// Relays a connection in both directions until one side closes.
-fn relay_connection(
-    near: TcpStream,
-    to: SocketAddr,
-    state: &Arc<Mutex<LinkState>>,
-    connections: &Mutex<OpenConnections>,
-    number: u64,
-    count: &Arc<AtomicU64>,
-) {
-    // The connection itself is made over a cut too; its bytes are held while the cut lasts.
-    let Ok(far) = TcpStream::connect(to) else { return };
-    let duplicate = |stream: &TcpStream| stream.try_clone().expect("the socket is duplicated");
-    connections.lock().expect("not poisoned").insert(number, [duplicate(&near), duplicate(&far)]);
-    let (back_from, back_to, shared, back_count) =
-        (duplicate(&far), duplicate(&near), state.clone(), count.clone());
-    let back = thread::spawn(move || {
-        relay_bytes(&back_from, &back_to, &shared, &back_count, |state| state.backward)
-    });
-    relay_bytes(&near, &far, state, count, |state| state.forward);
-    let _ = back.join();
-}
-
-/// Relays bytes in one direction, according to the state of the link.
-fn relay_bytes(
-    from: &TcpStream,
-    to: &TcpStream,
-    state: &Mutex<LinkState>,
-    count: &AtomicU64,
-    is_open: impl Fn(&LinkState) -> bool,
-) {
-    let _ = from.set_read_timeout(Some(Duration::from_millis(20)));
-    let _ = to.set_nodelay(true);
-    let mut block = [0; 4096];
-    let mut passed = 0;
-    let close = || {
-        let _ = from.shutdown(Shutdown::Both);
-        let _ = to.shutdown(Shutdown::Both);
-    };
-    loop {
-        let length = match (&*from).read(&mut block) {
-            Ok(0) => return close(),
-            Ok(length) => length,
-            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => continue,
-            Err(_) => return close(),
-        };
-        loop {
-            let now = *state.lock().expect("not poisoned");
-            if is_open(&now) {
-                let transfer_time = now
-                    .bytes_per_second
-                    .map_or(Duration::ZERO, |rate| Duration::from_secs(length as u64) / rate);
-                thread::sleep(now.delay + transfer_time);
-                let limit =
-                    now.reset_after_bytes.map_or(length, |max| max.saturating_sub(passed).min(length));
-                passed += length;
-                count.fetch_add(limit as u64, Ordering::Relaxed);
-                if (&*to).write_all(&block[..limit]).is_err() || limit < length {
-                    return close();
-                }
-                break;
-            }
-            if matches!(to.take_error(), Ok(Some(_))) {
-                return close();
-            }
-            thread::sleep(Duration::from_millis(5));
-        }
-    }
-}
-
-/// Relays of the notes (datagrams) between senders. Each sender sends to, and receives from, an address of
-/// the test's for each other sender. A relay is cut together with the link between the two senders.
-struct NoteRelays {
-    /// For each sender the addresses of all senders, itself included as on the platform's list.
-    peers: Vec<Vec<SocketAddr>>,
-    /// For each sender its broadcast address.
-    all: Vec<SocketAddr>,
-}
-
-impl NoteRelays {
-    fn new(
-        links: &BTreeMap<(usize, usize), Link>,
-        sender_count: usize,
-        peer_address: impl Fn(usize) -> SocketAddr,
-    ) -> Self {
-        let socket = || Arc::new(UdpSocket::bind("127.0.0.1:0").expect("a free port"));
-        let relays: BTreeMap<(usize, usize), Arc<UdpSocket>> =
-            links.keys().map(|&pair| (pair, socket())).collect();
-        let others = |sender: usize| (0..sender_count).filter(move |&peer| peer != sender);
-        let relay_from = |socket: Arc<UdpSocket>, from: usize, to: Vec<usize>| {
-            let address = socket.local_addr().expect("the socket has an address");
-            let route = |peer| {
-                (links[&(from, peer)].state.clone(), relays[&(peer, from)].clone(), peer_address(peer))
-            };
-            let routes: Vec<_> = to.into_iter().map(route).collect();
-            thread::spawn(move || {
-                let mut note = [0; 512];
-                while let Ok((length, _)) = socket.recv_from(&mut note) {
-                    for (state, relay, to) in &routes {
-                        let state = *state.lock().expect("not poisoned");
-                        if state.forward && state.delay.is_zero() {
-                            let _ = relay.send_to(&note[..length], to);
-                        } else if state.forward {
-                            let (note, relay, to) = (note[..length].to_vec(), relay.clone(), *to);
-                            thread::spawn(move || {
-                                thread::sleep(state.delay);
-                                let _ = relay.send_to(&note, to);
-                            });
-                        }
-                    }
-                }
-            });
-            address
-        };
-        let address = |sender: usize, peer: usize| match sender == peer {
-            true => peer_address(sender),
-            false => relay_from(relays[&(sender, peer)].clone(), sender, vec![peer]),
-        };
-        let peers =
-            (0..sender_count).map(|sender| (0..sender_count).map(|peer| address(sender, peer)).collect());
-        Self {
-            peers: peers.collect(),
-            all: (0..sender_count).map(|s| relay_from(socket(), s, others(s).collect())).collect(),
-        }
-    }
-}
+use tokio::runtime::Runtime;
 
 /// What endpoints do with a call.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -252,6 +67,7 @@
     links: BTreeMap<(usize, usize), Link>,
     /// The links between a sender and each zone's endpoints, in fleets with evacuation.
     zone_links: BTreeMap<(usize, char), Vec<Link>>,
+    relay_runtime: Runtime,
     starts: u64,
 }
 
@@ -343,14 +159,15 @@
             let ip = [127, process_byte, (fleet_number % 250) as u8, sender as u8 + 1];
             SocketAddr::from((ip, PEER_PORT))
         };
+        let relay_runtime = link::relay_runtime();
         let mut links = BTreeMap::new();
         for from in 0..sender_count {
             for to in (0..sender_count).filter(|&to| to != from) {
-                links.insert((from, to), Link::new(peer_address(to)));
+                links.insert((from, to), Link::new(&relay_runtime, peer_address(to)));
             }
         }
         let notes = options.notes.then(|| {
-            NoteRelays::new(&links, sender_count, |sender| {
+            NoteRelays::new(&relay_runtime, &links, sender_count, |sender| {
                 SocketAddr::new(peer_address(sender).ip(), NOTE_PORT)
             })
         });
@@ -361,13 +178,18 @@
             _endpoints: endpoints,
             links,
             zone_links: BTreeMap::new(),
+            relay_runtime,
             starts: 0,
         };
         // Each sender has its own link to each endpoint, and finds the link's address in its list.
         if options.evacuation {
             for sender in 0..sender_count {
                 for (endpoint, &(zone, _)) in fleet._endpoints.iter().zip(&endpoint_keys) {
-                    fleet.zone_links.entry((sender, zone)).or_default().push(Link::new(endpoint.address));
+                    fleet
+                        .zone_links
+                        .entry((sender, zone))
+                        .or_default()
+                        .push(Link::new(&fleet.relay_runtime, endpoint.address));
                 }
             }
         }
@@ -569,8 +391,8 @@
     /// Updates the links that carry bytes from `from` to `to`. `update` receives `true` for the link that
     /// `from` dials, and `false` for the one that `to` dials.
     fn update_links(&self, from: usize, to: usize, update: impl Fn(&mut LinkState, bool)) {
-        update(&mut self.links[&(from, to)].state.lock().expect("not poisoned"), true);
-        update(&mut self.links[&(to, from)].state.lock().expect("not poisoned"), false);
+        self.links[&(from, to)].update(|state| update(state, true));
+        self.links[&(to, from)].update(|state| update(state, false));
     }
 
     /// Holds all bytes from one sender to the other, on both links.
@@ -593,13 +415,13 @@
 
     /// Delays the bytes on the links that `from` dials to `to`.
     pub fn delay(&self, from: usize, to: usize, delay: Duration) {
-        self.links[&(from, to)].state.lock().expect("not poisoned").delay = delay;
+        self.links[&(from, to)].update(|state| state.delay = delay);
     }
 
     /// Limits the throughput of the links between two senders, in each direction.
     pub fn throttle(&self, a: usize, b: usize, bytes_per_second: u32) {
         for link in [(a, b), (b, a)] {
-            self.links[&link].state.lock().expect("not poisoned").bytes_per_second = Some(bytes_per_second);
+            self.links[&link].update(|state| state.bytes_per_second = Some(bytes_per_second));
         }
     }
 
@@ -614,15 +436,15 @@
 
     /// Closes each connection that `from` dials to `to` after this number of bytes.
     pub fn reset_after(&self, from: usize, to: usize, bytes: usize) {
-        self.links[&(from, to)].state.lock().expect("not poisoned").reset_after_bytes = Some(bytes);
+        self.links[&(from, to)].update(|state| state.reset_after_bytes = Some(bytes));
         self.links[&(from, to)].break_all();
     }
 
     /// Restores all links; connections on those that were changed are closed.
     pub fn heal(&self) {
         for link in self.links.values() {
-            let was = std::mem::replace(&mut *link.state.lock().expect("not poisoned"), OPEN_LINK);
-            if was != OPEN_LINK {
+            if link.state() != OPEN_LINK {
+                link.update(|state| *state = OPEN_LINK);
                 link.break_all();
             }
         }
@@ -654,8 +476,7 @@
     /// Cuts a sender off from a zone's endpoints, or restores its links to them.
     pub fn set_zone_cut(&self, sender: usize, zone: char, is_cut: bool) {
         for link in &self.zone_links[&(sender, zone)] {
-            let mut state = link.state.lock().expect("not poisoned");
-            (state.forward, state.backward) = (!is_cut, !is_cut);
+            link.update(|state| (state.forward, state.backward) = (!is_cut, !is_cut));
             link.break_all();
         }
     }
@@ -735,7 +556,7 @@
 
     /// Returns the number of bytes that passed on all links.
     pub fn bytes_on_links(&self) -> u64 {
-        self.links.values().map(|link| link.bytes_passed.load(Ordering::Relaxed)).sum()
+        self.links.values().map(Link::bytes_passed).sum()
     }
 
     /// Returns the part `copies` of a sender's status; `None` if the sender does not respond.
--- a/crates/daemon/tests/fleet/main.rs
+++ b/crates/daemon/tests/fleet/main.rs
@@ -3,6 +3,7 @@
 mod cost;
 mod epochs;
 mod fleet;
+mod link;
 mod reuse;
 #[allow(dead_code)]
 #[path = "../sockets/world.rs"]
