Each connection to the platform carries one post of notices, the next is opened ahead

A second copy of a 204 that crossed the next post confirmed that post; if the platform had not taken it, its messages ended without delivery or notice.

Cause: answers 204 are alike, and posts shared a connection.

Change: a connection carries one post, so its first answer is its own. The connection for the next post is opened when a post is made, and a notice waits for one only if posts follow each other at once. Bytes that arrive on it before its post close it. The scheduler is as before.

--- a/crates/daemon/src/platform/reports.rs
+++ b/crates/daemon/src/platform/reports.rs
@@ -1,4 +1,7 @@
 //! Posts notices to the platform. `notice_scheduler.rs` decides when.
+//!
+//! All answers to posts are alike, so a second copy of one could confirm the next post on its connection.
+//! Therefore each connection carries one post, and the one for the next post is opened in advance.
 
 use crate::abort_on_drop::AbortOnDrop;
 use crate::io::ObservedStream;
@@ -29,6 +32,38 @@
 type Failure = Box<dyn std::error::Error>;
 type Connection = SendRequest<Full<Bytes>>;
 
+/// What a task of the reports has done.
+enum Done {
+    /// A post has ended.
+    Post(u64, Result<(), String>),
+    /// A connection to this address is open, unless that failed.
+    Connect(SocketAddr, Option<Connection>),
+}
+
+/// The connection for the next post, which has carried none yet.
+#[derive(Default)]
+enum SpareConnection {
+    #[default]
+    None,
+    Opening {
+        _task: AbortOnDrop,
+    },
+    Open(Connection),
+}
+
+impl SpareConnection {
+    /// Takes the connection if it is open.
+    fn take_open(&mut self) -> Option<Connection> {
+        match std::mem::take(self) {
+            Self::Open(connection) => Some(connection).filter(|c| !c.is_closed()),
+            other => {
+                *self = other;
+                None
+            }
+        }
+    }
+}
+
 /// Posts notices to the platform until each is confirmed, and then records the end of its message.
 pub struct Reports {
     net: Rc<dyn Network>,
@@ -86,18 +121,21 @@
     }
 
     async fn run(self: Rc<Self>) {
-        let (results, mut ended_posts) = unbounded_channel::<(u64, Result<Connection, String>)>();
-        let mut idle_connection: Option<Connection> = None;
+        let (done, mut all_done) = unbounded_channel();
+        let mut spare = SpareConnection::default();
         let mut posts: BTreeMap<u64, AbortOnDrop> = BTreeMap::new();
         loop {
             let request = self.scheduler.borrow_mut().next_post(self.started.elapsed());
             if let Some(request) = request {
                 request.abandoned.and_then(|abandoned| posts.remove(&abandoned));
-                let connection = if request.needs_new_connection { None } else { idle_connection.take() };
+                let connection = if request.needs_new_connection { None } else { spare.take_open() };
                 let post = request.post;
-                let task =
-                    tokio::task::spawn_local(self.clone().run_post(request, connection, results.clone()));
+                let task = tokio::task::spawn_local(self.clone().run_post(request, connection, done.clone()));
                 posts.insert(post, AbortOnDrop(task.abort_handle()));
+                if matches!(spare, SpareConnection::None) {
+                    let opening = tokio::task::spawn_local(self.clone().open_spare(done.clone()));
+                    spare = SpareConnection::Opening { _task: AbortOnDrop(opening.abort_handle()) };
+                }
                 continue;
             }
             let wake = self.scheduler.borrow().wake().map(|w| self.started + w);
@@ -110,80 +148,98 @@
             tokio::select! {
                 biased;
                 () = self.address_changed.notified() => {
-                    idle_connection = None;
+                    spare = SpareConnection::None;
                     for post in self.scheduler.borrow_mut().relocate(self.started.elapsed()) {
                         posts.remove(&post);
                     }
                 }
-                Some((post, result)) = ended_posts.recv() => {
-                    if posts.remove(&post).is_none() {
-                        continue;
-                    }
-                    let now = self.started.elapsed();
-                    let age = self.scheduler.borrow().oldest_age(now);
-                    match result {
-                        Ok(connection) => {
-                            idle_connection = Some(connection);
-                            let confirmed = self.scheduler.borrow_mut().record_confirmed(post, now);
-                            let mut journal = self.journal.borrow_mut();
-                            confirmed.into_iter().for_each(|id| _ = journal.record_end(id));
-                            if age > LOGGED_AGE {
-                                tracing::warn!("reports: notice confirmed after {} ms", age.as_millis());
-                            }
+                Some(done) = all_done.recv() => match done {
+                    Done::Connect(address, opened) => {
+                        if address == self.address.get() {
+                            spare = opened.map_or(SpareConnection::None, SpareConnection::Open);
                         }
-                        Err(error) => {
-                            let ms = age.as_millis();
-                            tracing::warn!("reports: post failed: {error}; oldest notice waits for {ms} ms");
-                            self.scheduler.borrow_mut().record_failed(post, now);
+                    }
+                    Done::Post(post, result) => {
+                        if posts.remove(&post).is_some() {
+                            self.record_result(post, result);
                         }
                     }
-                }
+                },
                 () = self.notice_added.notified() => {}
                 () = alarm => {}
             }
         }
     }
 
+    /// Records how a post ended.
+    fn record_result(&self, post: u64, result: Result<(), String>) {
+        let now = self.started.elapsed();
+        let mut scheduler = self.scheduler.borrow_mut();
+        let age = scheduler.oldest_age(now);
+        if let Err(error) = result {
+            let ms = age.as_millis();
+            tracing::warn!("reports: post failed: {error}; oldest notice waits for {ms} ms");
+            return scheduler.record_failed(post, now);
+        }
+        let mut journal = self.journal.borrow_mut();
+        for id in scheduler.record_confirmed(post, now) {
+            let _ = journal.record_end(id);
+        }
+        if age > LOGGED_AGE {
+            tracing::warn!("reports: notice confirmed after {} ms", age.as_millis());
+        }
+    }
+
     /// Makes a post and sends its result.
     async fn run_post(
         self: Rc<Self>,
         request: PostRequest,
         connection: Option<Connection>,
-        results: UnboundedSender<(u64, Result<Connection, String>)>,
+        done: UnboundedSender<Done>,
     ) {
         let result = match timeout(POST_TIMEOUT, self.post(connection, &request.notices)).await {
             Ok(result) => result.map_err(|e| e.to_string()),
             Err(_) => Err(format!("no answer within {} ms", POST_TIMEOUT.as_millis())),
         };
-        let _ = results.send((request.post, result));
+        let _ = done.send(Done::Post(request.post, result));
     }
 
-    /// Posts notices, and returns the connection for the next post.
+    /// Opens a connection and sends it. If that fails, the next post opens its own and reports why.
+    async fn open_spare(self: Rc<Self>, done: UnboundedSender<Done>) {
+        let address = self.address.get();
+        let opened = timeout(POST_TIMEOUT, self.connect()).await;
+        let _ = done.send(Done::Connect(address, opened.ok().and_then(Result::ok)));
+    }
+
+    /// Opens a connection to the platform.
+    async fn connect(&self) -> Result<Connection, Failure> {
+        let stream = self.net.connect(self.address.get()).await?;
+        let _ = stream.set_nodelay(); // If it fails, small writes are delayed, but still arrive.
+        let (connection, driver) = http1::handshake(ObservedStream::new(stream, ())).await?;
+        tokio::task::spawn_local(driver);
+        Ok(connection)
+    }
+
+    /// Posts notices on a connection that has carried no post before.
     async fn post(
         &self,
         connection: Option<Connection>,
         notices: &[(MessageId, Verdict)],
-    ) -> Result<Connection, Failure> {
-        let mut sender = match connection {
-            Some(connection) if !connection.is_closed() => connection,
-            _ => {
-                let stream = self.net.connect(self.address.get()).await?;
-                let _ = stream.set_nodelay(); // If it fails, small writes are delayed, but still arrive.
-                let (sender, driver) = http1::handshake(ObservedStream::new(stream, ())).await?;
-                tokio::task::spawn_local(driver);
-                sender
-            }
+    ) -> Result<(), Failure> {
+        let mut connection = match connection {
+            Some(connection) => connection,
+            None => self.connect().await?,
         };
-        sender.ready().await?;
+        connection.ready().await?;
         let lines: String = notices.iter().map(|(id, v)| notice_line(*id, *v)).collect();
         let request = Request::post("/reports")
             .header(HOST, self.address.get().to_string())
             .header(CONTENT_TYPE, "application/x-ndjson")
             .body(Full::from(lines))?;
-        let response = sender.send_request(request).await?;
+        let response = connection.send_request(request).await?;
         let status = response.status();
         let _ = Limited::new(response.into_body(), 1 << 16).collect().await;
-        if status == 204 { Ok(sender) } else { Err(format!("the platform answered {status}").into()) }
+        if status == 204 { Ok(()) } else { Err(format!("the platform answered {status}").into()) }
     }
 }
 
