--- a/crates/daemon/tests/fleet/link.rs
+++ b/crates/daemon/tests/fleet/link.rs
@@ -1,5 +1,5 @@
-//! Relays between the senders of a fleet, and between a sender and an endpoint. A test can cut, delay, throttle
-//! or reset them.
+//! Relays between the senders of a fleet, and between a sender and an endpoint. A test can cut, delay,
+//! throttle or reset them.
 
 use std::collections::BTreeMap;
 use std::io::{self, ErrorKind};
