--- a/review/standins-2/world.rs
+++ b/review/standins-2/world.rs
@@ -374,6 +374,11 @@
             .stderr(errors)
             .spawn()
             .map_err(|e| format!("sender {}: {e}", self.name))?;
+        // `run-case-2.sh` ends these processes if this one ends early.
+        let pids = self.folder.with_file_name("pids");
+        let pids = fs::File::options().create(true).append(true).open(pids);
+        let written = pids.and_then(|mut file| writeln!(file, "{}", child.id()));
+        written.map_err(|e| format!("pids: {e}"))?;
         self.record.line(&format!("{}: started, process {}", self.name, child.id()));
         self.process = Some(child);
         Ok(())
@@ -493,7 +498,7 @@
     /// Starts all senders and waits until each tolerates the loss of another one.
     pub fn start(settings: &FleetSettings, platform: &Platform, record: &Record) -> Result<Self, Failure> {
         let root = std::env::var("REVIEW_ROOT").map(PathBuf::from).map_err(|_| "REVIEW_ROOT is not set")?;
-        let folder = std::env::temp_dir().join(format!("notchpoint-review-{}", std::process::id()));
+        let folder = std::env::var("REVIEW_WORK").map(PathBuf::from).map_err(|_| "REVIEW_WORK is not set")?;
         let mut copies = Vec::new();
         for _ in 0..settings.senders {
             copies.push(free_address()?);
@@ -551,15 +556,6 @@
     }
 }
 
-impl Drop for Fleet {
-    fn drop(&mut self) {
-        self.senders.clear();
-        if std::env::var("KEEP").is_err() {
-            let _ = fs::remove_dir_all(&self.folder);
-        }
-    }
-}
-
 fn config_text(
     number: usize,
     address: SocketAddr,
