--- a/review/10/case.rs
+++ b/review/10/case.rs
@@ -33,7 +33,13 @@
         let classes = r#"{"effect":"idempotent","name":"status-update","sloS":1.0,"deadlineS":6.0,"worth":1.0},
             {"effect":"at_most_once","name":"order-payment","sloS":2.0,"deadlineS":24.0,"worth":3.0,
              "lateShare":0.3}"#;
-        let settings = FleetSettings { senders: 3, disk_mb: 64, most_held: 230, classes: classes.into() };
+        let settings = FleetSettings {
+            senders: 3,
+            disk_mb: 64,
+            most_held: 230,
+            classes: classes.into(),
+            holds_sockets: false,
+        };
         let mut fleet = Fleet::start(&settings, &platform, record)?;
 
         let time_is_up = record.now() + TIMEOUT_MS as f64 / 1e3;
--- a/review/6/case.rs
+++ b/review/6/case.rs
@@ -45,7 +45,8 @@
                {{{},"sloS":2.0,"deadlineS":24.0,"worth":3.0,"lateShare":0.3}}"#,
             if reloads { BEFORE } else { AFTER }
         );
-        let settings = FleetSettings { senders: 3, disk_mb: 64, most_held: 230, classes };
+        let settings =
+            FleetSettings { senders: 3, disk_mb: 64, most_held: 230, classes, holds_sockets: false };
         let mut fleet = Fleet::start(&settings, &platform, record)?;
 
         // The two senders that may take over hold a message of the class when the configuration changes.
--- a/review/standins-2/world.rs
+++ b/review/standins-2/world.rs
@@ -6,6 +6,8 @@
 use std::fs;
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::AsRawFd;
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
@@ -15,11 +17,18 @@
 pub const STOP: i32 = 19;
 pub const CONT: i32 = 18;
 pub const HUP: i32 = 1;
+pub const TERM: i32 = 15;
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn dup2(from: i32, to: i32) -> i32;
+    fn fcntl(descriptor: i32, command: i32, ...) -> i32;
 }
 
+/// The descriptor at which a sender inherits the clients' listening socket, and `fcntl`'s command for its flags.
+const ACCEPT_FD: i32 = 4;
+const F_SETFD: i32 = 2;
+
 /// Why a case could not run. It ends the script with status 2.
 pub type Failure = String;
 
@@ -135,10 +144,15 @@
     }
 }
 
-/// One entry of discovery's list.
+/// One entry of discovery's list, in hall-a.
 pub fn member(id: &str, address: SocketAddr, kind: &str, cell: u64, phase: &str) -> String {
+    member_in("hall-a", id, address, kind, cell, phase)
+}
+
+/// One entry of discovery's list.
+pub fn member_in(zone: &str, id: &str, address: SocketAddr, kind: &str, cell: u64, phase: &str) -> String {
     format!(
-        "{{\"id\":\"{id}\",\"host_port\":\"{address}\",\"locality\":\"hall-a\",\"flavor\":\"{kind}\",\"cell\":{cell},\
+        "{{\"id\":\"{id}\",\"host_port\":\"{address}\",\"locality\":\"{zone}\",\"flavor\":\"{kind}\",\"cell\":{cell},\
          \"phase\":\"{phase}\",\"size\":1.0,\"up_since_ms\":0}}"
     )
 }
@@ -156,14 +170,30 @@
     pub address: SocketAddr,
     pub members: Vec<String>,
     notices: Arc<Mutex<Vec<Notice>>>,
+    /// The entries that changed since the first list, whose revision is [`REVISION`], one with each revision.
+    changes: Arc<Mutex<Vec<String>>>,
+    record: Record,
 }
 
+const REVISION: usize = 41;
+
 impl Platform {
     pub fn start(members: Vec<String>, record: &Record) -> Result<Self, Failure> {
         let (listener, address) = listen()?;
         let notices = Arc::new(Mutex::new(Vec::new()));
-        let list = format!("{{\"revision\":41,\"complete\":true,\"members\":[{}]}}\n", members.join(","));
-        let (kept, record) = (notices.clone(), record.clone());
+        let changes: Arc<Mutex<Vec<String>>> = Arc::default();
+        let platform = Self {
+            address,
+            members: members.clone(),
+            notices: notices.clone(),
+            changes: changes.clone(),
+            record: record.clone(),
+        };
+        let (kept, record) = (notices, record.clone());
+        let list = |complete: bool, revision: usize, members: &[String]| {
+            let members = members.join(",");
+            format!("{{\"revision\":{revision},\"complete\":{complete},\"members\":[{members}]}}\n")
+        };
         serve(listener, move |stream| {
             let Ok(mut writer) = stream.try_clone() else { return };
             let mut reader = BufReader::new(stream);
@@ -183,23 +213,45 @@
                     }
                     continue;
                 }
-                if !request.line.contains("stream=1") {
+                let index = request.line.split_once("index=").and_then(|(_, rest)| rest.split(' ').next());
+                let Some(index) = index.and_then(|index| index.parse::<usize>().ok()) else {
+                    let changes = lock(&changes).clone();
+                    let list = list(true, REVISION + changes.len(), &[members.clone(), changes].concat());
                     let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}", list.len());
                     if writer.write_all(answer.as_bytes()).is_err() {
                         return;
                     }
                     continue;
-                }
-                let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-                let mut chunk = format!("{head}{:x}\r\n{list}\r\n", list.len());
-                while writer.write_all(chunk.as_bytes()).is_ok() {
-                    sleep_ms(2_000);
-                    chunk = "1\r\n\n\r\n".to_owned();
+                };
+                // A watch: first what changed after that version, then each change, and an empty line every 2 s.
+                let head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+                let (mut known, mut written_at) = (index.saturating_sub(REVISION), None::<Instant>);
+                let mut is_open = writer.write_all(head).is_ok();
+                while is_open {
+                    let new = lock(&changes)[known..].to_vec();
+                    let is_quiet = written_at.is_some_and(|at| at.elapsed() >= Duration::from_millis(2_000));
+                    let line = if written_at.is_none() || !new.is_empty() {
+                        known += new.len();
+                        list(false, REVISION + known, &new)
+                    } else if is_quiet {
+                        "\n".to_owned()
+                    } else {
+                        sleep_ms(20);
+                        continue;
+                    };
+                    is_open = writer.write_all(format!("{:x}\r\n{line}\r\n", line.len()).as_bytes()).is_ok();
+                    written_at = Some(Instant::now());
                 }
                 return;
             }
         });
-        Ok(Self { address, members, notices })
+        Ok(platform)
+    }
+
+    /// Changes one entry of the list, or adds one.
+    pub fn publish(&self, entry: String) {
+        self.record.line(&format!("discovery: {entry}"));
+        lock(&self.changes).push(entry);
     }
 
     pub fn notices(&self) -> Vec<Notice> {
@@ -305,6 +357,8 @@
     pub most_held: u32,
     /// The classes, as JSON.
     pub classes: String,
+    /// Whether the platform holds the clients' listening sockets, so that senders can be upgraded.
+    pub holds_sockets: bool,
 }
 
 /// One sender: its folder, its files, and its process.
@@ -314,6 +368,8 @@
     folder: PathBuf,
     config: String,
     admin: SocketAddr,
+    /// The clients' listening socket, if the platform holds it.
+    socket: Option<TcpListener>,
     process: Option<Child>,
     number: u32,
     starts: u32,
@@ -362,13 +418,27 @@
         let log = self.folder.join("log");
         let log = fs::File::options().create(true).append(true).open(log).map_err(|e| e.to_string())?;
         let errors = log.try_clone().map_err(|e| e.to_string())?;
-        let child = Command::new("/bin/sh")
+        let mut command = Command::new("/bin/sh");
+        if let Some(socket) = &self.socket {
+            let descriptor = socket.as_raw_fd();
+            command.env("BALANCER_ACCEPT_FD", ACCEPT_FD.to_string());
+            // Only these two system calls run between the fork and the program.
+            unsafe {
+                command.pre_exec(move || {
+                    dup2(descriptor, ACCEPT_FD);
+                    fcntl(ACCEPT_FD, F_SETFD, 0);
+                    Ok(())
+                });
+            }
+        }
+        let child = command
             .args(["-c", &run_command(root)?])
             .current_dir(root)
             .env("BALANCER_CONFIG", self.folder.join("config.json"))
             .env("BALANCER_STATE", self.state())
             .env("NOTCHPOINT_OPERATOR", self.folder.join("operator.toml"))
             .env("TMPDIR", self.folder.join("tmp"))
+            .env("BALANCER_ADMIN_ADDR", self.admin.to_string())
             .stdin(Stdio::null())
             .stdout(log)
             .stderr(errors)
@@ -440,6 +510,27 @@
         Ok(())
     }
 
+    /// Upgrades the sender as the platform does: starts `run` once more with a new second address, waits for its yes,
+    /// and sends SIGTERM to the old process. That ends by itself, or with SIGKILL 3.7 s later.
+    pub fn upgrade(&mut self, root: &Path) -> Result<(), Failure> {
+        self.admin = free_address()?;
+        let old = self.process.take();
+        let started = self.start(root).and_then(|()| {
+            wait_for("the new process to say yes", 6_000, || self.status().contains("\"ok\":true"))
+        });
+        let Some(mut old) = old else { return started };
+        self.record.line(&format!("{}: the new process says yes, SIGTERM to the old one", self.name));
+        unsafe { kill(old.id() as i32, TERM) };
+        let until = Instant::now() + Duration::from_millis(3_700);
+        while started.is_ok() && Instant::now() < until && matches!(old.try_wait(), Ok(None)) {
+            sleep_ms(10);
+        }
+        let _ = old.kill();
+        let _ = old.wait();
+        self.record.line(&format!("{}: the old process has ended", self.name));
+        started
+    }
+
     /// Returns whether the sender's log has a line with this text.
     pub fn has_logged(&self, text: &str) -> bool {
         fs::read_to_string(self.folder.join("log")).is_ok_and(|log| log.contains(text))
@@ -516,9 +607,12 @@
                 operator += &format!("[[copies.senders]]\nname = \"n{other}\"\naddress = \"{at}\"\n");
             }
             let config = config_text(n, address, admin, platform, settings);
+            let socket = settings.holds_sockets.then(|| TcpListener::bind(address)).transpose();
+            let socket = socket.map_err(|e| format!("the clients' socket: {e}"))?;
             let (process, number, starts, record) = (None, n as u32, 0, record.clone());
+            let folder = own;
             let sender =
-                Sender { name, address, folder: own, config, admin, process, number, starts, record };
+                Sender { name, address, folder, config, admin, socket, process, number, starts, record };
             sender.write("operator.toml", &operator)?;
             fleet.senders.push(sender);
         }
@@ -538,6 +632,12 @@
         Ok(fleet)
     }
 
+    /// Upgrades a sender.
+    pub fn upgrade(&mut self, n: usize) -> Result<(), Failure> {
+        let root = self.root.clone();
+        self.senders[n].upgrade(&root)
+    }
+
     /// Starts a sender again, and waits until it is up.
     pub fn restart(&mut self, n: usize) -> Result<(), Failure> {
         let root = self.root.clone();
@@ -564,7 +664,7 @@
     settings: &FleetSettings,
 ) -> String {
     let (discovery, members) = (platform.address, platform.members.join(","));
-    let FleetSettings { senders, disk_mb, most_held, classes } = settings;
+    let FleetSettings { senders, disk_mb, most_held, classes, .. } = settings;
     format!(
         r#"{{"name":"n{number}","listen":"{address}","admin_addr":"{admin}","discovery":"{discovery}",
 "seed":"SEED",
@@ -579,7 +679,7 @@
 "kinds":["small-shop"],"locality":"hall-a","me":{number},"overShareWorth":0.2,
 "parties":[{{"allowancePerS":75.0,"name":"acme","share":1.0}}],
 "safety":{{"askWithinS":10.0,"coldS":9.2,"startCapacity":0.17,"overloadFactor":2.0,"tipAfterS":2.0}},
-"siblings":{senders},"tickS":0.005,"zones":["hall-a"]}}}}
+"siblings":{senders},"tickS":0.005,"zones":["hall-a","hall-c"]}}}}
 "#
     )
 }
