--- a/review/10/case.rs
+++ b/review/10/case.rs
@@ -39,6 +39,7 @@
             most_held: 230,
             classes: classes.into(),
             holds_sockets: false,
+            can_be_cut: false,
         };
         let mut fleet = Fleet::start(&settings, &platform, record)?;
 
--- a/review/6/case.rs
+++ b/review/6/case.rs
@@ -38,15 +38,22 @@
             endpoints.push(endpoint);
         }
         // Destination 9 has only an endpoint that drains: messages for it wait.
-        members.push(member("s-9", endpoints[0].address, "small-shop", 9, "draining"));
+        let draining = Endpoint::start(9, record, |_| Reply::Ok)?;
+        members.push(member("s-9", draining.address, "small-shop", 9, "draining"));
         let platform = Platform::start(members, record)?;
         let classes = format!(
             r#"{{"effect":"idempotent","name":"status-update","sloS":1.0,"deadlineS":6.0,"worth":1.0}},
                {{{},"sloS":2.0,"deadlineS":24.0,"worth":3.0,"lateShare":0.3}}"#,
             if reloads { BEFORE } else { AFTER }
         );
-        let settings =
-            FleetSettings { senders: 3, disk_mb: 64, most_held: 230, classes, holds_sockets: false };
+        let settings = FleetSettings {
+            senders: 3,
+            disk_mb: 64,
+            most_held: 230,
+            classes,
+            holds_sockets: false,
+            can_be_cut: false,
+        };
         let mut fleet = Fleet::start(&settings, &platform, record)?;
 
         // The two senders that may take over hold a message of the class when the configuration changes.
--- a/review/9/case.rs
+++ b/review/9/case.rs
@@ -12,9 +12,9 @@
 /// How long the destination remembers a key (`memorySpanS`), and the 50 ms that each time limit is longer.
 const MEMORY_S: f64 = 5.0;
 const SLACK_S: f64 = 0.05;
-/// When the witness goes on, and when the owner is lost, in milliseconds after the first call.
-const STOPPED_FOR_MS: u64 = 2_000;
-const LOST_AT_MS: u64 = 3_900;
+/// When the cut ends, and when the owner is lost, in milliseconds after the first call.
+const CUT_FOR_MS: u64 = 1_400;
+const LOST_AT_MS: u64 = 3_800;
 
 #[derive(Default)]
 struct Destination {
@@ -26,8 +26,8 @@
     run_case(|record, with_trouble| {
         // Only for the report: one of the two disruptions alone.
         let only = std::env::var("ONLY").unwrap_or_default();
-        let stops = with_trouble && only != "loss";
-        let loses = with_trouble && only != "stop";
+        let cuts = with_trouble && only != "loss";
+        let loses = with_trouble && only != "cut";
 
         let id = format!("{MESSAGE:016x}");
         let destination: Arc<Mutex<Destination>> = Arc::default();
@@ -62,11 +62,12 @@
             most_held: 230,
             classes: classes.into(),
             holds_sockets: false,
+            can_be_cut: true,
         };
         let mut fleet = Fleet::start(&settings, &platform, record)?;
 
-        if stops {
-            fleet.senders[2].stop();
+        if cuts {
+            fleet.cut_last(true);
         }
         if fleet.senders[0].submit("order-payment", MESSAGE, 3, TIMEOUT_MS, b"pay 100 EUR") != 202 {
             return Err("the message was not accepted".into());
@@ -77,9 +78,9 @@
             let left = first + ms as f64 / 1e3 - record.now();
             sleep_ms((left.max(0.0) * 1e3) as u64);
         };
-        wait_until(STOPPED_FOR_MS);
-        if stops {
-            fleet.senders[2].resume();
+        wait_until(CUT_FOR_MS);
+        if cuts {
+            fleet.cut_last(false);
         }
         wait_until(LOST_AT_MS);
         if loses {
--- a/review/run-case-2.sh
+++ b/review/run-case-2.sh
@@ -10,7 +10,9 @@
 REVIEW_ROOT=$PWD
 REVIEW_RECORD=$PWD/review/$number/record.txt
 REVIEW_WORK=$(mktemp -d) || exit 2
-export REVIEW_ROOT REVIEW_RECORD REVIEW_WORK
+# The driver ends everything within a second if this script is gone.
+SCRIPT_PID=$$
+export REVIEW_ROOT REVIEW_RECORD REVIEW_WORK SCRIPT_PID
 finish() {
     [ -f "$REVIEW_WORK/pids" ] && while read -r pid; do
         # Only a process that was started on this case's folder is ended.
--- a/review/standins-2/world.rs
+++ b/review/standins-2/world.rs
@@ -4,12 +4,13 @@
 
 use std::collections::BTreeMap;
 use std::fs;
-use std::io::{BufRead, BufReader, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::os::fd::AsRawFd;
 use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -359,6 +360,38 @@
     pub classes: String,
     /// Whether the platform holds the clients' listening sockets, so that senders can be upgraded.
     pub holds_sockets: bool,
+    /// Whether the senders' links go through a network that can be cut.
+    pub can_be_cut: bool,
+}
+
+/// The network between two senders: it passes bytes on, and holds them, and new connections, during a cut.
+fn network_between(to: SocketAddr, is_cut: Arc<AtomicBool>) -> Result<SocketAddr, Failure> {
+    let (listener, address) = listen()?;
+    serve(listener, move |from| {
+        let wait = |is_cut: &AtomicBool| {
+            while is_cut.load(Relaxed) {
+                sleep_ms(2);
+            }
+        };
+        wait(&is_cut);
+        let Ok(onward) = TcpStream::connect(to) else { return };
+        let _ = (from.set_nodelay(true), onward.set_nodelay(true));
+        let pass = move |mut reader: TcpStream, mut writer: TcpStream, is_cut: Arc<AtomicBool>| {
+            let mut block = [0; 16 << 10];
+            while let Ok(count) = reader.read(&mut block) {
+                wait(&is_cut);
+                if count == 0 || writer.write_all(&block[..count]).is_err() {
+                    break;
+                }
+            }
+            let _ = writer.shutdown(Shutdown::Write);
+        };
+        let (Ok(back_reader), Ok(back_writer)) = (onward.try_clone(), from.try_clone()) else { return };
+        let cut = is_cut.clone();
+        thread::spawn(move || pass(back_reader, back_writer, cut));
+        pass(from, onward, is_cut.clone());
+    });
+    Ok(address)
 }
 
 /// One sender: its folder, its files, and its process.
@@ -542,6 +575,25 @@
         answer.map(|a| String::from_utf8_lossy(&a.body).into_owned()).unwrap_or_default()
     }
 
+    /// A client of this sender, for another thread.
+    pub fn client(&self) -> Client {
+        Client { name: self.name.clone(), address: self.address, record: self.record.clone() }
+    }
+
+    /// Hands in a message, see [`Client::submit`].
+    pub fn submit(&self, class: &str, id: u64, dest: u64, timeout_ms: u64, body: &[u8]) -> u16 {
+        self.client().submit(class, id, dest, timeout_ms, body)
+    }
+}
+
+/// A client of one sender.
+pub struct Client {
+    name: String,
+    address: SocketAddr,
+    record: Record,
+}
+
+impl Client {
     /// Hands in a message, waits 400 ms for the answer as clients do, and returns its status; 0 for none.
     pub fn submit(&self, class: &str, id: u64, dest: u64, timeout_ms: u64, body: &[u8]) -> u16 {
         let mut request = format!(
@@ -581,6 +633,9 @@
 /// Senders that keep one copy of each message at another one.
 pub struct Fleet {
     pub senders: Vec<Sender>,
+    /// Whether each sender is cut off from the others.
+    cuts: Vec<Arc<AtomicBool>>,
+    record: Record,
     root: PathBuf,
     folder: PathBuf,
 }
@@ -594,7 +649,13 @@
         for _ in 0..settings.senders {
             copies.push(free_address()?);
         }
-        let mut fleet = Self { senders: Vec::new(), root, folder };
+        let mut fleet = Self {
+            senders: Vec::new(),
+            cuts: (0..settings.senders).map(|_| Arc::default()).collect(),
+            record: record.clone(),
+            root,
+            folder,
+        };
         for n in 0..settings.senders {
             let (name, address, admin) = (format!("n{n}"), free_address()?, free_address()?);
             let own = fleet.folder.join(&name);
@@ -603,7 +664,11 @@
             if settings.senders > 1 {
                 operator += &format!("[copies]\ncount = 1\nlisten = \"{}\"\n", copies[n]);
             }
-            for (other, at) in copies.iter().enumerate().filter(|(other, _)| *other != n) {
+            for (other, &at) in copies.iter().enumerate().filter(|(other, _)| *other != n) {
+                // Only the last sender can be cut off, so each link has at most one network that holds it.
+                let last = settings.senders - 1;
+                let is_cuttable = settings.can_be_cut && (n == last || other == last);
+                let at = if is_cuttable { network_between(at, fleet.cuts[last].clone())? } else { at };
                 operator += &format!("[[copies.senders]]\nname = \"n{other}\"\naddress = \"{at}\"\n");
             }
             let config = config_text(n, address, admin, platform, settings);
@@ -632,6 +697,14 @@
         Ok(fleet)
     }
 
+    /// Cuts the last sender off from the others, or ends the cut.
+    pub fn cut_last(&self, is_cut: bool) {
+        let last = self.cuts.len() - 1;
+        self.cuts[last].store(is_cut, Relaxed);
+        let what = if is_cut { "is cut off from the other senders" } else { "is no longer cut off" };
+        self.record.line(&format!("n{last}: {what}"));
+    }
+
     /// Upgrades a sender.
     pub fn upgrade(&mut self, n: usize) -> Result<(), Failure> {
         let root = self.root.clone();
@@ -684,10 +757,38 @@
     )
 }
 
+/// Ends everything if the script is gone, which SIGKILL can do: all processes of the case, by their ids, the folder,
+/// and this process.
+fn watch_script() {
+    let Some(script) = std::env::var("SCRIPT_PID").ok() else { return };
+    let Some(work) = std::env::var("REVIEW_WORK").ok().map(PathBuf::from) else { return };
+    let is_gone = move || {
+        let stat = fs::read_to_string(format!("/proc/{script}/stat")).unwrap_or_default();
+        stat.rsplit(") ").next().is_none_or(|rest| rest.is_empty() || rest.starts_with('Z'))
+    };
+    thread::spawn(move || {
+        while !is_gone() {
+            sleep_ms(200);
+        }
+        let pids = fs::read_to_string(work.join("pids")).unwrap_or_default();
+        let own = format!("BALANCER_STATE={}/", work.display());
+        for pid in pids.lines().filter_map(|line| line.parse::<i32>().ok()) {
+            let environment = fs::read(format!("/proc/{pid}/environ")).unwrap_or_default();
+            if environment.split(|&byte| byte == 0).any(|variable| variable.starts_with(own.as_bytes())) {
+                unsafe { kill(pid, 9) };
+            }
+        }
+        sleep_ms(100);
+        let _ = fs::remove_dir_all(&work);
+        std::process::exit(2);
+    });
+}
+
 /// Runs a case: writes the record, and ends with 0 if the rule held, 1 if it was broken, 2 if the case could not
 /// run. `case` gets whether the disruption is to be made, and returns what broke the rule.
 pub fn run_case(case: impl FnOnce(&Record, bool) -> Result<Vec<String>, Failure>) -> ! {
     BEGUN.get_or_init(Instant::now);
+    watch_script();
     let with_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let path = std::env::var("REVIEW_RECORD").unwrap_or_else(|_| "record.txt".to_owned());
     let status = match Record::create(Path::new(&path)) {
